--- /dev/null
+++ b/crates/wasabi-protocol/src/contract.rs
@@ -0,0 +1,253 @@
+//! Contracts: the only source of limits, tiers and shares.
+
+use std::collections::BTreeSet;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{clock::Millis, id};
+
+/// Number of tiers.
+pub const TIERS: usize = 5;
+
+/// The urgency of a route. Tier 0 is the most urgent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Tier(pub u8);
+
+impl Tier {
+    /// The most urgent tier.
+    pub const TOP: Self = Self(0);
+
+    /// Returns the position of this tier in an array of [`TIERS`] items.
+    pub fn index(self) -> usize {
+        usize::from(self.0).min(TIERS - 1)
+    }
+
+    /// Returns all tiers, the most urgent first.
+    pub fn all() -> impl DoubleEndedIterator<Item = Self> {
+        (0..TIERS as u8).map(Self)
+    }
+}
+
+/// The contract of one organisation.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Contract {
+    /// The organisation that the contract is made with.
+    pub organisation: id::Organisation,
+    /// SHA-256 digests (lower-case hexadecimal) of the bearer tokens that identify callers.
+    pub token_digests: Vec<String>,
+    /// Weight of the organisation's share within a tier, relative to other organisations.
+    pub share: u32,
+    /// Limits over all entries together.
+    pub limits: Limits,
+    /// The routes that callers of this organisation may use.
+    pub routes: Vec<Route>,
+}
+
+/// Limits of a contract over all entries together.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Limits {
+    /// Most requests started in one second.
+    pub requests_per_s: u32,
+    /// Most estimated tokens (prompt and output) started in one second.
+    pub tokens_per_s: u32,
+    /// Most requests running at one time.
+    pub concurrency: u32,
+}
+
+/// One kind of request within a contract.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+    /// The name of the route, unique in the contract.
+    pub name: id::Route,
+    /// The urgency of requests on this route.
+    pub tier: Tier,
+    /// What the route leads to.
+    pub target: Target,
+    /// Whether a request may run more than once.
+    pub repeat: Repeat,
+    /// Target for the first byte or token of an answer, in milliseconds.
+    pub first_token_ms: Millis,
+    /// Target for the time between tokens, in milliseconds.
+    pub between_tokens_ms: Millis,
+    /// Time after which a request of this route is of no use, in milliseconds.
+    pub deadline_ms: Millis,
+}
+
+/// What a route leads to.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum Target {
+    /// A language model, called through the chat completions route.
+    Model {
+        /// The name of the model.
+        name: id::Backend,
+    },
+    /// A plain service, called through the pass-through route.
+    Service {
+        /// The name of the service.
+        name: id::Backend,
+        /// The HTTP method of the call.
+        method: String,
+        /// The start of the path within the service, such as `/orders`.
+        path_prefix: String,
+    },
+}
+
+impl Target {
+    /// Returns the model or service that the route leads to.
+    pub fn backend(&self) -> &id::Backend {
+        match self {
+            Self::Model { name } | Self::Service { name, .. } => name,
+        }
+    }
+}
+
+/// Whether a request may run more than once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum Repeat {
+    /// The request is idempotent and may be retried.
+    Idempotent,
+    /// The request runs at most once, by its idempotency key.
+    AtMostOnce {
+        /// Refuses requests without an idempotency key.
+        require_key: bool,
+        /// Refuses keys without a creation time.
+        require_key_time: bool,
+    },
+}
+
+impl Repeat {
+    /// Returns whether a request may be sent a second time after bytes of it left.
+    pub fn is_idempotent(self) -> bool {
+        matches!(self, Self::Idempotent)
+    }
+}
+
+/// A fault in a contract.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Problem {
+    /// The field, such as `routes[2].tier`.
+    pub field: String,
+    /// What is wrong, and what would be right.
+    pub message: String,
+}
+
+impl Contract {
+    /// Returns every fault of the contract; none means that it can be accepted.
+    pub fn problems(&self) -> Vec<Problem> {
+        let mut problems = Vec::new();
+        let mut report = |field: String, message: &str| {
+            problems.push(Problem { field, message: message.to_owned() });
+        };
+        if self.organisation.as_str().is_empty() {
+            report("organisation".into(), "must not be empty");
+        }
+        if self.share == 0 {
+            report("share".into(), "must be at least 1");
+        }
+        if self.token_digests.is_empty() {
+            report("token_digests".into(), "must hold at least one digest");
+        }
+        for (index, digest) in self.token_digests.iter().enumerate() {
+            let is_digest = digest.len() == 64
+                && digest.bytes().all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'));
+            if !is_digest {
+                report(
+                    format!("token_digests[{index}]"),
+                    "must be a SHA-256 digest of 64 lower-case hexadecimal digits",
+                );
+            }
+        }
+        for (field, value) in [
+            ("limits.requests_per_s", self.limits.requests_per_s),
+            ("limits.tokens_per_s", self.limits.tokens_per_s),
+            ("limits.concurrency", self.limits.concurrency),
+        ] {
+            if value == 0 {
+                report(field.into(), "must be at least 1");
+            }
+        }
+        let mut names = BTreeSet::new();
+        for (index, route) in self.routes.iter().enumerate() {
+            if !names.insert(route.name.as_str()) {
+                report(format!("routes[{index}].name"), "must be unique in the contract");
+            }
+            for (field, message) in route.problems() {
+                report(format!("routes[{index}].{field}"), message);
+            }
+        }
+        if self.routes.is_empty() {
+            report("routes".into(), "must hold at least one route");
+        }
+        problems
+    }
+
+    /// Returns the route with this name.
+    pub fn route(&self, name: &str) -> Option<&Route> {
+        self.routes.iter().find(|route| route.name.as_str() == name)
+    }
+
+    /// Returns the first route that leads to this model.
+    pub fn model_route(&self, model: &str) -> Option<&Route> {
+        self.routes
+            .iter()
+            .find(|route| matches!(&route.target, Target::Model { name } if name.as_str() == model))
+    }
+
+    /// Returns the route with the longest path prefix that matches a service call.
+    pub fn service_route(&self, service: &str, method: &str, path: &str) -> Option<&Route> {
+        self.routes
+            .iter()
+            .filter_map(|route| match &route.target {
+                Target::Service { name, method: allowed, path_prefix }
+                    if name.as_str() == service
+                        && allowed.eq_ignore_ascii_case(method)
+                        && is_path_prefix(path_prefix, path) =>
+                {
+                    Some((path_prefix.len(), route))
+                }
+                _ => None,
+            })
+            .max_by_key(|(length, _)| *length)
+            .map(|(_, route)| route)
+    }
+}
+
+impl Route {
+    fn problems(&self) -> Vec<(&'static str, &'static str)> {
+        let mut problems = Vec::new();
+        if TIERS <= usize::from(self.tier.0) {
+            problems.push(("tier", "must be between 0 (most urgent) and 4"));
+        }
+        if self.deadline_ms < self.first_token_ms {
+            problems.push(("deadline_ms", "must not be less than first_token_ms"));
+        }
+        if self.first_token_ms == Millis::ZERO {
+            problems.push(("first_token_ms", "must be at least 1"));
+        }
+        if self.between_tokens_ms == Millis::ZERO {
+            problems.push(("between_tokens_ms", "must be at least 1"));
+        }
+        if self.target.backend().as_str().is_empty() {
+            problems.push(("target", "must name a model or a service"));
+        }
+        if let Target::Service { path_prefix, .. } = &self.target
+            && !path_prefix.starts_with('/')
+        {
+            problems.push(("target.service.path_prefix", "must start with `/`"));
+        }
+        problems
+    }
+}
+
+/// Returns whether `path` lies under `prefix`, cut at path segments, so that `/orders` does not
+/// match `/orders-archive`.
+fn is_path_prefix(prefix: &str, path: &str) -> bool {
+    let Some(rest) = path.strip_prefix(prefix) else { return false };
+    rest.is_empty() || prefix.ends_with('/') || rest.starts_with('/')
+}
--- /dev/null
+++ b/crates/wasabi-protocol/src/fingerprint.rs
@@ -0,0 +1,62 @@
+//! Digests that identify request bodies, prompt prefixes and tokens.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
+use xxhash_rust::xxh3::{xxh3_64_with_seed, xxh3_128};
+
+use crate::id;
+
+/// The digest of a request body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Body(pub u64);
+
+impl Body {
+    /// Returns the digest of an organisation's request body.
+    ///
+    /// The organisation is part of the digest, so that one organisation's quarantined request
+    /// never blocks the same text of another.
+    pub fn of(organisation: &id::Organisation, body: &[u8]) -> Self {
+        let seed = xxh3_64_with_seed(organisation.as_str().as_bytes(), 0);
+        Self(xxh3_64_with_seed(body, seed))
+    }
+}
+
+impl fmt::Display for Body {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+/// Bytes of prompt text that one prefix block covers.
+pub const PREFIX_BLOCK_BYTES: usize = 256;
+
+/// Most prefix blocks that are hashed for one request.
+pub const PREFIX_BLOCKS_MAX: usize = 64;
+
+/// Returns the chained hashes of the leading blocks of a prompt, longest prefix last.
+///
+/// Two prompts share their first `n` hashes exactly when their first `n` blocks are equal.
+pub fn prefix_blocks(prompt: &[u8]) -> Vec<u64> {
+    let mut previous = 0;
+    prompt
+        .chunks_exact(PREFIX_BLOCK_BYTES)
+        .take(PREFIX_BLOCKS_MAX)
+        .map(|block| {
+            previous = xxh3_64_with_seed(block, previous);
+            previous
+        })
+        .collect()
+}
+
+/// Returns the SHA-256 digest of a bearer token as lower-case hexadecimal text.
+pub fn token(secret: &str) -> String {
+    Sha256::digest(secret.as_bytes()).iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+/// Returns a 128-bit digest of `bytes`, for comparing stored data with received data.
+pub fn content(bytes: &[u8]) -> u128 {
+    xxh3_128(bytes)
+}
