--- /dev/null
+++ b/crates/wasabi-entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Entry daemon.
