settings, telemetry: daemons have checked settings, logs, spans and metrics

Cause: the daemons need settings that are refused whole before they start, one log line per event, a span for each hop and a metrics listener. Ruled out: plain serde types for settings, which stop at the first wrong value (scalars now keep their fault so that all are listed); the OTLP exporter, which brings a second TLS stack (spans are lines in a file).

--- /dev/null
+++ b/crates/wasabi-settings/src/lib.rs
@@ -0,0 +1,9 @@
+//! Settings of the daemons, read from YAML and checked whole before anything starts.
+
+pub mod control;
+pub mod entry;
+pub mod file;
+pub mod log;
+pub mod reference;
+pub mod scalar;
+pub mod tls;
--- /dev/null
+++ b/crates/wasabi-telemetry/src/log.rs
@@ -0,0 +1,72 @@
+//! Logs: one line of key=value pairs for each event.
+
+use std::{
+    fs::{File, OpenOptions},
+    io,
+    path::PathBuf,
+    sync::Arc,
+};
+
+use snafu::{ResultExt as _, Snafu};
+use tracing_subscriber::{
+    EnvFilter, Layer as _,
+    filter::{ParseError, filter_fn},
+    fmt::layer,
+    layer::SubscriberExt as _,
+    util::SubscriberInitExt as _,
+};
+use wasabi_settings::log::Log;
+
+use crate::trace;
+
+/// Why logging cannot start.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The level is not a filter. Remedy: use a level such as `info`.
+    #[snafu(display("log.level `{level}` is not a filter such as `info`: {source}"))]
+    Level {
+        /// The text of the setting.
+        level: String,
+        /// The cause.
+        source: ParseError,
+    },
+    /// The file for traces cannot be opened. Remedy: correct the path or its permissions.
+    #[snafu(display("cannot open the traces file {}: {source}", path.display()))]
+    Traces {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        source: io::Error,
+    },
+    /// Logging was started before. Remedy: start it once in a process.
+    #[snafu(display("logging is already started"))]
+    Started,
+}
+
+/// Starts logs to standard error and, when the settings name a file, span lines to that file.
+///
+/// # Errors
+///
+/// Returns an error when the level or the file is wrong, or when logging was already started.
+pub fn start(settings: &Log) -> Result<(), Error> {
+    let level = &settings.level;
+    let filter = EnvFilter::try_new(level).context(LevelSnafu { level })?;
+    let logs = layer()
+        .event_format(tracing_logfmt::EventsFormatter::default())
+        .fmt_fields(tracing_logfmt::FieldsFormatter::default())
+        .with_writer(io::stderr)
+        .with_filter(filter)
+        .with_filter(filter_fn(|event| event.target() != trace::TARGET));
+    let spans = settings.traces.as_ref().map(open).transpose()?.map(|file| {
+        layer()
+            .event_format(tracing_logfmt::EventsFormatter::default())
+            .fmt_fields(tracing_logfmt::FieldsFormatter::default())
+            .with_writer(Arc::new(file))
+            .with_filter(filter_fn(|event| event.target() == trace::TARGET))
+    });
+    tracing_subscriber::registry().with(logs).with(spans).try_init().map_err(|_| Error::Started)
+}
+
+fn open(path: &PathBuf) -> Result<File, Error> {
+    OpenOptions::new().create(true).append(true).open(path).context(TracesSnafu { path })
+}
--- /dev/null
+++ b/crates/wasabi-telemetry/tests/metrics.rs
@@ -0,0 +1,26 @@
+//! Test of the metrics listener.
+
+use std::{net::TcpListener, sync::Arc};
+
+use prometheus_client::{metrics::counter::Counter, registry::Registry};
+use wasabi_telemetry::metrics;
+
+/// Guards against metrics that are registered but not served.
+#[actix_rt::test]
+async fn registered_metrics_are_served() {
+    let mut registry = Registry::default();
+    let dispatches: Counter = Counter::default();
+    registry.register("dispatches", "Requests sent to endpoints", dispatches.clone());
+    dispatches.inc_by(3);
+
+    let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let server = metrics::serve(address, Arc::new(registry)).unwrap();
+    let client = awc::Client::default();
+    let mut answer = client.get(format!("http://{address}/metrics")).send().await.unwrap();
+    let page = answer.body().await.unwrap();
+    let page = std::str::from_utf8(&page).unwrap();
+    assert!(page.contains("dispatches_total 3"), "{page}");
+    let other = client.get(format!("http://{address}/")).send().await.unwrap();
+    assert_eq!(other.status(), 404);
+    server.stop(false).await;
+}
--- /dev/null
+++ b/crates/wasabi-telemetry/tests/trace.rs
@@ -0,0 +1,55 @@
+//! Tests of trace context and span lines.
+
+use std::fs;
+
+use rstest::rstest;
+use wasabi_settings::log::Log;
+use wasabi_telemetry::{
+    log,
+    trace::{Context, Sampled, Span},
+};
+
+/// Guards against a malformed header that becomes a trace of its own or joins unrelated requests.
+#[rstest]
+#[case("00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01", Some(Sampled::Yes))]
+#[case("00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-00", Some(Sampled::No))]
+#[case("cc-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01-later", Some(Sampled::Yes))]
+#[case("00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01-extra", None)]
+#[case("ff-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01", None)]
+#[case("00-00000000000000000000000000000000-00f067aa0ba902b7-01", None)]
+#[case("00-4BF92F3577B34DA6A3CE929D0E0E4736-00f067aa0ba902b7-01", None)]
+#[case("", None)]
+fn headers_are_read_strictly(#[case] header: &str, #[case] expected: Option<Sampled>) {
+    assert_eq!(Context::parse(header).map(|context| context.sampled), expected);
+}
+
+#[test]
+fn a_context_survives_its_header() {
+    let context = Context::root();
+    assert_eq!(Context::parse(&context.to_string()), Some(context));
+}
+
+/// Guards against hops of one request that cannot be joined, and against span lines in the log.
+#[test]
+fn hops_share_a_trace_and_name_their_parent() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("traces");
+    log::start(&Log { level: "info".to_owned(), traces: Some(path.clone()) }).unwrap();
+
+    let caller = Context::root();
+    let entry = Span::start("entry", Some(caller));
+    let mut endpoint = entry.child("endpoint");
+    endpoint.set_outcome("engine-1");
+    let context = endpoint.context();
+    drop(endpoint);
+    drop(entry);
+    drop(Span::start("unsampled", Some(Context { sampled: Sampled::No, ..caller })));
+
+    let lines = fs::read_to_string(path).unwrap();
+    let lines: Vec<_> = lines.lines().collect();
+    assert_eq!(lines.len(), 2, "{lines:?}");
+    assert_eq!(context.trace, caller.trace);
+    assert!(lines[0].contains("outcome=engine-1"), "{lines:?}");
+    assert!(lines[0].contains(&format!("span={:016x}", context.span)), "{lines:?}");
+    assert!(lines[1].contains(&format!("parent={:016x}", caller.span)), "{lines:?}");
+}
