--- /dev/null
+++ b/crates/wasabi-admission/src/lib.rs
@@ -0,0 +1,6 @@
+//! Admission: which waiting request starts next, how many may run, and what a contract allows.
+//!
+//! All types are pure state machines: time comes in as an argument.
+
+pub mod bound;
+pub mod queue;
--- /dev/null
+++ b/crates/wasabi-admission/src/queue.rs
@@ -0,0 +1,306 @@
+//! The queue of a pool: strict tiers, fair shares between organisations, earliest deadline first.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use wasabi_protocol::{clock::Millis, contract::TIERS, contract::Tier, id};
+
+/// Fixed-point scale of virtual time, so that small requests of large shares still advance it.
+const VIRTUAL_SCALE: u128 = 1 << 20;
+
+/// What the queue needs to know of a waiting request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Item {
+    /// The number that names the request in this queue.
+    pub ticket: u64,
+    /// The organisation whose share pays for it.
+    pub organisation: id::Organisation,
+    /// The urgency.
+    pub tier: Tier,
+    /// Weight of the organisation's share within the tier.
+    pub share: u32,
+    /// Estimated work in tokens.
+    pub tokens: u64,
+    /// When it first arrived at any entry.
+    pub arrived: Millis,
+    /// When its first token is due.
+    pub first_token_by: Millis,
+    /// When it becomes useless.
+    pub deadline: Millis,
+}
+
+/// What became of a pushed request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Pushed {
+    /// It waits.
+    Queued,
+    /// It waits, and this less urgent or newer request was shed for it.
+    Displaced(u64),
+    /// The queue is full of requests that are at least as urgent; it does not wait.
+    Refused,
+}
+
+/// Waiting requests of one pool. Holds at most `capacity` of them.
+#[derive(Debug)]
+pub struct Queue {
+    capacity: usize,
+    tiers: [Lane; TIERS],
+    places: HashMap<u64, Place>,
+    expiry: BTreeSet<(Millis, u64)>,
+    sequence: u64,
+}
+
+#[derive(Debug, Default)]
+struct Lane {
+    flows: HashMap<id::Organisation, Flow>,
+    /// Flows with waiting requests, by virtual time.
+    order: BTreeSet<(u128, id::Organisation)>,
+    due: BTreeSet<(Millis, u64)>,
+    arrivals: BTreeSet<(Millis, u64)>,
+    virtual_now: u128,
+    len: usize,
+}
+
+#[derive(Debug)]
+struct Flow {
+    virtual_start: u128,
+    share: u32,
+    backlog_tokens: u64,
+    /// Ordered by deadline, then by arrival.
+    items: BTreeMap<(Millis, u64), Item>,
+    /// Arrival order, for shedding the newest.
+    newest: BTreeMap<u64, Millis>,
+}
+
+#[derive(Debug)]
+struct Place {
+    tier: Tier,
+    organisation: id::Organisation,
+    deadline: Millis,
+    sequence: u64,
+}
+
+impl Queue {
+    /// Returns an empty queue for at most `capacity` requests.
+    pub fn new(capacity: usize) -> Self {
+        Self {
+            capacity,
+            tiers: Default::default(),
+            places: HashMap::new(),
+            expiry: BTreeSet::new(),
+            sequence: 0,
+        }
+    }
+
+    /// Returns the number of waiting requests.
+    pub fn len(&self) -> usize {
+        self.places.len()
+    }
+
+    /// Returns whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.places.is_empty()
+    }
+
+    /// Returns the number of waiting requests of a tier.
+    pub fn waiting(&self, tier: Tier) -> usize {
+        self.tiers[tier.index()].len
+    }
+
+    /// Returns the number of organisations that the queue keeps a share account for.
+    pub fn flows(&self) -> usize {
+        self.tiers.iter().map(|lane| lane.flows.len()).sum()
+    }
+
+    /// Adds a request, shedding a less urgent one when the queue is full.
+    ///
+    /// Within the least urgent tier, the newest request of the organisation with the largest
+    /// backlog relative to its share is shed, so that one organisation's burst does not push out
+    /// the others.
+    pub fn push(&mut self, item: Item) -> Pushed {
+        if self.places.contains_key(&item.ticket) {
+            return Pushed::Refused;
+        }
+        if self.places.len() < self.capacity {
+            self.insert(item);
+            return Pushed::Queued;
+        }
+        let tier = item.tier;
+        let ticket = item.ticket;
+        let Some(lowest) = Tier::all().rev().find(|tier| 0 < self.waiting(*tier)) else {
+            return Pushed::Refused;
+        };
+        if lowest < tier {
+            return Pushed::Refused;
+        }
+        self.insert(item);
+        let Some(shed) = self.tiers[lowest.index()].newest_of_largest() else {
+            return Pushed::Queued;
+        };
+        self.remove(shed);
+        if shed == ticket { Pushed::Refused } else { Pushed::Displaced(shed) }
+    }
+
+    /// Removes a request that does not start, without charging its organisation's share.
+    pub fn remove(&mut self, ticket: u64) -> Option<Item> {
+        let place = self.places.remove(&ticket)?;
+        self.expiry.remove(&(place.deadline, ticket));
+        self.tiers[place.tier.index()].remove(&place)
+    }
+
+    /// Removes a request that starts, and charges its organisation's share.
+    pub fn start(&mut self, ticket: u64) -> Option<Item> {
+        let item = self.remove(ticket)?;
+        self.tiers[item.tier.index()].charge(&item);
+        Some(item)
+    }
+
+    /// Removes and returns the requests whose deadline has passed.
+    pub fn expire(&mut self, now: Millis) -> Vec<Item> {
+        let mut expired = Vec::new();
+        while let Some((deadline, ticket)) = self.expiry.first().copied() {
+            if now < deadline {
+                break;
+            }
+            expired.extend(self.remove(ticket));
+        }
+        expired
+    }
+
+    /// Returns the requests of a tier in the order in which they should start: organisations by
+    /// virtual time, and at most `depth` requests of each by deadline.
+    pub fn candidates(&self, tier: Tier, depth: usize) -> impl Iterator<Item = &Item> {
+        let lane = &self.tiers[tier.index()];
+        lane.order
+            .iter()
+            .filter_map(|(_, organisation)| lane.flows.get(organisation))
+            .flat_map(move |flow| flow.items.values().take(depth))
+    }
+
+    /// Returns the oldest waiting request of a tier.
+    pub fn oldest(&self, tier: Tier) -> Option<&Item> {
+        let (_, ticket) = self.tiers[tier.index()].arrivals.first()?;
+        self.item(*ticket)
+    }
+
+    /// Returns the earliest time at which a first token is due among the waiting requests of a
+    /// tier.
+    pub fn first_due(&self, tier: Tier) -> Option<Millis> {
+        self.tiers[tier.index()].due.first().map(|(due, _)| *due)
+    }
+
+    /// Returns the waiting request of a ticket.
+    pub fn item(&self, ticket: u64) -> Option<&Item> {
+        let place = self.places.get(&ticket)?;
+        let flow = self.tiers[place.tier.index()].flows.get(&place.organisation)?;
+        flow.items.get(&(place.deadline, place.sequence))
+    }
+
+    fn insert(&mut self, item: Item) {
+        self.sequence += 1;
+        let sequence = self.sequence;
+        self.expiry.insert((item.deadline, item.ticket));
+        self.places.insert(
+            item.ticket,
+            Place {
+                tier: item.tier,
+                organisation: item.organisation.clone(),
+                deadline: item.deadline,
+                sequence,
+            },
+        );
+        self.tiers[item.tier.index()].insert(item, sequence);
+    }
+}
+
+impl Lane {
+    fn insert(&mut self, item: Item, sequence: u64) {
+        let virtual_now = self.virtual_now;
+        let flow = self.flows.entry(item.organisation.clone()).or_insert_with(|| Flow {
+            virtual_start: virtual_now,
+            share: 1,
+            backlog_tokens: 0,
+            items: BTreeMap::new(),
+            newest: BTreeMap::new(),
+        });
+        flow.share = item.share.max(1);
+        if flow.items.is_empty() {
+            // An idle organisation saves up no credit: its share was lent meanwhile.
+            flow.virtual_start = flow.virtual_start.max(virtual_now);
+            self.order.insert((flow.virtual_start, item.organisation.clone()));
+        }
+        flow.backlog_tokens += item.tokens;
+        flow.newest.insert(sequence, item.deadline);
+        self.due.insert((item.first_token_by, item.ticket));
+        self.arrivals.insert((item.arrived, item.ticket));
+        self.len += 1;
+        flow.items.insert((item.deadline, sequence), item);
+    }
+
+    fn remove(&mut self, place: &Place) -> Option<Item> {
+        let flow = self.flows.get_mut(&place.organisation)?;
+        let item = flow.items.remove(&(place.deadline, place.sequence))?;
+        flow.newest.remove(&place.sequence);
+        flow.backlog_tokens -= item.tokens;
+        self.due.remove(&(item.first_token_by, item.ticket));
+        self.arrivals.remove(&(item.arrived, item.ticket));
+        self.len -= 1;
+        if flow.items.is_empty() {
+            self.order.remove(&(flow.virtual_start, place.organisation.clone()));
+            if flow.virtual_start <= self.virtual_now {
+                self.flows.remove(&place.organisation);
+            }
+        }
+        Some(item)
+    }
+
+    fn charge(&mut self, item: &Item) {
+        let cost = u128::from(item.tokens.max(1)) * VIRTUAL_SCALE / u128::from(item.share.max(1));
+        let start = self
+            .flows
+            .get(&item.organisation)
+            .map_or(self.virtual_now, |flow| flow.virtual_start.max(self.virtual_now));
+        // A flow that is already ahead of virtual time only starts when nothing else waits.
+        let previous = self.flows.get(&item.organisation).map(|flow| flow.virtual_start);
+        self.virtual_now = match self.order.first() {
+            Some((first, _)) => self.virtual_now.max(*first.min(&start)),
+            None => self.virtual_now.max(start),
+        };
+        let virtual_start = previous.unwrap_or(start).max(start) + cost;
+        match self.flows.get_mut(&item.organisation) {
+            Some(flow) => {
+                let waits = self.order.remove(&(flow.virtual_start, item.organisation.clone()));
+                flow.virtual_start = virtual_start;
+                if waits {
+                    self.order.insert((virtual_start, item.organisation.clone()));
+                }
+            }
+            None => {
+                let flow = Flow {
+                    virtual_start,
+                    share: item.share.max(1),
+                    backlog_tokens: 0,
+                    items: BTreeMap::new(),
+                    newest: BTreeMap::new(),
+                };
+                self.flows.insert(item.organisation.clone(), flow);
+            }
+        }
+        if self.order.is_empty() {
+            // Nothing waits, so no share was taken from anyone and all accounts restart equal.
+            self.flows.clear();
+            self.virtual_now = 0;
+        }
+    }
+
+    fn newest_of_largest(&self) -> Option<u64> {
+        let flow = self
+            .order
+            .iter()
+            .filter_map(|(_, organisation)| self.flows.get(organisation))
+            .max_by_key(|flow| {
+            u128::from(flow.backlog_tokens) * VIRTUAL_SCALE / u128::from(flow.share)
+        })?;
+        let (sequence, deadline) = flow.newest.last_key_value()?;
+        flow.items.get(&(*deadline, *sequence)).map(|item| item.ticket)
+    }
+}
--- a/crates/wasabi-protocol/src/rpc.rs
+++ b/crates/wasabi-protocol/src/rpc.rs
@@ -24,6 +24,8 @@
     pub const ANNOUNCE: &str = "endpoint.announce";
     /// Relays that an endpoint leaves.
     pub const LEAVE: &str = "endpoint.leave";
+    /// Asks the owner of an organisation's budget for a slice.
+    pub const LEND: &str = "budget.lend";
     /// Exchanges liveness and summaries between entries.
     pub const PEER_HEARTBEAT: &str = "peer.heartbeat";
     /// Returns the configuration in force at a peer or at control.
@@ -331,3 +333,42 @@
     /// The move, with its final stage.
     pub ended: Move,
 }
+
+/// Part of an organisation's budget, lent to one pool owner for a short time.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Slice {
+    /// Requests that may be started while the slice lasts.
+    pub requests: f64,
+    /// Estimated tokens that may be started while the slice lasts.
+    pub tokens: f64,
+    /// Requests that may run at one time while the slice lasts.
+    pub concurrency: u32,
+    /// How long the slice lasts, in milliseconds.
+    pub span: Millis,
+}
+
+/// What a pool owner used of an organisation's budget since it last asked, and what it wants.
+#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
+pub struct Usage {
+    /// Requests started.
+    pub requests: u64,
+    /// Estimated tokens started.
+    pub tokens: u64,
+    /// Requests running now.
+    pub running: u32,
+    /// Requests that wait for budget.
+    pub waiting: u32,
+    /// Estimated tokens of the requests that wait for budget.
+    pub waiting_tokens: u64,
+}
+
+/// Asks the owner of an organisation's budget for the next slice.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Lend {
+    /// The organisation.
+    pub organisation: id::Organisation,
+    /// The pool that asks.
+    pub pool: id::Pool,
+    /// What the pool used and wants.
+    pub used: Usage,
+}
