--- /dev/null
+++ b/crates/wasabi-entry/src/metrics.rs
@@ -0,0 +1,107 @@
+//! Metrics of the entry.
+
+use prometheus_client::{
+    encoding::EncodeLabelSet,
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+use wasabi_protocol::{contract::Tier, fault::Kind};
+
+/// Labels of what is counted by tier.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ByTier {
+    /// The tier.
+    pub tier: u32,
+}
+
+impl From<Tier> for ByTier {
+    fn from(tier: Tier) -> Self {
+        Self { tier: u32::from(tier.0) }
+    }
+}
+
+/// Labels of a refusal.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ByKind {
+    /// The kind of error.
+    pub kind: String,
+    /// The tier, or `unknown` when the request was refused before it was known.
+    pub tier: String,
+}
+
+/// The metrics of an entry. Clones count together.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    /// Answers that came whole within the deadline and, for streams, within the first-token target.
+    pub goodput: Family<ByTier, Counter>,
+    /// Answers that came whole.
+    pub finished: Family<ByTier, Counter>,
+    /// Errors answered to callers.
+    pub refusals: Family<ByKind, Counter>,
+    /// Prompt tokens of attempts that ended without a whole answer after they were sent.
+    pub wasted_prefill: Counter,
+    /// Time from arrival to grant, in seconds.
+    pub queue_time: Family<ByTier, Histogram>,
+    /// Attempts sent to endpoints.
+    pub dispatches: Family<ByTier, Counter>,
+    /// Attempts after the first of a request.
+    pub retries: Counter,
+    /// Streams resumed from an offset.
+    pub resumes: Counter,
+    /// Open requests.
+    pub open: Gauge,
+    /// The revision in force.
+    pub revision: Gauge,
+}
+
+impl Metrics {
+    /// Returns the metrics, registered in `registry`.
+    pub fn register(registry: &mut Registry) -> Self {
+        let metrics = Self {
+            goodput: Family::default(),
+            finished: Family::default(),
+            refusals: Family::default(),
+            wasted_prefill: Counter::default(),
+            queue_time: Family::new_with_constructor(|| {
+                Histogram::new(exponential_buckets(0.001, 2.0, 16))
+            }),
+            dispatches: Family::default(),
+            retries: Counter::default(),
+            resumes: Counter::default(),
+            open: Gauge::default(),
+            revision: Gauge::default(),
+        };
+        let prefix = registry.sub_registry_with_prefix("wasabi_entry");
+        prefix.register("goodput", "Whole answers within their targets", metrics.goodput.clone());
+        prefix.register("finished", "Whole answers", metrics.finished.clone());
+        prefix.register("refusals", "Errors answered to callers", metrics.refusals.clone());
+        prefix.register(
+            "wasted_prefill_tokens",
+            "Prompt tokens of sent attempts without a whole answer",
+            metrics.wasted_prefill.clone(),
+        );
+        prefix.register(
+            "queue_time_seconds",
+            "Time from arrival to grant",
+            metrics.queue_time.clone(),
+        );
+        prefix.register("dispatches", "Attempts sent to endpoints", metrics.dispatches.clone());
+        prefix.register("retries", "Attempts after the first", metrics.retries.clone());
+        prefix.register("resumes", "Streams resumed from an offset", metrics.resumes.clone());
+        prefix.register("open", "Open requests", metrics.open.clone());
+        prefix.register("revision", "Revision in force", metrics.revision.clone());
+        metrics
+    }
+
+    /// Counts an error answered to a caller.
+    pub fn refused(&self, kind: Kind, tier: Option<Tier>) {
+        let tier = tier.map_or_else(|| "unknown".to_owned(), |tier| tier.0.to_string());
+        let labels = ByKind { kind: kind.as_str().to_owned(), tier };
+        self.refusals.get_or_create(&labels).inc();
+    }
+}
--- /dev/null
+++ b/crates/wasabi-entry/src/shared.rs
@@ -0,0 +1,224 @@
+//! State that the control thread writes and the traffic threads read.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, PoisonError, RwLock,
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+    },
+};
+
+use wasabi_protocol::{
+    clock::{Clock, Millis},
+    command::{Config, Duty, Entry},
+    contract::Contract,
+    fault::{Fault, Kind},
+    fingerprint, id,
+};
+use wasabi_settings::entry::Settings;
+
+use crate::metrics::Metrics;
+
+/// Time for which an entry serves after it last heard control or a majority of its peers.
+pub const SERVING_SPAN: Millis = Millis::from_secs(2);
+
+/// The configuration in force, with an index of the callers' tokens.
+#[derive(Debug, Default)]
+pub struct InForce {
+    /// The configuration.
+    pub config: Config,
+    /// The position of the contract for each token digest.
+    tokens: HashMap<String, usize>,
+}
+
+impl InForce {
+    /// Returns the index of a configuration.
+    pub fn new(config: Config) -> Self {
+        let tokens = config
+            .contracts
+            .iter()
+            .enumerate()
+            .flat_map(|(index, contract)| {
+                contract.token_digests.iter().map(move |digest| (digest.clone(), index))
+            })
+            .collect();
+        Self { config, tokens }
+    }
+
+    /// Returns the contract that a bearer token belongs to.
+    pub fn contract(&self, token: &str) -> Option<&Contract> {
+        let index = *self.tokens.get(&fingerprint::token(token))?;
+        self.config.contracts.get(index)
+    }
+
+    /// Returns the sum of the shares of all contracts.
+    pub fn shares_total(&self) -> u64 {
+        self.config.contracts.iter().map(|contract| u64::from(contract.share)).sum()
+    }
+}
+
+/// Whether an entry depends on a control group.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mode {
+    /// Contracts come from control.
+    Controlled,
+    /// Contracts come from a local file; nothing is promised to run at most once.
+    StandAlone,
+}
+
+/// State of one entry process.
+#[derive(Debug)]
+pub struct Shared {
+    /// The entry as peers and control know it. Its duty changes with [`Shared::drain`].
+    pub entry: Entry,
+    /// The settings.
+    pub settings: Settings,
+    /// Where contracts come from.
+    pub mode: Mode,
+    /// The monotonic clock of the process.
+    pub clock: Clock,
+    /// The metrics.
+    pub metrics: Metrics,
+    in_force: RwLock<Arc<InForce>>,
+    /// End of the time for which new work is accepted, on `clock`.
+    serving_until: AtomicU64,
+    draining: AtomicBool,
+    /// End of the last lifetime of a list that names this entry, on `clock`.
+    listed_until: AtomicU64,
+    open: AtomicUsize,
+}
+
+impl Shared {
+    /// Returns the state of an entry that holds no configuration and does not serve yet.
+    pub fn new(entry: Entry, settings: Settings, mode: Mode, metrics: Metrics) -> Self {
+        Self {
+            entry,
+            settings,
+            mode,
+            clock: Clock::start(),
+            metrics,
+            in_force: RwLock::default(),
+            serving_until: AtomicU64::new(0),
+            draining: AtomicBool::new(false),
+            listed_until: AtomicU64::new(0),
+            open: AtomicUsize::new(0),
+        }
+    }
+
+    /// Returns the configuration in force.
+    pub fn in_force(&self) -> Arc<InForce> {
+        Arc::clone(&self.in_force.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Puts a configuration in force unless one with the same or a higher revision is, and
+    /// returns whether it did.
+    pub fn put_in_force(&self, config: &Config) -> bool {
+        let mut current = self.in_force.write().unwrap_or_else(PoisonError::into_inner);
+        if config.revision <= current.config.revision {
+            return false;
+        }
+        *current = Arc::new(InForce::new(config.clone()));
+        self.metrics.revision.set(i64::try_from(config.revision.0).unwrap_or(i64::MAX));
+        true
+    }
+
+    /// Extends the serving time to [`SERVING_SPAN`] after `heard`.
+    pub fn extend_serving(&self, heard: Millis) {
+        self.serving_until.fetch_max((heard + SERVING_SPAN).0, Ordering::AcqRel);
+    }
+
+    /// Returns whether the entry may accept new work, judged on the clock at this moment.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal when the entry is isolated or drains past the lists that name it.
+    pub fn admit(&self) -> Result<(), Fault> {
+        let now = self.clock.now();
+        if self.is_draining() && Millis(self.listed_until.load(Ordering::Acquire)) < now {
+            let message = "this entry is stopping; use another entry of the list";
+            return Err(Fault::new(Kind::EntryDraining, message));
+        }
+        if self.serving_until.load(Ordering::Acquire) <= now.0 {
+            let others: Vec<_> = self
+                .others()
+                .iter()
+                .map(|entry| entry.caller_address.clone())
+                .collect();
+            let message = format!(
+                "this entry hears neither control nor most entries; use another one: {}",
+                others.join(", ")
+            );
+            return Err(Fault::new(Kind::EntryIsolated, message));
+        }
+        Ok(())
+    }
+
+    /// Returns the other serving entries of the view.
+    pub fn others(&self) -> Vec<Entry> {
+        let in_force = self.in_force();
+        let entries = in_force.config.view.entries.iter();
+        entries
+            .filter(|entry| entry.name != self.entry.name && entry.duty == Duty::Serving)
+            .cloned()
+            .collect()
+    }
+
+    /// Notes that a caller got a list that names this entry.
+    pub fn listed(&self) {
+        let until = self.clock.now() + *self.settings.callers.list_lifetime;
+        self.listed_until.fetch_max(until.0, Ordering::AcqRel);
+    }
+
+    /// Returns the end of the last lifetime of a list that names this entry.
+    pub fn listed_until(&self) -> Millis {
+        Millis(self.listed_until.load(Ordering::Acquire))
+    }
+
+    /// Starts draining. `elsewhere` is the time within which the other entries stop naming this one.
+    pub fn drain(&self, elsewhere: Millis) {
+        if !self.draining.swap(true, Ordering::AcqRel) {
+            let until =
+                self.clock.now() + elsewhere + *self.settings.callers.list_lifetime;
+            self.listed_until.fetch_max(until.0, Ordering::AcqRel);
+        }
+    }
+
+    /// Returns whether the entry drains.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
+    /// Returns the entry as it stands now.
+    pub fn checked_entry(&self) -> Entry {
+        let duty = if self.is_draining() { Duty::Draining } else { Duty::Serving };
+        Entry { duty, ..self.entry.clone() }
+    }
+
+    /// Counts an open request until the guard is dropped.
+    pub fn open(self: &Arc<Self>) -> Open {
+        self.open.fetch_add(1, Ordering::AcqRel);
+        Open { shared: Arc::clone(self) }
+    }
+
+    /// Returns the number of open requests.
+    pub fn open_count(&self) -> usize {
+        self.open.load(Ordering::Acquire)
+    }
+}
+
+/// An open request, counted for draining.
+#[derive(Debug)]
+pub struct Open {
+    shared: Arc<Shared>,
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.shared.open.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Returns a new attempt id; it is never 0, which stands for malformed text.
+pub fn new_attempt() -> id::Attempt {
+    id::Attempt(fastrand::u128(1..))
+}
