routing, rollout: first versions of the routing and version-move decisions

Ruled out: one plain SPRT per route (a late fault after a long good time needs as long a bad time to show); an absolute error threshold (the old version's own error rate would take a good version back). Conclusion: interfaces can be used; rules are not proved yet.

--- /dev/null
+++ b/crates/wasabi-rollout/src/decision.rs
@@ -0,0 +1,198 @@
+//! The stage of a version move as a pure function of time and evidence.
+
+use std::collections::BTreeMap;
+
+use wasabi_protocol::{
+    clock::Millis,
+    command::{Move, Plan, Stage},
+    id, rpc,
+};
+
+use crate::{credit, evidence::Count, sequential::Verdict, trial::Trial};
+
+/// Part of the time until `finish_by` that is spent at the start share.
+///
+/// Most faults show there, where they meet the fewest requests.
+pub const START_PART: f64 = 0.3;
+
+/// Part of the time until `finish_by` at which all traffic has moved, if evidence allows.
+pub const MOVED_PART: f64 = 0.9;
+
+/// Shortest time in one stage, also when the move is late.
+pub const STAGE_MIN: Millis = Millis::from_secs(10);
+
+/// The full share, in thousandths.
+const FULL: u32 = 1_000;
+
+/// Evidence of one move, collected by the control leader from check-ins.
+#[derive(Debug, Clone)]
+pub struct Ledger {
+    trials: BTreeMap<id::Route, Trial>,
+    routes: usize,
+    stopped: Option<id::Route>,
+}
+
+/// The endpoints that a move can use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Supply {
+    /// Endpoints of the new version that are announced now.
+    pub new: usize,
+    /// Endpoints that all traffic needs, such as those of the old version at the start.
+    pub full: usize,
+}
+
+/// A change of stage.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Next {
+    /// The new stage.
+    pub stage: Stage,
+    /// Why, for the operator.
+    pub reason: String,
+}
+
+impl Ledger {
+    /// Returns a ledger for a move that concerns `routes` routes.
+    pub const fn new(routes: usize) -> Self {
+        Self { trials: BTreeMap::new(), routes, stopped: None }
+    }
+
+    /// Takes the evidence of one check-in into account. Evidence of other moves is ignored.
+    pub fn add(&mut self, now: Millis, plan: &Plan, evidence: &[rpc::Evidence]) {
+        // The old version first, so that the new one is compared with the same span of time.
+        for version in [&plan.from, &plan.to] {
+            for item in evidence {
+                if item.name == plan.name && item.version == *version {
+                    self.add_one(now, plan, item);
+                }
+            }
+        }
+    }
+
+    /// Returns the trials by route.
+    pub fn trials(&self) -> impl Iterator<Item = (&id::Route, &Trial)> {
+        self.trials.iter()
+    }
+
+    fn add_one(&mut self, now: Millis, plan: &Plan, item: &rpc::Evidence) {
+        let count = Count { requests: item.requests, errors: item.errors, slow: item.slow };
+        let routes = self.routes;
+        let trial = self.trials.entry(item.route.clone()).or_insert_with(|| Trial::new(routes));
+        if item.version == plan.from {
+            trial.add_old(now, count);
+        } else {
+            trial.add_new(now, count);
+            if item.stopped && self.stopped.is_none() {
+                self.stopped = Some(item.route.clone());
+            }
+        }
+    }
+
+    /// Returns why the version is bad, if it is.
+    fn rejected(&self) -> Option<String> {
+        let reasons =
+            |route: &id::Route, trial: &Trial| format!("route {route}: {}", trial.reason());
+        let by_test = self
+            .trials
+            .iter()
+            .find(|(_, trial)| trial.verdict() == Verdict::Rejected)
+            .map(|(route, trial)| reasons(route, trial));
+        by_test.or_else(|| {
+            let route = self.stopped.as_ref()?;
+            let seen = self.trials.get(route).map(|trial| reasons(route, trial));
+            Some(format!("stopped by a pool owner; {}", seen.unwrap_or_default()))
+        })
+    }
+
+    /// Returns the routes without an acceptance since `since`.
+    fn unproven(&self, since: Millis) -> Vec<&id::Route> {
+        self.trials
+            .iter()
+            .filter(|(_, trial)| !trial.accepted_since(since))
+            .map(|(route, _)| route)
+            .collect()
+    }
+}
+
+/// Returns the next stage of a move, or `None` while it stays where it is.
+///
+/// `now` and the times of the move are in milliseconds since the Unix epoch.
+pub fn decide(now: Millis, order: &Move, ledger: &Ledger, supply: Supply) -> Option<Next> {
+    if order.stage.is_final() {
+        return None;
+    }
+    if let Some(reason) = ledger.rejected() {
+        return Some(Next { stage: Stage::TakenBack, reason });
+    }
+    match order.stage {
+        Stage::Share(permille) => widen(now, order, permille, ledger, supply),
+        Stage::Watching { until } if until <= now => {
+            let unproven = ledger.unproven(order.started);
+            Some(Next { stage: Stage::Done, reason: summary("watched without fault", &unproven) })
+        }
+        Stage::Watching { .. } | Stage::Done | Stage::TakenBack => None,
+    }
+}
+
+/// Returns the next wider share when its time has come.
+///
+/// A stage is left at its planned time when every route with evidence was accepted in it. Routes
+/// that were not, because they carry little traffic, hold it back by at most half a step, so that
+/// the move ends in time; until the watch ends they get a smaller share (see [`credit`]).
+fn widen(
+    now: Millis,
+    order: &Move,
+    permille: u32,
+    ledger: &Ledger,
+    supply: Supply,
+) -> Option<Next> {
+    if now < order.changed + STAGE_MIN {
+        return None;
+    }
+    let (planned, latest) = leave_times(order, permille);
+    if now < planned {
+        return None;
+    }
+    let stage = if FULL <= permille {
+        Stage::Watching { until: now + order.plan.watch }
+    } else {
+        Stage::Share((permille.max(1) * 2).min(FULL))
+    };
+    if supply.new < credit::replicas(stage, supply.full).min(supply.full).max(1) {
+        return None;
+    }
+    let unproven = ledger.unproven(order.changed);
+    let has_evidence = ledger.trials.values().any(|trial| 0 < trial.new_counts().requests);
+    if (!unproven.is_empty() || !has_evidence) && now < latest {
+        return None;
+    }
+    let reason = if has_evidence { "no fault in this stage" } else { "no request in this stage" };
+    Some(Next { stage, reason: summary(reason, &unproven) })
+}
+
+/// Returns when a stage should be left, and when at the latest.
+fn leave_times(order: &Move, permille: u32) -> (Millis, Millis) {
+    let span = order.plan.finish_by.since(order.started).0 as f64;
+    let doublings = |from: u32| {
+        let mut share = from.clamp(1, FULL);
+        let mut steps = 0_u32;
+        while share < FULL {
+            share = (share * 2).min(FULL);
+            steps += 1;
+        }
+        steps
+    };
+    let all = doublings(order.plan.start_permille).max(1);
+    let done = all.saturating_sub(doublings(permille));
+    let step = (MOVED_PART - START_PART) / f64::from(all);
+    let planned = START_PART + step * f64::from(done);
+    let at = |part: f64| order.started + Millis((span * part) as u64);
+    (at(planned), at(planned + step / 2.0))
+}
+
+fn summary(reason: &str, unproven: &[&id::Route]) -> String {
+    if unproven.is_empty() {
+        return reason.to_owned();
+    }
+    let routes = unproven.iter().map(|route| route.as_str()).collect::<Vec<_>>().join(", ");
+    format!("{reason}; too little traffic for a verdict on: {routes}")
+}
--- /dev/null
+++ b/crates/wasabi-routing/src/quarantine.rs
@@ -0,0 +1,253 @@
+//! Requests that crash endpoints: suspects, running alone, quarantine, and what peers report.
+
+use std::collections::HashMap;
+
+use wasabi_protocol::{clock::Millis, fingerprint::Body, id, rpc::Suspect};
+
+/// Crashes from which on a request can be quarantined.
+pub const CRASHES_MIN: u32 = 2;
+
+/// Weight from which on a request can be quarantined.
+pub const WEIGHT_MIN: f64 = 1.0;
+
+/// Time after its last crash for which a request stays suspect or quarantined.
+pub const KEPT_FOR: Millis = Millis::from_secs(600);
+
+/// Age from which on a suspect is neither reported to peers nor taken from them.
+///
+/// The age grows stale on the way, so peers that still exchanged suspects in their last moments
+/// could keep them alive for each other without end.
+pub const REPORTED_FOR: Millis = Millis::from_secs(540);
+
+/// Most suspects that a table holds, quarantined and cleared ones included.
+pub const SUSPECTS_MAX: usize = 1_024;
+
+/// Longest delay of a peer's report. A report of a crash that is at most this much younger than
+/// the clearance may be an echo of the crash before it.
+pub const REPORT_DELAY_MAX: Millis = Millis(2_000);
+
+/// Rounding error allowed in sums of parts of batches, such as three thirds.
+const WEIGHT_ERROR: f64 = 1e-9;
+
+/// How a request may run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Permit {
+    /// Like any other.
+    Free,
+    /// Alone on its endpoint, and no other suspect of the pool beside it.
+    Alone,
+    /// Not now: another suspect of the pool runs alone.
+    Wait,
+    /// Not before this time.
+    Refused {
+        /// The end of the quarantine.
+        until: Millis,
+    },
+}
+
+/// The requests that were in flight on endpoints that died.
+#[derive(Debug, Clone, Default)]
+pub struct Table {
+    records: HashMap<Body, Record>,
+    alone: Option<(Body, id::Attempt)>,
+}
+
+#[derive(Debug, Clone)]
+struct Record {
+    organisation: id::Organisation,
+    crashes: u32,
+    weight: f64,
+    /// The last crash plus [`KEPT_FOR`]. The time of the crash itself may lie before the origin
+    /// of this process's clock.
+    until: Millis,
+    cleared: Option<Millis>,
+}
+
+impl Record {
+    fn is_live(&self, now: Millis) -> bool {
+        now < self.until
+    }
+
+    fn age(&self, now: Millis) -> Millis {
+        KEPT_FOR - self.until.since(now)
+    }
+
+    fn is_quarantined(&self) -> bool {
+        CRASHES_MIN <= self.crashes && WEIGHT_MIN - WEIGHT_ERROR <= self.weight
+    }
+
+    /// Order of removal: cleared ones first, quarantined ones last, then the oldest.
+    fn value(&self) -> (bool, bool, Millis) {
+        (self.cleared.is_none(), self.is_quarantined(), self.until)
+    }
+}
+
+impl Table {
+    /// Notes that an endpoint died with these requests in flight, each at most once in the list.
+    pub fn crashed(&mut self, now: Millis, batch: &[(Body, &id::Organisation)]) {
+        let weight = 1.0 / batch.len().max(1) as f64;
+        for (fingerprint, organisation) in batch {
+            self.expire_one(now, *fingerprint);
+            let record = self.records.entry(*fingerprint).or_insert_with(|| Record {
+                organisation: (*organisation).clone(),
+                crashes: 0,
+                weight: 0.0,
+                until: now + KEPT_FOR,
+                cleared: None,
+            });
+            record.crashes = record.crashes.saturating_add(1);
+            record.weight += weight;
+            record.until = now + KEPT_FOR;
+            record.cleared = None;
+        }
+        self.shrink(now);
+    }
+
+    /// Notes that a request finished, which clears it unless it is quarantined already.
+    pub fn finished(&mut self, now: Millis, fingerprint: Body) {
+        if let Some(record) = self.records.get_mut(&fingerprint)
+            && !record.is_quarantined()
+        {
+            record.crashes = 0;
+            record.weight = 0.0;
+            record.cleared = Some(now);
+        }
+    }
+
+    /// Returns how a request may run now.
+    pub fn permit(&self, now: Millis, fingerprint: Body) -> Permit {
+        let Some(record) = self.live(now, fingerprint) else { return Permit::Free };
+        if record.is_quarantined() {
+            return Permit::Refused { until: record.until };
+        }
+        if self.alone.is_some() { Permit::Wait } else { Permit::Alone }
+    }
+
+    /// Returns whether the request is quarantined, and so explains crashes that it was part of.
+    pub fn is_quarantined(&self, now: Millis, fingerprint: Body) -> bool {
+        self.live(now, fingerprint).is_some_and(Record::is_quarantined)
+    }
+
+    /// Notes that a suspect was granted an endpoint of its own.
+    pub fn started_alone(&mut self, fingerprint: Body, attempt: id::Attempt) {
+        self.alone = Some((fingerprint, attempt));
+    }
+
+    /// Notes that an attempt ended, in whatever way; the next suspect may run when it was the one
+    /// that ran alone.
+    pub fn ended(&mut self, attempt: id::Attempt) {
+        if self.alone.is_some_and(|(_, alone)| alone == attempt) {
+            self.alone = None;
+        }
+    }
+
+    /// Returns the suspect that runs alone now.
+    pub fn alone(&self) -> Option<(Body, id::Attempt)> {
+        self.alone
+    }
+
+    /// Takes over what a peer reports.
+    ///
+    /// The highest counts win, so that an echo of the own report changes nothing. Only higher
+    /// counts renew the time of the last crash.
+    pub fn merge(&mut self, now: Millis, reported: &[Suspect]) {
+        for suspect in reported {
+            self.merge_one(now, suspect);
+        }
+        self.shrink(now);
+    }
+
+    /// Returns the suspects and quarantined requests to report to peers.
+    pub fn report(&self, now: Millis) -> Vec<Suspect> {
+        let mut suspects = self
+            .records
+            .iter()
+            .filter(|(_, record)| record.cleared.is_none() && record.age(now) < REPORTED_FOR)
+            .map(|(fingerprint, record)| Suspect {
+                fingerprint: *fingerprint,
+                organisation: record.organisation.clone(),
+                crashes: record.crashes,
+                weight: record.weight,
+                age: record.age(now),
+            })
+            .collect::<Vec<_>>();
+        suspects.sort_by_key(|suspect| suspect.fingerprint);
+        suspects
+    }
+
+    /// Forgets what is past its time.
+    pub fn expire(&mut self, now: Millis) {
+        self.records.retain(|_, record| record.is_live(now));
+    }
+
+    /// Returns how many requests the table holds, cleared ones included.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Returns whether the table is empty.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    fn live(&self, now: Millis, fingerprint: Body) -> Option<&Record> {
+        self.records
+            .get(&fingerprint)
+            .filter(|record| record.cleared.is_none() && record.is_live(now))
+    }
+
+    fn merge_one(&mut self, now: Millis, suspect: &Suspect) {
+        let is_sound = suspect.weight.is_finite() && 0.0 <= suspect.weight;
+        if REPORTED_FOR <= suspect.age || suspect.crashes == 0 || !is_sound {
+            return;
+        }
+        self.expire_one(now, suspect.fingerprint);
+        let until = now + (KEPT_FOR - suspect.age);
+        let weight = suspect.weight.min(f64::from(suspect.crashes));
+        let Some(record) = self.records.get_mut(&suspect.fingerprint) else {
+            self.records.insert(
+                suspect.fingerprint,
+                Record {
+                    organisation: suspect.organisation.clone(),
+                    crashes: suspect.crashes,
+                    weight,
+                    until,
+                    cleared: None,
+                },
+            );
+            return;
+        };
+        if record.cleared.is_some_and(|cleared| until <= cleared + KEPT_FOR + REPORT_DELAY_MAX) {
+            return;
+        }
+        if record.crashes < suspect.crashes || record.weight + WEIGHT_ERROR < weight {
+            record.until = record.until.max(until);
+            record.cleared = None;
+        }
+        record.crashes = record.crashes.max(suspect.crashes);
+        record.weight = record.weight.max(weight);
+    }
+
+    fn expire_one(&mut self, now: Millis, fingerprint: Body) {
+        if self.records.get(&fingerprint).is_some_and(|record| !record.is_live(now)) {
+            self.records.remove(&fingerprint);
+        }
+    }
+
+    fn shrink(&mut self, now: Millis) {
+        if self.records.len() <= SUSPECTS_MAX {
+            return;
+        }
+        self.expire(now);
+        let surplus = self.records.len().saturating_sub(SUSPECTS_MAX);
+        let mut order = self
+            .records
+            .iter()
+            .map(|(fingerprint, record)| (record.value(), *fingerprint))
+            .collect::<Vec<_>>();
+        order.sort_unstable();
+        for (_, fingerprint) in order.into_iter().take(surplus) {
+            self.records.remove(&fingerprint);
+        }
+    }
+}
