--- /dev/null
+++ b/crates/wasabi-entry/src/callers/answer.rs
@@ -0,0 +1,155 @@
+//! Answers to callers and endpoints.
+
+use actix_http::{
+    Response, StatusCode,
+    body::BoxBody,
+    header::{self, HeaderMap, HeaderName, HeaderValue},
+};
+use bytes::Bytes;
+use serde::Serialize;
+use wasabi_protocol::{
+    command::Kept,
+    fault::{Fault, Kind, Ran, Retry},
+};
+
+/// Names the request in an answer.
+pub(crate) const REQUEST: HeaderName = HeaderName::from_static("x-wasabi-request");
+
+/// Says what is known about whether the request ran.
+pub(crate) const RAN: HeaderName = HeaderName::from_static("x-wasabi-ran");
+
+/// Seconds after which a refused request may be sent again.
+const RETRY_AFTER_S: &str = "1";
+
+/// The body of an error answer.
+#[derive(Debug, Serialize)]
+struct ErrorBody<'a> {
+    error: ErrorDetail<'a>,
+}
+
+#[derive(Debug, Serialize)]
+struct ErrorDetail<'a> {
+    kind: Kind,
+    message: &'a str,
+    ran: Ran,
+    retry: Retry,
+}
+
+/// The body of an answer whose first outcome is known but not kept whole.
+#[derive(Debug, Serialize)]
+struct OutcomeBody {
+    outcome: OutcomeDetail,
+}
+
+#[derive(Debug, Serialize)]
+struct OutcomeDetail {
+    ran: Ran,
+    status: Option<u16>,
+    answer: &'static str,
+}
+
+/// Returns the JSON text of a fault.
+pub(crate) fn fault_json(fault: &Fault) -> String {
+    let answer = fault.kind.answer();
+    let body = ErrorBody {
+        error: ErrorDetail {
+            kind: fault.kind,
+            message: &fault.message,
+            ran: answer.ran,
+            retry: answer.retry,
+        },
+    };
+    serde_json::to_string(&body).unwrap_or_default()
+}
+
+/// Returns the answer for a fault, by the table in `fault::Kind::answer`.
+pub(crate) fn fault(fault: &Fault) -> Response<BoxBody> {
+    let answer = fault.kind.answer();
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut response = json(status, fault_json(fault));
+    set_ran(&mut response, answer.ran);
+    if answer.retry == Retry::Safe {
+        response.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from_static(RETRY_AFTER_S));
+    }
+    // The rest of a body that was not read would stand before the next request.
+    if matches!(fault.kind, Kind::BodyTooLarge | Kind::RequestTimeout | Kind::EntryDraining) {
+        response.head_mut().set_connection_type(actix_http::ConnectionType::Close);
+    }
+    response
+}
+
+/// Returns the event that ends a broken stream.
+pub(crate) fn fault_event(fault: &Fault) -> Bytes {
+    format!("event: error\ndata: {}\n\n", fault_json(fault)).into()
+}
+
+/// Returns the answer for a key that has an outcome.
+pub(crate) fn kept(kept: &Kept) -> Response<BoxBody> {
+    let status = kept.status.and_then(|status| StatusCode::from_u16(status).ok());
+    let Some(body) = &kept.body else {
+        let status = status.unwrap_or(StatusCode::CONFLICT);
+        let detail = OutcomeDetail { ran: kept.ran, status: kept.status, answer: "not_kept" };
+        let text = serde_json::to_string(&OutcomeBody { outcome: detail }).unwrap_or_default();
+        let mut response = json(status, text);
+        set_ran(&mut response, kept.ran);
+        return response;
+    };
+    let status = status.unwrap_or(StatusCode::OK);
+    let mut response = Response::build(status)
+        .content_type(kept.content_type.as_str())
+        .body(body.clone())
+        .map_into_boxed_body();
+    set_ran(&mut response, kept.ran);
+    response
+}
+
+/// Returns the answer of an endpoint to pass on.
+pub(crate) fn passed(
+    status: StatusCode,
+    headers: &HeaderMap,
+    body: impl actix_http::body::MessageBody + 'static,
+) -> Response<BoxBody> {
+    let mut response = Response::build(status).message_body(body).map_or_else(
+        |_| Response::new(StatusCode::INTERNAL_SERVER_ERROR),
+        Response::map_into_boxed_body,
+    );
+    for (name, value) in headers {
+        if is_passed_on(name) {
+            response.headers_mut().append(name.clone(), value.clone());
+        }
+    }
+    set_ran(&mut response, Ran::Ran);
+    response
+}
+
+/// Returns a JSON answer.
+pub(crate) fn json(status: StatusCode, text: String) -> Response<BoxBody> {
+    Response::build(status).content_type("application/json").body(text).map_into_boxed_body()
+}
+
+/// States in a header what is known about whether the request ran.
+pub(crate) fn set_ran(response: &mut Response<BoxBody>, ran: Ran) {
+    response.headers_mut().insert(RAN, HeaderValue::from_static(ran.as_str()));
+}
+
+/// Returns whether an end-to-end header is passed between caller and endpoint.
+pub(crate) fn is_passed_on(name: &HeaderName) -> bool {
+    let is_of_hop = matches!(
+        name.as_str(),
+        "connection"
+            | "keep-alive"
+            | "proxy-authenticate"
+            | "proxy-authorization"
+            | "te"
+            | "trailer"
+            | "transfer-encoding"
+            | "upgrade"
+            | "content-length"
+            | "host"
+            | "authorization"
+            | "expect"
+            | "date"
+            | "traceparent"
+    );
+    !is_of_hop && !name.as_str().starts_with("x-wasabi-")
+}
--- /dev/null
+++ b/crates/wasabi-entry/src/callers/call.rs
@@ -0,0 +1,269 @@
+//! What a call asks for: its contract, route, key, deadline and body.
+
+use actix_http::{
+    HttpMessage as _, Method, Request,
+    header::{self, HeaderMap},
+};
+use bytes::Bytes;
+use serde::Deserialize;
+use wasabi_protocol::{
+    clock::{Millis, unix_now},
+    command::KEY_CLOCK_ERROR,
+    contract::{Contract, Repeat, Route, Target},
+    fault::{Fault, Kind},
+    fingerprint, id, request,
+};
+use wasabi_telemetry::trace::{Context, HEADER, Span};
+
+use crate::{callers::body, shared::Shared};
+
+/// Bytes of text counted as one token when a prompt is estimated.
+const BYTES_PER_TOKEN: usize = 4;
+
+/// Output tokens assumed when the caller names no limit.
+const DEFAULT_OUTPUT_TOKENS: u32 = 256;
+
+/// Longest idempotency key, in bytes.
+const KEY_BYTES_MAX: usize = 256;
+
+/// A caller's request, read whole and checked against its contract.
+pub(crate) struct Call {
+    pub(crate) id: id::Attempt,
+    pub(crate) organisation: id::Organisation,
+    pub(crate) share: u32,
+    pub(crate) route: Route,
+    pub(crate) work: Work,
+    pub(crate) method: Method,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) key: Option<id::Key>,
+    pub(crate) key_created: Option<Millis>,
+    pub(crate) fingerprint: fingerprint::Body,
+    /// When it arrived, on the process's clock.
+    pub(crate) arrived: Millis,
+    /// When it is of no use any more, on the process's clock.
+    pub(crate) deadline: Millis,
+    pub(crate) span: Span,
+}
+
+/// What runs at the endpoint.
+#[derive(Debug)]
+pub(crate) enum Work {
+    /// A chat completion.
+    Chat(Chat),
+    /// A call of a plain service, with its path and query.
+    Service { path: String },
+}
+
+/// The parts of a chat completion that concern scheduling.
+#[derive(Debug, Deserialize)]
+pub(crate) struct Chat {
+    pub(crate) model: String,
+    #[serde(default)]
+    pub(crate) stream: bool,
+    #[serde(default)]
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    max_completion_tokens: Option<u32>,
+    messages: Vec<serde::de::IgnoredAny>,
+}
+
+impl Call {
+    /// Reads a call.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal, with the tier when the route was found.
+    pub(crate) async fn read(shared: &Shared, request: &mut Request) -> Result<Self, Fault> {
+        let arrived = shared.clock.now();
+        let in_force = shared.in_force();
+        let contract = authenticate(request.headers(), &in_force)?;
+        let limits = &shared.settings.callers;
+        let body = body::read(request, *limits.body_bytes, *limits.body_time).await?;
+        let work = work(request, &body)?;
+        let route = route(contract, request, &work)?.clone();
+        let headers = request.headers();
+        let deadline = match number(headers, "x-wasabi-deadline-ms")? {
+            Some(left) => route.deadline_ms.min(Millis(left)),
+            None => route.deadline_ms,
+        };
+        let (key, key_created) = key(headers, &route)?;
+        let caller = text(headers, HEADER).and_then(Context::parse);
+        Ok(Self {
+            id: crate::shared::new_attempt(),
+            organisation: contract.organisation.clone(),
+            share: contract.share,
+            route,
+            work,
+            method: request.method().clone(),
+            headers: headers.clone(),
+            fingerprint: fingerprint::Body::of(&contract.organisation, &body),
+            body,
+            key,
+            key_created,
+            arrived,
+            deadline: arrived + deadline,
+            span: Span::start("request", caller),
+        })
+    }
+
+    /// Returns what the pool owner needs to know for an attempt.
+    pub(crate) fn request(
+        &self,
+        now: Millis,
+        attempt: id::Attempt,
+        avoid: &[id::Endpoint],
+    ) -> request::Request {
+        let (prompt_tokens, output_tokens, prefix) = match &self.work {
+            Work::Chat(chat) => {
+                let output = chat.max_completion_tokens.or(chat.max_tokens);
+                let prompt = u32::try_from(self.body.len() / BYTES_PER_TOKEN).unwrap_or(u32::MAX);
+                let prefix = fingerprint::prefix_blocks(&self.body);
+                (prompt, output.unwrap_or(DEFAULT_OUTPUT_TOKENS), prefix)
+            }
+            Work::Service { .. } => (1, 1, Vec::new()),
+        };
+        request::Request {
+            attempt,
+            organisation: self.organisation.clone(),
+            route: self.route.name.clone(),
+            backend: self.route.target.backend().clone(),
+            tier: self.route.tier,
+            share: self.share,
+            idempotent: self.route.repeat.is_idempotent(),
+            prompt_tokens,
+            output_tokens,
+            prefix,
+            fingerprint: self.fingerprint,
+            waited: now.since(self.arrived),
+            remaining: self.deadline.since(now),
+            first_token: self.route.first_token_ms,
+            between_tokens: self.route.between_tokens_ms,
+            avoid: avoid.to_vec(),
+        }
+    }
+
+    /// Returns the path and query at the endpoint.
+    pub(crate) fn path(&self) -> &str {
+        match &self.work {
+            Work::Chat(_) => "/v1/chat/completions",
+            Work::Service { path } => path,
+        }
+    }
+}
+
+/// Returns the contract of the caller's token.
+///
+/// # Errors
+///
+/// Returns a refusal when the token is missing or unknown.
+pub(crate) fn authenticate<'a>(
+    headers: &HeaderMap,
+    in_force: &'a crate::shared::InForce,
+) -> Result<&'a Contract, Fault> {
+    text(headers, header::AUTHORIZATION.as_str())
+        .and_then(|value| value.strip_prefix("Bearer "))
+        .and_then(|token| in_force.contract(token.trim()))
+        .ok_or_else(|| {
+            let message = "send `Authorization: Bearer <token>` with the token of a contract";
+            Fault::new(Kind::Unauthorized, message)
+        })
+}
+
+fn work(request: &Request, body: &[u8]) -> Result<Work, Fault> {
+    if request.path() == "/v1/chat/completions" {
+        if request.method() != Method::POST {
+            return Err(Fault::new(Kind::BadRequest, "use POST for chat completions"));
+        }
+        let chat = serde_json::from_slice::<Chat>(body).map_err(|error| {
+            Fault::new(Kind::BadRequest, format!("the body is not a chat completion: {error}"))
+        })?;
+        if chat.messages.is_empty() {
+            return Err(Fault::new(Kind::BadRequest, "`messages` must not be empty"));
+        }
+        return Ok(Work::Chat(chat));
+    }
+    let Some(rest) = request.path().strip_prefix("/services/") else {
+        return Err(Fault::new(Kind::UnknownRoute, "there is no such path here"));
+    };
+    let path = rest.find('/').map_or("/", |at| &rest[at..]);
+    let path = match request.uri().query() {
+        Some(query) => format!("{path}?{query}"),
+        None => path.to_owned(),
+    };
+    Ok(Work::Service { path })
+}
+
+fn route<'a>(contract: &'a Contract, request: &Request, work: &Work) -> Result<&'a Route, Fault> {
+    let service = request.path().strip_prefix("/services/").map(|rest| {
+        rest.split_once('/').map_or((rest, "/"), |(name, _)| (name, &rest[name.len()..]))
+    });
+    let found = match (work, service) {
+        (Work::Chat(chat), _) => {
+            let named = text(request.headers(), "x-wasabi-route");
+            match named.map(|name| contract.route(name)) {
+                Some(route) => route.filter(|route| leads_to_model(route, &chat.model)),
+                None => contract.model_route(&chat.model),
+            }
+        }
+        (Work::Service { .. }, Some((name, path))) => {
+            // A path with dot segments could name another route's prefix at the endpoint.
+            let has_dots = path.split('/').any(|part| {
+                let part = part.to_ascii_lowercase().replace("%2e", ".");
+                part == "." || part == ".."
+            });
+            if has_dots {
+                return Err(Fault::new(Kind::BadRequest, "the path must have no dot segments"));
+            }
+            contract.service_route(name, request.method().as_str(), path)
+        }
+        (Work::Service { .. }, None) => None,
+    };
+    found.ok_or_else(|| {
+        let message = "the contract has no route for this call; ask the operator for one";
+        Fault::new(Kind::UnknownRoute, message)
+    })
+}
+
+fn leads_to_model(route: &Route, model: &str) -> bool {
+    matches!(&route.target, Target::Model { name } if name.as_str() == model)
+}
+
+/// Reads the idempotency key and checks it against the route.
+fn key(headers: &HeaderMap, route: &Route) -> Result<(Option<id::Key>, Option<Millis>), Fault> {
+    let key = text(headers, "idempotency-key");
+    if headers.contains_key("idempotency-key") && key.is_none() {
+        return Err(Fault::new(Kind::BadRequest, "the idempotency key must be visible ASCII"));
+    }
+    if key.is_some_and(|key| key.is_empty() || KEY_BYTES_MAX < key.len()) {
+        let message = format!("the idempotency key must have 1 to {KEY_BYTES_MAX} bytes");
+        return Err(Fault::new(Kind::BadRequest, message));
+    }
+    let created = number(headers, "idempotency-key-created")?.map(Millis);
+    if created.is_some_and(|created| unix_now() + KEY_CLOCK_ERROR < created) {
+        return Err(Fault::new(Kind::BadRequest, "the key's creation time lies in the future"));
+    }
+    if let Repeat::AtMostOnce { require_key, require_key_time } = route.repeat {
+        if require_key && key.is_none() {
+            let message = "this route needs an `Idempotency-Key`";
+            return Err(Fault::new(Kind::KeyRequired, message));
+        }
+        if require_key_time && key.is_some() && created.is_none() {
+            let message = "this route needs `Idempotency-Key-Created` (Unix time, ms)";
+            return Err(Fault::new(Kind::KeyRequired, message));
+        }
+    }
+    Ok((key.map(id::Key::from), created))
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn number(headers: &HeaderMap, name: &str) -> Result<Option<u64>, Fault> {
+    let Some(value) = headers.get(name) else { return Ok(None) };
+    let number = value.to_str().ok().and_then(|text| text.trim().parse().ok());
+    number
+        .map(Some)
+        .ok_or_else(|| Fault::new(Kind::BadRequest, format!("`{name}` must be a whole number")))
+}
--- /dev/null
+++ b/crates/wasabi-entry/src/callers/mod.rs
@@ -0,0 +1,7 @@
+//! Callers: the HTTP server, what a call asks for, and the answers.
+
+pub(crate) mod answer;
+pub(crate) mod body;
+pub(crate) mod call;
+pub(crate) mod list;
+pub(crate) mod server;
--- /dev/null
+++ b/crates/wasabi-entry/src/callers/server.rs
@@ -0,0 +1,136 @@
+//! The HTTP server for callers and endpoints.
+
+use std::{convert::Infallible, io, net::TcpListener, rc::Rc, sync::Arc};
+
+use actix_http::{
+    HttpService, Method, Request, Response, StatusCode, body::BoxBody, header::HeaderValue,
+};
+use actix_server::{Server, ServerHandle};
+use actix_service::fn_service;
+use wasabi_protocol::fault::{Fault, Kind};
+
+use crate::{
+    callers::{answer, list},
+    dispatch::{connect, way},
+    endpoints,
+    message::Handle,
+    shared::Shared,
+};
+
+/// Open connections per traffic thread. Each costs at most the buffers of one request.
+const CONNECTIONS_MAX: usize = 16_384;
+
+/// Waiting connections of the listener.
+const BACKLOG: u32 = 2_048;
+
+/// Time that idle workers get to end after a drain, in seconds. All requests have ended by then.
+const STOP_S: u64 = 2;
+
+/// Bytes of an answer held for a caller that reads slowly.
+const WRITE_BYTES: usize = 16 * 1024;
+
+/// One traffic thread.
+pub(crate) struct Worker {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) handle: Handle,
+    /// Connections kept for repeatable requests.
+    pub(crate) pooled: awc::Client,
+}
+
+/// Starts the traffic threads.
+///
+/// # Errors
+///
+/// Returns an error when the listener or the TLS files cannot be used.
+pub(crate) fn start(
+    listener: TcpListener,
+    shared: &Arc<Shared>,
+    handle: &Handle,
+    tls: Option<rustls::ServerConfig>,
+) -> io::Result<ServerHandle> {
+    let settings = shared.settings.clone();
+    let (shared, handle) = (Arc::clone(shared), handle.clone());
+    let builder = Server::build()
+        .workers(usize::from(*settings.traffic_threads.0))
+        .max_concurrent_connections(CONNECTIONS_MAX)
+        .backlog(BACKLOG)
+        .shutdown_timeout(STOP_S)
+        .disable_signals();
+    let signal = builder.graceful_shutdown_signal();
+    let head_time = settings.callers.head_time.duration();
+    macro_rules! service {
+        () => {{
+            let signal = signal.clone();
+            let worker = Rc::new(Worker {
+                shared: Arc::clone(&shared),
+                handle: handle.clone(),
+                pooled: connect::pooled(),
+            });
+            HttpService::build()
+                .client_request_timeout(head_time)
+                .h1_write_buffer_size(WRITE_BYTES)
+                .tcp_nodelay(true)
+                .graceful_shutdown_signal(move || {
+                    let signal = signal.clone();
+                    async move { signal.notified().await }
+                })
+                .finish(fn_service(move |request| serve(Rc::clone(&worker), request)))
+        }};
+    }
+    let server = match tls {
+        Some(tls) => {
+            builder.listen("callers", listener, move || service!().rustls_0_23(tls.clone()))?
+        }
+        None => builder.listen("callers", listener, move || service!().tcp())?,
+    }
+    .run();
+    let stop = server.handle();
+    actix_rt::spawn(async move {
+        if let Err(error) = server.await {
+            tracing::error!(%error, "the caller server ended with an error");
+        }
+    });
+    Ok(stop)
+}
+
+async fn serve(worker: Rc<Worker>, request: Request) -> Result<Response<BoxBody>, Infallible> {
+    let shared = Arc::clone(&worker.shared);
+    let mut response = match (request.method(), request.path()) {
+        (&Method::GET, "/v1/entries") => {
+            list::answer(&shared, &request).unwrap_or_else(|fault| refuse(&shared, &fault))
+        }
+        (&Method::POST, "/v1/endpoints") => endpoints::announce(&worker, request).await,
+        (&Method::DELETE, path) if path.starts_with("/v1/endpoints/") => {
+            endpoints::leave(&worker, path)
+        }
+        (_, path) if path == "/v1/chat/completions" || path.starts_with("/services/") => {
+            way::serve(worker, request).await
+        }
+        _ => {
+            let fault = Fault::new(Kind::UnknownRoute, "there is no such path here");
+            refuse(&shared, &fault)
+        }
+    };
+    if shared.is_draining() {
+        response.head_mut().set_connection_type(actix_http::ConnectionType::Close);
+    }
+    Ok(response)
+}
+
+/// Returns the answer for a refusal that came before the tier was known, and counts it.
+pub(crate) fn refuse(shared: &Shared, fault: &Fault) -> Response<BoxBody> {
+    shared.metrics.refused(fault.kind, None);
+    answer::fault(fault)
+}
+
+/// Sets the name of the request in its answer.
+pub(crate) fn name(response: &mut Response<BoxBody>, id: &str) {
+    if let Ok(value) = HeaderValue::from_str(id) {
+        response.headers_mut().insert(answer::REQUEST, value);
+    }
+}
+
+/// Returns an answer without a body.
+pub(crate) fn empty(status: StatusCode) -> Response<BoxBody> {
+    Response::new(status)
+}
--- /dev/null
+++ b/crates/wasabi-entry/src/control/link.rs
@@ -0,0 +1,162 @@
+//! Connections to the control members, and the search for the leader.
+
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use jsonrpsee::{
+    core::client::ClientT as _,
+    rpc_params,
+    ws_client::{WsClient, WsClientBuilder},
+};
+use wasabi_protocol::{
+    command::{Command, Config},
+    rpc::{Checked, Checkin, Propose, Proposed, method},
+};
+
+/// Longest time for a connection to a member.
+const CONNECT_TIME: Duration = Duration::from_millis(500);
+
+/// Longest time for the answer to a check-in. It leaves room for a second one within the 2 s
+/// after which the entry stops serving.
+const CHECKIN_TIME: Duration = Duration::from_millis(700);
+
+/// Longest time for the answer to a proposal.
+const PROPOSE_TIME: Duration = Duration::from_millis(1_500);
+
+/// Members asked for one call, hints of a leader included.
+const ASKED_MAX: usize = 8;
+
+/// Proposals that wait for their answers at one time.
+const CALLS_MAX: usize = 16_384;
+
+/// Largest message, in bytes. A configuration of all contracts must fit.
+const MESSAGE_BYTES_MAX: u32 = 32 * 1024 * 1024;
+
+/// The control members and the open connections to them.
+#[derive(Debug, Default)]
+pub(crate) struct Link {
+    members: Vec<String>,
+    clients: RefCell<HashMap<String, Arc<WsClient>>>,
+    leader: RefCell<Option<String>>,
+}
+
+impl Link {
+    /// Returns a link to these members, without any connection yet.
+    pub(crate) fn new(members: &[SocketAddr]) -> Self {
+        let members = members.iter().map(ToString::to_string).collect();
+        Self { members, ..Self::default() }
+    }
+
+    /// Checks in with the leader and returns its answer.
+    pub(crate) async fn check_in(&self, checkin: &Checkin) -> Option<Checked> {
+        let mut asked = Vec::new();
+        while let Some(member) = self.next(&asked) {
+            asked.push(member.clone());
+            let Some(client) = self.client(&member).await else { continue };
+            let call =
+                client.request::<Checked, _>(method::CONTROL_HEARTBEAT, rpc_params![checkin]);
+            match tokio::time::timeout(CHECKIN_TIME, call).await {
+                Ok(Ok(Checked::NotLeader { leader })) => self.point(leader),
+                Ok(Ok(checked)) => {
+                    self.point(Some(member));
+                    return Some(checked);
+                }
+                Ok(Err(error)) => self.drop_client(&member, &error.to_string()),
+                Err(_) => self.drop_client(&member, "no answer in time"),
+            }
+        }
+        None
+    }
+
+    /// Proposes a command. Returns none when no leader was found, so nothing was proposed.
+    pub(crate) async fn propose(&self, command: Command) -> Option<Proposed> {
+        let propose = Propose { command };
+        let mut asked = Vec::new();
+        while let Some(member) = self.next(&asked) {
+            asked.push(member.clone());
+            let Some(client) = self.client(&member).await else { continue };
+            let call = client.request::<Proposed, _>(method::PROPOSE, rpc_params![&propose]);
+            match tokio::time::timeout(PROPOSE_TIME, call).await {
+                Ok(Ok(Proposed::NotLeader { leader })) => self.point(leader),
+                Ok(Ok(proposed)) => {
+                    self.point(Some(member));
+                    return Some(proposed);
+                }
+                Ok(Err(error)) => {
+                    self.drop_client(&member, &error.to_string());
+                    return Some(Proposed::Unknown);
+                }
+                Err(_) => {
+                    self.drop_client(&member, "no answer in time");
+                    return Some(Proposed::Unknown);
+                }
+            }
+        }
+        None
+    }
+
+    /// Returns the configuration that some member holds. It may be an old one.
+    pub(crate) async fn fetch(&self) -> Option<Config> {
+        for member in &self.members {
+            let Some(client) = self.client(member).await else { continue };
+            let call = client.request::<Config, _>(method::CONFIG, rpc_params![]);
+            if let Ok(Ok(config)) = tokio::time::timeout(CHECKIN_TIME, call).await {
+                return Some(config);
+            }
+        }
+        None
+    }
+
+    /// Returns the member to ask next: the likely leader first, then each other one once.
+    fn next(&self, asked: &[String]) -> Option<String> {
+        if ASKED_MAX <= asked.len() {
+            return None;
+        }
+        let leader = self.leader.borrow().clone();
+        let candidates = leader.iter().chain(&self.members);
+        candidates.into_iter().find(|member| !asked.contains(member)).cloned()
+    }
+
+    fn point(&self, leader: Option<String>) {
+        *self.leader.borrow_mut() = leader;
+    }
+
+    fn drop_client(&self, member: &str, reason: &str) {
+        tracing::debug!(%member, %reason, "connection to control is dropped");
+        self.clients.borrow_mut().remove(member);
+        let mut leader = self.leader.borrow_mut();
+        if leader.as_deref() == Some(member) {
+            *leader = None;
+        }
+    }
+
+    async fn client(&self, member: &str) -> Option<Arc<WsClient>> {
+        let open = self.clients.borrow().get(member).cloned();
+        if let Some(client) = open.filter(|client| client.is_connected()) {
+            return Some(client);
+        }
+        let client = Arc::new(connect(member, CONNECT_TIME).await?);
+        self.clients.borrow_mut().insert(member.to_owned(), Arc::clone(&client));
+        Some(client)
+    }
+}
+
+/// Opens a connection for JSON-RPC, or returns none when that fails.
+pub(crate) async fn connect(address: &str, time: Duration) -> Option<WsClient> {
+    let connecting = WsClientBuilder::default()
+        .connection_timeout(time)
+        .max_concurrent_requests(CALLS_MAX)
+        .max_request_size(MESSAGE_BYTES_MAX)
+        .max_response_size(MESSAGE_BYTES_MAX)
+        // Each call has a bound of its own; this one only has to be longer than all of them.
+        .request_timeout(Duration::from_secs(24 * 60 * 60))
+        .set_tcp_no_delay(true)
+        .build(format!("ws://{address}"));
+    match tokio::time::timeout(time, connecting).await {
+        Ok(Ok(client)) => Some(client),
+        Ok(Err(error)) => {
+            tracing::debug!(%address, %error, "no connection");
+            None
+        }
+        Err(_) => None,
+    }
+}
--- /dev/null
+++ b/crates/wasabi-entry/src/control/mod.rs
@@ -0,0 +1,4 @@
+//! The link to the control group: check-ins and proposals.
+
+pub(crate) mod checkin;
+pub(crate) mod link;
--- /dev/null
+++ b/crates/wasabi-entry/src/daemon.rs
@@ -0,0 +1,262 @@
+//! Start and stop of an entry.
+
+use std::{
+    fs, io,
+    net::{SocketAddr, TcpListener},
+    path::PathBuf,
+    sync::{Arc, mpsc},
+    thread::JoinHandle,
+};
+
+use prometheus_client::registry::Registry;
+use rustls_pki_types::{CertificateDer, PrivateKeyDer, pem::PemObject as _};
+use snafu::{ResultExt as _, Snafu};
+use tokio::sync::oneshot;
+use wasabi_protocol::{
+    command::{Config, Duty, Entry, View},
+    contract::Contract,
+    id,
+};
+use wasabi_settings::{entry::Settings, tls::Tls};
+use wasabi_telemetry::metrics;
+
+use crate::{
+    callers,
+    control::{checkin, link::Link},
+    drain,
+    message::{Handle, Message},
+    metrics::Metrics,
+    peers,
+    shared::{Mode, Shared},
+    shell::Shell,
+};
+
+/// Why an entry cannot start.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// An address cannot be bound. Remedy: correct it, or end the process that uses it.
+    #[snafu(display("cannot listen on {address}: {source}"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        source: io::Error,
+    },
+    /// The contracts file is wrong. Remedy: correct it as the message says.
+    #[snafu(display("cannot read the contracts file {}: {message}", path.display()))]
+    Contracts {
+        /// The file.
+        path: PathBuf,
+        /// What is wrong.
+        message: String,
+    },
+    /// The certificate or key is wrong. Remedy: use PEM files that belong together.
+    #[snafu(display("cannot use the TLS files: {message}"))]
+    Tls {
+        /// What is wrong.
+        message: String,
+    },
+    /// A thread or server cannot be started.
+    #[snafu(display("cannot start: {source}"))]
+    Start {
+        /// The cause.
+        source: io::Error,
+    },
+}
+
+/// A running entry on threads of its own.
+#[derive(Debug)]
+pub struct Daemon {
+    callers: SocketAddr,
+    peers: SocketAddr,
+    metrics: SocketAddr,
+    handle: Handle,
+    thread: Option<JoinHandle<io::Result<()>>>,
+}
+
+/// The bound listeners.
+struct Listeners {
+    callers: TcpListener,
+    peers: TcpListener,
+}
+
+impl Daemon {
+    /// Starts an entry.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when an address, a file or a thread cannot be used.
+    pub fn start(settings: Settings) -> Result<Self, Error> {
+        let listeners = Listeners {
+            callers: bind(*settings.listen.callers)?,
+            peers: bind(*settings.listen.peers)?,
+        };
+        let callers = listeners.callers.local_addr().context(StartSnafu)?;
+        let peers = listeners.peers.local_addr().context(StartSnafu)?;
+        // The metrics server binds by address, so a free port is found for it here.
+        let metrics = match *settings.listen.metrics {
+            address if address.port() == 0 => bind(address)?.local_addr().context(StartSnafu)?,
+            address => address,
+        };
+        let entry = Entry {
+            name: settings.name.as_str().into(),
+            caller_address: callers.to_string(),
+            peer_address: peers.to_string(),
+            data_centre: settings.data_centre.as_str().into(),
+            region: settings.region.as_str().into(),
+            duty: Duty::Serving,
+        };
+        let stand_alone = stand_alone(&settings, &entry)?;
+        let tls = settings.tls.as_ref().map(server_config).transpose()?;
+        let mode = if stand_alone.is_some() { Mode::StandAlone } else { Mode::Controlled };
+        let mut registry = Registry::default();
+        let counters = Metrics::register(&mut registry);
+        let shared = Arc::new(Shared::new(entry, settings, mode, counters));
+        let (handle, messages) = Handle::channel();
+        let (started, start) = mpsc::channel();
+        let for_thread = handle.clone();
+        let run = move || {
+            actix_rt::System::new().block_on(async move {
+                let serving = serve(shared, for_thread, messages, listeners, tls, stand_alone);
+                let result = serving.and_then(|ended| {
+                    metrics::serve(metrics, Arc::new(registry)).map(|server| (ended, server))
+                });
+                match result {
+                    Ok((ended, server)) => {
+                        drop(started.send(Ok(())));
+                        drop(ended.await);
+                        server.stop(false).await;
+                        Ok(())
+                    }
+                    Err(error) => {
+                        drop(started.send(Err(io::Error::new(error.kind(), error.to_string()))));
+                        Err(error)
+                    }
+                }
+            })
+        };
+        let thread =
+            std::thread::Builder::new().name("control".into()).spawn(run).context(StartSnafu)?;
+        match start.recv() {
+            Ok(Ok(())) => {}
+            Ok(Err(source)) => return Err(Error::Start { source }),
+            Err(_) => {
+                let source = io::Error::other("the control thread ended before it served");
+                return Err(Error::Start { source });
+            }
+        }
+        Ok(Self { callers, peers, metrics, handle, thread: Some(thread) })
+    }
+
+    /// Returns the address for callers and endpoints.
+    pub fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Returns the address for peers.
+    pub fn peers(&self) -> SocketAddr {
+        self.peers
+    }
+
+    /// Returns the address of the metrics.
+    pub fn metrics(&self) -> SocketAddr {
+        self.metrics
+    }
+
+    /// Starts to drain. A second call changes nothing.
+    pub fn drain(&self) {
+        self.handle.send(Message::Drain);
+    }
+
+    /// Returns whether the entry has ended.
+    pub fn is_ended(&self) -> bool {
+        self.thread.as_ref().is_none_or(JoinHandle::is_finished)
+    }
+
+    /// Waits until the entry has ended, which it does after it drained.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error that ended it.
+    pub fn join(mut self) -> io::Result<()> {
+        let Some(thread) = self.thread.take() else { return Ok(()) };
+        thread.join().unwrap_or_else(|_| Err(io::Error::other("the control thread panicked")))
+    }
+}
+
+fn serve(
+    shared: Arc<Shared>,
+    handle: Handle,
+    messages: tokio::sync::mpsc::UnboundedReceiver<Message>,
+    listeners: Listeners,
+    tls: Option<rustls::ServerConfig>,
+    stand_alone: Option<Config>,
+) -> io::Result<oneshot::Receiver<()>> {
+    let server = callers::server::start(listeners.callers, &shared, &handle, tls)?;
+    let peers = peers::server::start(listeners.peers, &handle)?;
+    let (end, ended) = oneshot::channel();
+    let members: Vec<_> = shared.settings.control.iter().map(|address| **address).collect();
+    let start = drain::Start { server, ended: end };
+    let shell = Shell::new(shared, Link::new(&members), start);
+    if let Some(config) = stand_alone {
+        shell.apply(&config);
+        shell.shared.extend_serving(shell.now());
+    } else {
+        actix_rt::spawn(checkin::run(std::rc::Rc::clone(&shell)));
+        actix_rt::spawn(peers::heartbeat::run(std::rc::Rc::clone(&shell)));
+    }
+    actix_rt::spawn(async move {
+        // The server of peers stops when its handle is dropped.
+        let _peers = peers;
+        shell.run(messages).await;
+    });
+    Ok(ended)
+}
+
+fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(address).context(ListenSnafu { address })
+}
+
+/// Returns the fixed configuration of stand-alone mode, if the settings ask for it.
+fn stand_alone(settings: &Settings, entry: &Entry) -> Result<Option<Config>, Error> {
+    let Some(path) = &settings.contracts else { return Ok(None) };
+    let fail = |message: String| Error::Contracts { path: path.clone(), message };
+    let text = fs::read_to_string(path).map_err(|error| fail(error.to_string()))?;
+    let contracts: Vec<Contract> =
+        serde_saphyr::from_str(&text).map_err(|error| fail(error.to_string()))?;
+    let problems: Vec<_> = contracts
+        .iter()
+        .flat_map(|contract| {
+            let name = &contract.organisation;
+            contract
+                .problems()
+                .into_iter()
+                .map(move |problem| format!("{name}: {}: {}", problem.field, problem.message))
+        })
+        .collect();
+    if !problems.is_empty() {
+        return Err(fail(problems.join("; ")));
+    }
+    Ok(Some(Config {
+        revision: id::Revision(1),
+        view: View { number: id::View(1), entries: vec![entry.clone()] },
+        contracts,
+        ..Config::default()
+    }))
+}
+
+fn server_config(tls: &Tls) -> Result<rustls::ServerConfig, Error> {
+    let fail = |message: String| Error::Tls { message };
+    let certificates = CertificateDer::pem_file_iter(&tls.certificate)
+        .and_then(Iterator::collect::<Result<Vec<_>, _>>)
+        .map_err(|error| fail(format!("{}: {error}", tls.certificate.display())))?;
+    let key = PrivateKeyDer::from_pem_file(&tls.key)
+        .map_err(|error| fail(format!("{}: {error}", tls.key.display())))?;
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    rustls::ServerConfig::builder_with_provider(provider)
+        .with_safe_default_protocol_versions()
+        .map_err(|error| fail(error.to_string()))?
+        .with_no_client_auth()
+        .with_single_cert(certificates, key)
+        .map_err(|error| fail(error.to_string()))
+}
--- /dev/null
+++ b/crates/wasabi-entry/src/dispatch/open.rs
@@ -0,0 +1,126 @@
+//! Opens the answer of an attempt up to its first token, or collects it whole.
+
+use std::rc::Rc;
+
+use actix_http::header;
+use bytes::{Bytes, BytesMut};
+use wasabi_protocol::{fault::Kind, id, request::End};
+
+use crate::{
+    callers::{
+        call::{Call, Work},
+        server::Worker,
+    },
+    dispatch::{
+        connect::Flight,
+        events::Reader,
+        grant::Held,
+        relay,
+        send::{self, Attempt, Failure, Line, Opened},
+        whole::{self, Whole},
+    },
+    shared::new_attempt,
+};
+
+/// An answer that has begun.
+pub(crate) enum Opening {
+    /// A stream with its first events.
+    Stream(Stream),
+    /// A whole answer.
+    Whole(Whole),
+}
+
+/// A stream up to its first token.
+pub(crate) struct Stream {
+    pub(crate) opened: Opened,
+    pub(crate) reader: Reader,
+    pub(crate) first: Bytes,
+    pub(crate) is_whole: bool,
+}
+
+/// Sends an attempt and waits for the start of its answer.
+///
+/// A repeatable request goes out on a kept connection. When that stays silent, the request is
+/// sent once more on a new one before the endpoint is judged.
+///
+/// # Errors
+///
+/// Returns how the attempt ended when the answer did not start.
+pub(crate) async fn open(
+    worker: &Worker,
+    call: &Call,
+    held: &mut Held,
+    id: id::Attempt,
+    flight: Option<&Rc<Flight>>,
+) -> Result<Opening, Failure> {
+    held.sent();
+    if let Some(flight) = flight {
+        return open_on(worker, call, held, id, Line::Watched(Rc::clone(flight))).await;
+    }
+    match open_on(worker, call, held, id, Line::Pooled).await {
+        Err(failure) if failure.end == End::Silent => {
+            tracing::info!(endpoint = %held.grant().endpoint, "silent connection is replaced");
+            let again = open_on(worker, call, held, new_attempt(), Line::Fresh).await;
+            again.map_err(|second| match second.end {
+                End::Unreachable => failure,
+                _ => second,
+            })
+        }
+        opening => opening,
+    }
+}
+
+async fn open_on(
+    worker: &Worker,
+    call: &Call,
+    held: &mut Held,
+    id: id::Attempt,
+    line: Line,
+) -> Result<Opening, Failure> {
+    let span = call.span.child("dispatch");
+    let grant = held.grant().clone();
+    let is_streamed = matches!(&call.work, Work::Chat(chat) if chat.stream);
+    // An engine answers a call without a stream only after its last token.
+    let bound = match &call.work {
+        Work::Chat(chat) if !chat.stream => call.deadline.since(call.arrived),
+        _ => grant.first_token_bound,
+    };
+    let context = span.context();
+    let attempt = Attempt { call, grant: &grant, id, resume_from: None, line, context };
+    let mut opened = send::send(worker, attempt, bound).await?;
+    let is_stream = opened
+        .headers
+        .get(header::CONTENT_TYPE)
+        .is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"));
+    if !is_streamed || !opened.status.is_success() {
+        return Ok(Opening::Whole(whole::collect(worker, call, held, opened, bound).await?));
+    }
+    if !is_stream {
+        let message = "the endpoint answered a streamed request without a stream";
+        return Err(Failure::new(End::Failed, Kind::EndpointFailed, message));
+    }
+    let mut reader = Reader::new(id, 0);
+    let mut first = BytesMut::new();
+    loop {
+        let chunk = send::next_chunk(worker, call, &mut opened, bound.duration()).await?;
+        let Some(chunk) = chunk else {
+            let message = "the stream stopped before its first token";
+            return Err(Failure::new(End::Broken, Kind::EndpointFailed, message));
+        };
+        let chunk = reader.read(chunk).map_err(|malformed| {
+            Failure::new(End::Failed, Kind::EndpointFailed, relay::describe(malformed))
+        })?;
+        let is_first = first.is_empty();
+        if 0 < reader.tokens() || chunk.is_whole {
+            held.progress(reader.tokens());
+            let first = if is_first {
+                chunk.events
+            } else {
+                first.extend_from_slice(&chunk.events);
+                first.freeze()
+            };
+            return Ok(Opening::Stream(Stream { opened, reader, first, is_whole: chunk.is_whole }));
+        }
+        first.extend_from_slice(&chunk.events);
+    }
+}
--- /dev/null
+++ b/crates/wasabi-entry/src/dispatch/whole.rs
@@ -0,0 +1,57 @@
+//! Answers that are passed on whole: services and chat completions without a stream.
+
+use actix_http::{Response, body::BoxBody, header};
+use bytes::BytesMut;
+use wasabi_protocol::{clock::Millis, command::Kept, fault::Kind, request::End};
+
+use crate::{
+    callers::{answer, call::Call, server::Worker},
+    dispatch::{
+        grant::Held,
+        send::{self, Failure, Opened},
+    },
+    gate,
+};
+
+/// Largest answer that is collected, in bytes.
+const ANSWER_BYTES_MAX: usize = 8 * 1024 * 1024;
+
+/// A whole answer and what a record keeps of it.
+pub(crate) struct Whole {
+    pub(crate) response: Response<BoxBody>,
+    pub(crate) kept: Kept,
+    pub(crate) is_server_error: bool,
+}
+
+/// Collects an answer.
+///
+/// # Errors
+///
+/// Returns the failure when the answer broke off, was silent for `bound` or is too large.
+pub(crate) async fn collect(
+    worker: &Worker,
+    call: &Call,
+    held: &mut Held,
+    mut opened: Opened,
+    bound: Millis,
+) -> Result<Whole, Failure> {
+    held.progress(0);
+    let mut body = BytesMut::new();
+    while let Some(chunk) = send::next_chunk(worker, call, &mut opened, bound.duration()).await? {
+        held.progress(0);
+        if ANSWER_BYTES_MAX < body.len() + chunk.len() {
+            let message = format!("the answer is larger than {ANSWER_BYTES_MAX} bytes");
+            return Err(Failure::new(End::Failed, Kind::EndpointFailed, message));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    let body = body.freeze();
+    let content_type = opened
+        .headers
+        .get(header::CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default();
+    let kept = gate::answered(opened.status.as_u16(), content_type, &body);
+    let response = answer::passed(opened.status, &opened.headers, body);
+    Ok(Whole { response, kept, is_server_error: opened.status.is_server_error() })
+}
--- /dev/null
+++ b/crates/wasabi-entry/src/endpoints.rs
@@ -0,0 +1,64 @@
+//! Endpoints: announcement, renewal and leaving. The pool owner keeps the registry.
+
+use std::rc::Rc;
+
+use actix_http::{Request, Response, StatusCode, body::BoxBody};
+use wasabi_protocol::{
+    clock::Millis,
+    endpoint::Announcement,
+    fault::{Fault, Kind},
+};
+
+use crate::{
+    callers::{
+        body,
+        server::{self, Worker},
+    },
+    message::Message,
+};
+
+/// Largest announcement, in bytes.
+const ANNOUNCEMENT_BYTES_MAX: usize = 64 * 1024;
+
+/// Longest time for an announcement to arrive.
+const ANNOUNCEMENT_TIME: Millis = Millis::from_secs(2);
+
+/// Takes an announcement and passes it to the pool's owner.
+pub(crate) async fn announce(worker: &Rc<Worker>, mut request: Request) -> Response<BoxBody> {
+    let read = body::read(&mut request, ANNOUNCEMENT_BYTES_MAX, ANNOUNCEMENT_TIME).await;
+    let announcement = read.and_then(|body| parse(&body));
+    match announcement {
+        Ok(announcement) => {
+            worker.handle.send(Message::Announce(Box::new(announcement)));
+            server::empty(StatusCode::NO_CONTENT)
+        }
+        Err(fault) => server::refuse(&worker.shared, &fault),
+    }
+}
+
+/// Takes an endpoint's leaving and passes it to the pool's owner.
+pub(crate) fn leave(worker: &Rc<Worker>, path: &str) -> Response<BoxBody> {
+    let name = path.trim_start_matches("/v1/endpoints/");
+    if name.is_empty() || name.contains('/') {
+        let fault = Fault::new(Kind::BadRequest, "use DELETE /v1/endpoints/{name}");
+        return server::refuse(&worker.shared, &fault);
+    }
+    worker.handle.send(Message::Leave(name.into()));
+    server::empty(StatusCode::NO_CONTENT)
+}
+
+fn parse(body: &[u8]) -> Result<Announcement, Fault> {
+    let announcement: Announcement = serde_json::from_slice(body).map_err(|error| {
+        Fault::new(Kind::BadRequest, format!("the body is not an announcement: {error}"))
+    })?;
+    if announcement.address.parse::<std::net::SocketAddr>().is_err() {
+        let message = "`address` must be an IP address and port";
+        return Err(Fault::new(Kind::BadRequest, message));
+    }
+    let names = [announcement.name.as_str(), announcement.backend.as_str()];
+    if names.iter().any(|name| name.is_empty()) || announcement.concurrency == 0 {
+        let message = "`name` and `backend` must not be empty, `concurrency` at least 1";
+        return Err(Fault::new(Kind::BadRequest, message));
+    }
+    Ok(announcement)
+}
--- a/crates/wasabi-entry/src/lib.rs
+++ b/crates/wasabi-entry/src/lib.rs
@@ -1,1 +1,20 @@
-//! Entry daemon.
+//! The entry daemon: callers' HTTP, endpoint announcements, and the pools that it owns.
+//!
+//! One thread holds the control state (view, configuration, pools); others carry traffic. The
+//! way of a request is in `dispatch::way`, which calls the stages in order.
+
+mod callers;
+mod control;
+pub mod daemon;
+pub mod dispatch;
+mod drain;
+mod endpoints;
+mod gate;
+mod message;
+mod metrics;
+mod peers;
+mod pools;
+mod shared;
+mod shell;
+
+pub use daemon::Daemon;
--- a/crates/wasabi-entry/src/message.rs
+++ b/crates/wasabi-entry/src/message.rs
@@ -7,21 +7,21 @@
     fault::{Fault, Kind},
     id,
     request::Request,
-    rpc::{Acquire, Acquired, Grant, Heartbeat, Holdings, Lend, Proposed, Release, Slice},
+    rpc::{Acquire, Acquired, Grant, Heartbeat, Holdings, Lend, Preempt, Proposed, Release, Slice},
 };
 
 /// A grant as the traffic thread receives it.
 #[derive(Debug)]
-pub struct Granted {
+pub(crate) struct Granted {
     /// The grant.
-    pub grant: Grant,
+    pub(crate) grant: Grant,
     /// Resolves when the owner takes the grant back before the first token.
-    pub preempted: oneshot::Receiver<()>,
+    pub(crate) preempted: oneshot::Receiver<()>,
 }
 
 /// What the control thread is asked.
 #[derive(Debug)]
-pub enum Message {
+pub(crate) enum Message {
     /// A caller's request needs a grant.
     Acquire {
         /// The request.
@@ -50,13 +50,15 @@
 
 /// What a peer asks.
 #[derive(Debug)]
-pub enum Peer {
+pub(crate) enum Peer {
     /// A grant for a request that the peer holds.
     Acquire(Box<Acquire>, oneshot::Sender<Acquired>),
     /// The end of such a grant.
     Release(Box<Release>),
     /// What the peer still runs.
     Report(Box<Holdings>),
+    /// A grant that the peer, as its owner, takes back.
+    Preempt(Preempt),
     /// A relayed announcement.
     Announce(Box<Announcement>),
     /// A relayed leave.
@@ -71,7 +73,7 @@
 
 /// The way from other threads to the control thread.
 #[derive(Debug, Clone)]
-pub struct Handle {
+pub(crate) struct Handle {
     sender: mpsc::UnboundedSender<Message>,
 }
 
@@ -80,13 +82,13 @@
     ///
     /// The channel is unbounded, since a release must never be dropped; open requests are bounded
     /// at the listener.
-    pub fn channel() -> (Self, mpsc::UnboundedReceiver<Message>) {
+    pub(crate) fn channel() -> (Self, mpsc::UnboundedReceiver<Message>) {
         let (sender, receiver) = mpsc::unbounded_channel();
         (Self { sender }, receiver)
     }
 
     /// Sends a message. It is dropped when the process is about to end.
-    pub fn send(&self, message: Message) {
+    pub(crate) fn send(&self, message: Message) {
         if self.sender.send(message).is_err() {
             tracing::debug!("the control thread has ended");
         }
@@ -97,21 +99,24 @@
     /// # Errors
     ///
     /// Returns the refusal.
-    pub async fn acquire(&self, request: Request) -> Result<Granted, Fault> {
+    pub(crate) async fn acquire(&self, request: Request) -> Result<Granted, Fault> {
         let (reply, answer) = oneshot::channel();
         self.send(Message::Acquire { request: Box::new(request), reply });
         answer.await.unwrap_or_else(|_| Err(stopping()))
     }
 
     /// Proposes a command and returns the answer, or none when no control member answered.
-    pub async fn propose(&self, command: Command) -> Option<Proposed> {
+    pub(crate) async fn propose(&self, command: Command) -> Option<Proposed> {
         let (reply, answer) = oneshot::channel();
         self.send(Message::Propose { command: Box::new(command), reply });
         answer.await.unwrap_or(None)
     }
 
     /// Sends a peer's question and returns the answer, or none when the process is about to end.
-    pub async fn ask<T>(&self, question: impl FnOnce(oneshot::Sender<T>) -> Peer) -> Option<T> {
+    pub(crate) async fn ask<T>(
+        &self,
+        question: impl FnOnce(oneshot::Sender<T>) -> Peer,
+    ) -> Option<T> {
         let (reply, answer) = oneshot::channel();
         self.send(Message::Peer(question(reply)));
         answer.await.ok()
--- a/crates/wasabi-entry/src/metrics.rs
+++ b/crates/wasabi-entry/src/metrics.rs
@@ -14,9 +14,9 @@
 
 /// Labels of what is counted by tier.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct ByTier {
+pub(crate) struct ByTier {
     /// The tier.
-    pub tier: u32,
+    pub(crate) tier: u32,
 }
 
 impl From<Tier> for ByTier {
@@ -27,41 +27,41 @@
 
 /// Labels of a refusal.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct ByKind {
+pub(crate) struct ByKind {
     /// The kind of error.
-    pub kind: String,
+    pub(crate) kind: String,
     /// The tier, or `unknown` when the request was refused before it was known.
-    pub tier: String,
+    pub(crate) tier: String,
 }
 
 /// The metrics of an entry. Clones count together.
 #[derive(Debug, Clone)]
-pub struct Metrics {
+pub(crate) struct Metrics {
     /// Answers that came whole within the deadline and, for streams, within the first-token target.
-    pub goodput: Family<ByTier, Counter>,
+    pub(crate) goodput: Family<ByTier, Counter>,
     /// Answers that came whole.
-    pub finished: Family<ByTier, Counter>,
+    pub(crate) finished: Family<ByTier, Counter>,
     /// Errors answered to callers.
-    pub refusals: Family<ByKind, Counter>,
+    pub(crate) refusals: Family<ByKind, Counter>,
     /// Prompt tokens of attempts that ended without a whole answer after they were sent.
-    pub wasted_prefill: Counter,
+    pub(crate) wasted_prefill: Counter,
     /// Time from arrival to grant, in seconds.
-    pub queue_time: Family<ByTier, Histogram>,
+    pub(crate) queue_time: Family<ByTier, Histogram>,
     /// Attempts sent to endpoints.
-    pub dispatches: Family<ByTier, Counter>,
+    pub(crate) dispatches: Family<ByTier, Counter>,
     /// Attempts after the first of a request.
-    pub retries: Counter,
+    pub(crate) retries: Counter,
     /// Streams resumed from an offset.
-    pub resumes: Counter,
+    pub(crate) resumes: Counter,
     /// Open requests.
-    pub open: Gauge,
+    pub(crate) open: Gauge,
     /// The revision in force.
-    pub revision: Gauge,
+    pub(crate) revision: Gauge,
 }
 
 impl Metrics {
     /// Returns the metrics, registered in `registry`.
-    pub fn register(registry: &mut Registry) -> Self {
+    pub(crate) fn register(registry: &mut Registry) -> Self {
         let metrics = Self {
             goodput: Family::default(),
             finished: Family::default(),
@@ -99,7 +99,7 @@
     }
 
     /// Counts an error answered to a caller.
-    pub fn refused(&self, kind: Kind, tier: Option<Tier>) {
+    pub(crate) fn refused(&self, kind: Kind, tier: Option<Tier>) {
         let tier = tier.map_or_else(|| "unknown".to_owned(), |tier| tier.0.to_string());
         let labels = ByKind { kind: kind.as_str().to_owned(), tier };
         self.refusals.get_or_create(&labels).inc();
--- /dev/null
+++ b/crates/wasabi-entry/src/peers/mod.rs
@@ -0,0 +1,6 @@
+//! Other entries: heartbeats, links, and the server that they call.
+
+pub(crate) mod heartbeat;
+pub(crate) mod link;
+pub(crate) mod server;
+pub(crate) mod table;
--- /dev/null
+++ b/crates/wasabi-entry/src/peers/server.rs
@@ -0,0 +1,109 @@
+//! The JSON-RPC server that peers call. It passes each question to the control thread.
+
+use std::{io, net::TcpListener, time::Duration};
+
+use jsonrpsee::{
+    RpcModule,
+    server::{Server, ServerConfig, ServerHandle},
+    types::{ErrorObjectOwned, Params},
+};
+use serde::de::DeserializeOwned;
+use wasabi_protocol::{
+    id,
+    rpc::{Acquire, Heartbeat, Holdings, Lend, Preempt, Release, method},
+};
+
+use crate::message::{Handle, Message, Peer};
+
+/// Connections of peers and operators at one time.
+const CONNECTIONS_MAX: u32 = 4_096;
+
+/// Answers that wait to be written to one peer.
+const BUFFERED_MAX: u32 = 16_384;
+
+/// Largest message, in bytes. A configuration of all contracts must fit.
+const MESSAGE_BYTES_MAX: u32 = 32 * 1024 * 1024;
+
+/// Longest time for the first request on a connection.
+const FIRST_REQUEST_TIME: Duration = Duration::from_secs(10);
+
+/// The JSON-RPC code for an answer that cannot be given since the process ends.
+const STOPPING: i32 = -32_001;
+
+type Answer<T> = Result<T, ErrorObjectOwned>;
+
+/// Starts the server.
+///
+/// # Errors
+///
+/// Returns an error when the listener cannot be used.
+pub(crate) fn start(listener: TcpListener, handle: &Handle) -> io::Result<ServerHandle> {
+    listener.set_nonblocking(true)?;
+    let config = ServerConfig::builder()
+        .max_connections(CONNECTIONS_MAX)
+        .max_request_body_size(MESSAGE_BYTES_MAX)
+        .max_response_body_size(MESSAGE_BYTES_MAX)
+        .set_message_buffer_capacity(BUFFERED_MAX)
+        .set_first_request_timeout(Some(FIRST_REQUEST_TIME))
+        .set_tcp_no_delay(true)
+        .build();
+    let server = Server::builder().set_config(config).build_from_tcp(listener)?;
+    let module = module(handle.clone()).map_err(io::Error::other)?;
+    Ok(server.start(module))
+}
+
+fn module(handle: Handle) -> Result<RpcModule<Handle>, jsonrpsee::core::RegisterMethodError> {
+    let mut module = RpcModule::new(handle);
+    module.register_async_method(method::ACQUIRE, |params, handle, _| async move {
+        let acquire: Acquire = one(&params)?;
+        told(handle.ask(|reply| Peer::Acquire(Box::new(acquire), reply)).await)
+    })?;
+    module.register_async_method(method::RELEASE, |params, handle, _| async move {
+        let release: Release = one(&params)?;
+        handle.send(Message::Peer(Peer::Release(Box::new(release))));
+        Answer::Ok(())
+    })?;
+    module.register_async_method(method::REPORT, |params, handle, _| async move {
+        let holdings: Holdings = one(&params)?;
+        handle.send(Message::Peer(Peer::Report(Box::new(holdings))));
+        Answer::Ok(())
+    })?;
+    module.register_async_method(method::PREEMPT, |params, handle, _| async move {
+        let preempt: Preempt = one(&params)?;
+        handle.send(Message::Peer(Peer::Preempt(preempt)));
+        Answer::Ok(())
+    })?;
+    module.register_async_method(method::ANNOUNCE, |params, handle, _| async move {
+        handle.send(Message::Peer(Peer::Announce(Box::new(one(&params)?))));
+        Answer::Ok(())
+    })?;
+    module.register_async_method(method::LEAVE, |params, handle, _| async move {
+        let endpoint: id::Endpoint = one(&params)?;
+        handle.send(Message::Peer(Peer::Leave(endpoint)));
+        Answer::Ok(())
+    })?;
+    module.register_async_method(method::PEER_HEARTBEAT, |params, handle, _| async move {
+        let heartbeat: Heartbeat = one(&params)?;
+        told(handle.ask(|reply| Peer::Heartbeat(Box::new(heartbeat), reply)).await)
+    })?;
+    module.register_async_method(method::CONFIG, |_, handle, _| async move {
+        told(handle.ask(Peer::Config).await)
+    })?;
+    module.register_async_method(method::LEND, |params, handle, _| async move {
+        let lend: Lend = one(&params)?;
+        told(handle.ask(|reply| Peer::Lend(lend, reply)).await)
+    })?;
+    module.register_async_method(method::DRAIN, |_, handle, _| async move {
+        handle.send(Message::Drain);
+        Answer::Ok(())
+    })?;
+    Ok(module)
+}
+
+fn one<T: DeserializeOwned>(params: &Params<'_>) -> Answer<T> {
+    params.one()
+}
+
+fn told<T>(answer: Option<T>) -> Answer<T> {
+    answer.ok_or_else(|| ErrorObjectOwned::owned(STOPPING, "the entry is stopping", None::<()>))
+}
--- /dev/null
+++ b/crates/wasabi-entry/src/peers/table.rs
@@ -0,0 +1,146 @@
+//! What is known of the other entries.
+
+use std::{collections::HashMap, rc::Rc, sync::Arc};
+
+use jsonrpsee::ws_client::WsClient;
+use tokio::sync::Notify;
+use wasabi_protocol::{clock::Millis, command::View, id};
+
+/// Silence after which a peer's pools move to the next entry.
+pub(crate) const LIVE_FOR: Millis = Millis::from_secs(1);
+
+/// Silence after which a peer does not count for this entry's own serving.
+const HEARD_FOR: Millis = Millis::from_secs(2);
+
+/// One other entry.
+#[derive(Debug)]
+struct Peer {
+    address: String,
+    client: Option<Arc<WsClient>>,
+    /// The last heartbeat that it answered, by the time of sending.
+    heard: Option<Millis>,
+    /// When the view first named it. It counts as live for a while, since no heartbeat can have
+    /// been answered before.
+    named: Millis,
+    revision: id::Revision,
+    lost: Rc<Notify>,
+    is_beating: bool,
+}
+
+/// The other entries of the view.
+#[derive(Debug, Default)]
+pub(crate) struct Table {
+    peers: HashMap<id::Entry, Peer>,
+}
+
+impl Table {
+    /// Takes over a view and returns the entries that left it.
+    pub(crate) fn set_view(&mut self, now: Millis, view: &View, own: &id::Entry) -> Vec<id::Entry> {
+        let gone: Vec<_> = self
+            .peers
+            .keys()
+            .filter(|name| !view.entries.iter().any(|entry| entry.name == **name))
+            .cloned()
+            .collect();
+        for name in &gone {
+            if let Some(peer) = self.peers.remove(name) {
+                peer.lost.notify_waiters();
+            }
+        }
+        for entry in view.entries.iter().filter(|entry| entry.name != *own) {
+            let peer = self.peers.entry(entry.name.clone()).or_insert_with(|| Peer {
+                address: entry.peer_address.clone(),
+                client: None,
+                heard: None,
+                named: now,
+                revision: id::Revision::default(),
+                lost: Rc::default(),
+                is_beating: false,
+            });
+            if peer.address != entry.peer_address {
+                peer.address.clone_from(&entry.peer_address);
+                peer.client = None;
+            }
+        }
+        gone
+    }
+
+    /// Returns whether a peer may own pools.
+    pub(crate) fn is_live(&self, now: Millis, name: &id::Entry) -> bool {
+        self.peers
+            .get(name)
+            .is_some_and(|peer| now.since(peer.heard.unwrap_or(peer.named)) < LIVE_FOR)
+    }
+
+    /// Returns the signal that a peer is lost.
+    pub(crate) fn lost(&self, name: &id::Entry) -> Option<Rc<Notify>> {
+        self.peers.get(name).map(|peer| Rc::clone(&peer.lost))
+    }
+
+    /// Wakes the calls that wait for peers that are not live any more.
+    pub(crate) fn wake_lost(&self, now: Millis) {
+        for (name, peer) in &self.peers {
+            if !self.is_live(now, name) {
+                peer.lost.notify_waiters();
+            }
+        }
+    }
+
+    /// Returns the peers that are due for a heartbeat, and marks them as being asked.
+    pub(crate) fn start_beats(&mut self) -> Vec<id::Entry> {
+        let due = self.peers.iter_mut().filter(|(_, peer)| !peer.is_beating);
+        due.map(|(name, peer)| {
+            peer.is_beating = true;
+            name.clone()
+        })
+        .collect()
+    }
+
+    /// Notes that a heartbeat to a peer ended; with the time of sending and revision if answered.
+    pub(crate) fn end_beat(&mut self, name: &id::Entry, answer: Option<(Millis, id::Revision)>) {
+        let Some(peer) = self.peers.get_mut(name) else { return };
+        peer.is_beating = false;
+        if let Some((sent, revision)) = answer {
+            peer.heard = peer.heard.max(Some(sent));
+            peer.revision = revision;
+        }
+    }
+
+    /// Returns the open link to a peer, or its address when there is none.
+    pub(crate) fn link(&self, name: &id::Entry) -> Option<Result<Arc<WsClient>, String>> {
+        let peer = self.peers.get(name)?;
+        match &peer.client {
+            Some(client) if client.is_connected() => Some(Ok(Arc::clone(client))),
+            _ => Some(Err(peer.address.clone())),
+        }
+    }
+
+    /// Sets or drops the link to a peer.
+    pub(crate) fn set_link(&mut self, name: &id::Entry, client: Option<Arc<WsClient>>) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.client = client;
+        }
+    }
+
+    /// Returns the revisions in force at the peers that were heard of late.
+    pub(crate) fn known(&self, now: Millis) -> Vec<(id::Entry, id::Revision)> {
+        let heard = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| peer.heard.is_some_and(|heard| now.since(heard) < HEARD_FOR));
+        heard.map(|(name, peer)| (name.clone(), peer.revision)).collect()
+    }
+
+    /// Returns the moment at which most entries of the view, this one included, had been heard,
+    /// and the highest revision among them.
+    pub(crate) fn majority(&self, now: Millis) -> Option<(Millis, id::Revision)> {
+        let mut heard: Vec<_> = self.peers.values().filter_map(|peer| peer.heard).collect();
+        heard.push(now);
+        heard.sort_unstable_by(|left, right| right.cmp(left));
+        // Half of all entries, rounded down, plus one; the entry itself is not among the peers.
+        let needed = self.peers.len().div_ceil(2) + 1;
+        let at = *heard.get(needed - 1)?;
+        let revision = self.peers.values().map(|peer| peer.revision).max().unwrap_or_default();
+        Some((at, revision))
+    }
+}
--- /dev/null
+++ b/crates/wasabi-entry/src/pools/acquire.rs
@@ -0,0 +1,200 @@
+//! A grant from the pool's owner, wherever it is, through deaths and changes of owners.
+
+use std::{rc::Rc, time::Duration};
+
+use jsonrpsee::{core::client::ClientT as _, rpc_params};
+use tokio::sync::oneshot;
+use wasabi_protocol::{
+    clock::Millis,
+    fault::{Fault, Kind},
+    id,
+    request::Request,
+    rpc::{Acquire, Acquired, Grant, method},
+};
+use wasabi_routing::rendezvous;
+
+use crate::{message::Granted, pools::owner, shell::Shell};
+
+/// Pause before the owner is looked up again after an entry said that it does not own the pool.
+const AGAIN_AFTER: Duration = Duration::from_millis(50);
+
+/// Added to a request's deadline for the answer of a remote owner, which refuses at the deadline.
+const ANSWER_GRACE: Millis = Millis(500);
+
+/// A grant that nobody uses yet. Dropping it gives it back.
+struct Unclaimed {
+    shell: Rc<Shell>,
+    grant: Option<Grant>,
+    request: Request,
+}
+
+impl Unclaimed {
+    fn claim(mut self) -> Option<Granted> {
+        let grant = self.grant.take()?;
+        let now = self.shell.now();
+        Some(self.shell.holder.borrow_mut().take(now, grant, self.request.clone()))
+    }
+}
+
+impl Drop for Unclaimed {
+    fn drop(&mut self) {
+        let Some(grant) = self.grant.take() else { return };
+        let mut release = owner::abandoned(grant.pool, grant.owner, self.request.attempt);
+        release.endpoint = grant.endpoint;
+        release.version = grant.version;
+        release.route = self.request.route.clone();
+        self.shell.release(release);
+    }
+}
+
+/// A waiting call at a pool owned here. Dropping it takes the call back.
+struct Ticket {
+    shell: Rc<Shell>,
+    pool: id::Pool,
+    ticket: u64,
+    request: Request,
+    reply: oneshot::Receiver<Acquired>,
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        let now = self.shell.now();
+        let effects = self.shell.pools.borrow_mut().cancel(now, &self.pool, self.ticket);
+        self.shell.perform(effects);
+        // A grant that came in the meantime is given back.
+        if let Ok(Acquired::Granted(grant)) = self.reply.try_recv() {
+            let (shell, request) = (Rc::clone(&self.shell), self.request.clone());
+            drop(Unclaimed { shell, grant: Some(grant), request });
+        }
+    }
+}
+
+/// What one owner answered.
+enum Answer {
+    Granted(Unclaimed),
+    Refused(Fault),
+    /// Ask again after a pause: the owner is changing.
+    Again,
+}
+
+/// Gets a grant for a caller's request.
+pub(crate) async fn acquire(
+    shell: Rc<Shell>,
+    request: Request,
+    mut reply: oneshot::Sender<Result<Granted, Fault>>,
+) {
+    let attempt = request.attempt;
+    let answer = tokio::select! {
+        biased;
+        () = reply.closed() => return,
+        answer = from_pools(&shell, request) => answer,
+    };
+    let answer = answer.and_then(|unclaimed| {
+        unclaimed.claim().ok_or_else(|| Fault::new(Kind::Internal, "the grant is lost"))
+    });
+    if let Err(Ok(granted)) = reply.send(answer) {
+        let grant = granted.grant;
+        shell.release(owner::abandoned(grant.pool, grant.owner, attempt));
+    }
+}
+
+/// Asks the owners of the model's pools, the first one first. Before a refusal of one is passed
+/// on, the others are asked, since one of them may have less urgent work to shed.
+async fn from_pools(shell: &Rc<Shell>, request: Request) -> Result<Unclaimed, Fault> {
+    let started = shell.now();
+    let mut refusal = None;
+    for pool in shell.pools_of(&request.backend) {
+        let mut request = request.clone();
+        let age = shell.now().since(started);
+        request.waited = request.waited + age;
+        request.remaining = request.remaining - age;
+        match from_pool(shell, &pool, request).await {
+            Ok(unclaimed) => return Ok(unclaimed),
+            Err(fault) => refusal = Some(fault),
+        }
+    }
+    Err(refusal
+        .unwrap_or_else(|| Fault::new(Kind::NoEndpoint, "no pool provides this model or service")))
+}
+
+async fn from_pool(
+    shell: &Rc<Shell>,
+    pool: &id::Pool,
+    request: Request,
+) -> Result<Unclaimed, Fault> {
+    let started = shell.now();
+    loop {
+        let age = shell.now().since(started);
+        if request.remaining <= age {
+            let message = "the deadline passed while the request waited; nothing ran";
+            return Err(Fault::new(Kind::DeadlineInQueue, message));
+        }
+        let mut asked = request.clone();
+        asked.waited = request.waited + age;
+        asked.remaining = request.remaining - age;
+        let answer = match shell.owner_of(pool) {
+            Some(entry) if entry.name == shell.shared.entry.name => here(shell, pool, asked).await,
+            Some(entry) => there(shell, pool, &entry.name, asked).await,
+            None => Answer::Again,
+        };
+        match answer {
+            Answer::Granted(unclaimed) => return Ok(unclaimed),
+            Answer::Refused(fault) => return Err(fault),
+            Answer::Again => tokio::time::sleep(AGAIN_AFTER).await,
+        }
+    }
+}
+
+async fn here(shell: &Rc<Shell>, pool: &id::Pool, request: Request) -> Answer {
+    shell.own(pool, &request.backend);
+    let (reply, answer) = oneshot::channel();
+    let holder = shell.shared.entry.name.clone();
+    let now = shell.now();
+    let (ticket, effects) =
+        shell.pools.borrow_mut().acquire(now, pool, holder, request.clone(), reply);
+    shell.perform(effects);
+    let Some(ticket) = ticket else { return Answer::Again };
+    let (for_grant, pool) = (request.clone(), pool.clone());
+    let mut ticket = Ticket { shell: Rc::clone(shell), pool, ticket, request, reply: answer };
+    let acquired = (&mut ticket.reply).await;
+    answered(shell, for_grant, acquired.ok())
+}
+
+async fn there(shell: &Rc<Shell>, pool: &id::Pool, owner: &id::Entry, request: Request) -> Answer {
+    let Some(client) = shell.link(owner).await else { return Answer::Again };
+    let time = (request.remaining + ANSWER_GRACE).duration();
+    let holder = shell.shared.entry.name.clone();
+    let message = Acquire { pool: pool.clone(), holder, request: request.clone() };
+    let (reply, answer) = oneshot::channel();
+    let task_shell = Rc::clone(shell);
+    let name = owner.clone();
+    // The call is not cancelled with its caller: a grant that is on its way must be given back.
+    actix_rt::spawn(async move {
+        let call = client.request::<Acquired, _>(method::ACQUIRE, rpc_params![message]);
+        let lost = task_shell.lost(&name);
+        let acquired = tokio::select! {
+            acquired = tokio::time::timeout(time, call) => acquired.ok().and_then(Result::ok),
+            () = lost => None,
+        };
+        if reply.send(answered(&task_shell, request, acquired)).is_err() {
+            tracing::debug!("a grant came for a caller that left");
+        }
+    });
+    answer.await.unwrap_or(Answer::Again)
+}
+
+fn answered(shell: &Rc<Shell>, request: Request, acquired: Option<Acquired>) -> Answer {
+    match acquired {
+        Some(Acquired::Granted(grant)) => {
+            let grant = Some(grant);
+            Answer::Granted(Unclaimed { shell: Rc::clone(shell), grant, request })
+        }
+        Some(Acquired::Refused(fault)) => Answer::Refused(fault),
+        Some(Acquired::NotOwner { .. }) | None => Answer::Again,
+    }
+}
+
+/// Returns the pools of a backend in a region. One shard is enough for up to 64 endpoints.
+pub(crate) fn pools_of(backend: &id::Backend, region: &id::Region) -> Vec<id::Pool> {
+    vec![rendezvous::pool(backend, region, 0)]
+}
--- /dev/null
+++ b/crates/wasabi-entry/src/pools/follow.rs
@@ -0,0 +1,87 @@
+//! Endpoints on their way to pool owners, and pools on their way between owners.
+
+use std::{collections::HashMap, rc::Rc};
+
+use jsonrpsee::rpc_params;
+use wasabi_protocol::{endpoint::Announcement, id, rpc::method};
+use wasabi_scheduler::pool::Event;
+
+use crate::shell::Shell;
+
+impl Shell {
+    pub(crate) fn announce(self: &Rc<Self>, announcement: Announcement) {
+        for pool in self.pools_of(&announcement.backend) {
+            match self.owner_of(&pool) {
+                Some(entry) if entry.name == self.shared.entry.name => {
+                    self.announce_here(announcement.clone());
+                }
+                Some(entry) => {
+                    self.tell(entry.name, method::ANNOUNCE, rpc_params![&announcement]);
+                }
+                None => {}
+            }
+        }
+    }
+
+    pub(crate) fn announce_here(self: &Rc<Self>, announcement: Announcement) {
+        let now = self.now();
+        for pool in self.pools_of(&announcement.backend) {
+            self.own(&pool, &announcement.backend);
+            let event = Event::Announce(announcement.clone());
+            let effects = self.pools.borrow_mut().step(now, &pool, event);
+            self.perform(effects);
+        }
+    }
+
+    /// Tells every entry that an endpoint leaves, since only its name is known and not its pool.
+    pub(crate) fn leave(self: &Rc<Self>, endpoint: &id::Endpoint) {
+        self.leave_here(endpoint);
+        for entry in self.shared.others() {
+            self.tell(entry.name, method::LEAVE, rpc_params![endpoint]);
+        }
+    }
+
+    pub(crate) fn leave_here(self: &Rc<Self>, endpoint: &id::Endpoint) {
+        let now = self.now();
+        let event = || Event::Leave { endpoint: endpoint.clone() };
+        let effects = self.pools.borrow_mut().step_all(now, event);
+        self.perform(effects);
+    }
+
+    /// Follows changes of pool owners: gives up pools, takes pools over, reports what runs.
+    pub(crate) fn settle_owners(self: &Rc<Self>) {
+        let in_force = self.shared.in_force();
+        let own = &self.shared.entry.name;
+        let routes = in_force.config.contracts.iter().flat_map(|contract| &contract.routes);
+        let mut wanted = HashMap::new();
+        for route in routes {
+            let backend = route.target.backend();
+            for pool in self.pools_of(backend) {
+                wanted.entry(pool).or_insert(backend);
+            }
+        }
+        let owned = self.pools.borrow().names();
+        for pool in owned {
+            if !self.is_owner(&pool) {
+                self.pools.borrow_mut().disown(&pool, in_force.config.view.number);
+            }
+        }
+        for (pool, backend) in wanted {
+            let Some(owner) = self.owner_of(&pool) else { continue };
+            let before = self.owners.borrow_mut().insert(pool.clone(), owner.name.clone());
+            if before.as_ref() == Some(&owner.name) {
+                continue;
+            }
+            let holdings = self.holder.borrow().holdings(self.now(), &pool, own);
+            if owner.name == *own {
+                self.own(&pool, backend);
+                let now = self.now();
+                let event = Event::Holdings(holdings);
+                let effects = self.pools.borrow_mut().step(now, &pool, event);
+                self.perform(effects);
+            } else {
+                self.tell(owner.name, method::REPORT, rpc_params![holdings]);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/wasabi-entry/src/pools/mod.rs
@@ -0,0 +1,6 @@
+//! Pools: the ones that this entry owns, and the grants that it holds for its callers.
+
+pub(crate) mod acquire;
+pub(crate) mod follow;
+pub(crate) mod holder;
+pub(crate) mod owner;
--- /dev/null
+++ b/crates/wasabi-entry/src/pools/owner.rs
@@ -0,0 +1,276 @@
+//! The shell of the pools that this entry owns: waiting calls, grants and their holders.
+
+use std::collections::HashMap;
+
+use tokio::sync::oneshot;
+use wasabi_protocol::{
+    clock::Millis,
+    command::Config,
+    endpoint::Announcement,
+    fault::Fault,
+    id,
+    request::{End, Report, Request},
+    rpc::{Acquired, Evidence, Grant, Pressure, Release, Suspect, Usage},
+};
+use wasabi_scheduler::pool::{Action, Event, Pool};
+
+/// What the shell must do outside the pool.
+#[derive(Debug)]
+pub(crate) enum Effect {
+    /// Take a grant back from its holder.
+    Preempt {
+        /// The pool.
+        pool: id::Pool,
+        /// The entry that holds it.
+        holder: id::Entry,
+        /// The attempt that it started.
+        attempt: id::Attempt,
+    },
+    /// Ask the owner of an organisation's budget for a slice.
+    Lend {
+        /// The pool that asks.
+        pool: id::Pool,
+        /// The organisation.
+        organisation: id::Organisation,
+        /// What was used and is wanted.
+        used: Usage,
+    },
+}
+
+/// A call that waits for a grant.
+#[derive(Debug)]
+struct Waiting {
+    holder: id::Entry,
+    request: Request,
+    reply: oneshot::Sender<Acquired>,
+}
+
+/// One owned pool.
+#[derive(Debug)]
+struct Owned {
+    pool: Pool,
+    waiting: HashMap<u64, Waiting>,
+    holders: HashMap<id::Attempt, id::Entry>,
+}
+
+/// The owned pools.
+#[derive(Debug, Default)]
+pub(crate) struct Table {
+    owned: HashMap<id::Pool, Owned>,
+    last_ticket: u64,
+}
+
+impl Table {
+    /// Makes this entry the owner of a pool, if it is not already.
+    pub(crate) fn own(
+        &mut self,
+        now: Millis,
+        name: &id::Pool,
+        backend: &id::Backend,
+        owner: &id::Entry,
+        config: &Config,
+    ) {
+        if self.owned.contains_key(name) {
+            return;
+        }
+        tracing::info!(pool = %name, "pool is owned here from now on");
+        let seed = fastrand::u64(..);
+        let mut pool = Pool::new(name.clone(), backend.clone(), owner.clone(), seed);
+        pool.step(now, Event::Config(config));
+        let owned = Owned { pool, waiting: HashMap::new(), holders: HashMap::new() };
+        self.owned.insert(name.clone(), owned);
+    }
+
+    /// Gives up a pool. Its waiting calls are asked again at the new owner.
+    pub(crate) fn disown(&mut self, name: &id::Pool, view: id::View) {
+        let Some(owned) = self.owned.remove(name) else { return };
+        tracing::info!(pool = %name, waiting = owned.waiting.len(), "pool is owned elsewhere");
+        for waiting in owned.waiting.into_values() {
+            answer(waiting.reply, Acquired::NotOwner { view });
+        }
+    }
+
+    /// Returns the names of the owned pools.
+    pub(crate) fn names(&self) -> Vec<id::Pool> {
+        self.owned.keys().cloned().collect()
+    }
+
+    /// Queues a call and returns its ticket.
+    pub(crate) fn acquire(
+        &mut self,
+        now: Millis,
+        pool: &id::Pool,
+        holder: id::Entry,
+        request: Request,
+        reply: oneshot::Sender<Acquired>,
+    ) -> (Option<u64>, Vec<Effect>) {
+        let Some(owned) = self.owned.get_mut(pool) else { return (None, Vec::new()) };
+        self.last_ticket += 1;
+        let ticket = self.last_ticket;
+        owned.waiting.insert(ticket, Waiting { holder, request: request.clone(), reply });
+        let effects = owned.step(now, Event::Acquire { ticket, request });
+        (Some(ticket), effects)
+    }
+
+    /// Takes a waiting call back.
+    pub(crate) fn cancel(&mut self, now: Millis, pool: &id::Pool, ticket: u64) -> Vec<Effect> {
+        let Some(owned) = self.owned.get_mut(pool) else { return Vec::new() };
+        if owned.waiting.remove(&ticket).is_none() {
+            return Vec::new();
+        }
+        owned.step(now, Event::Cancel { ticket })
+    }
+
+    /// Tells one pool what happened.
+    pub(crate) fn step(&mut self, now: Millis, pool: &id::Pool, event: Event<'_>) -> Vec<Effect> {
+        self.owned.get_mut(pool).map(|owned| owned.step(now, event)).unwrap_or_default()
+    }
+
+    /// Tells every pool what happened.
+    pub(crate) fn step_all<'a>(
+        &mut self,
+        now: Millis,
+        event: impl Fn() -> Event<'a>,
+    ) -> Vec<Effect> {
+        self.owned.values_mut().flat_map(|owned| owned.step(now, event())).collect()
+    }
+
+    /// Releases the grants of an entry that is gone.
+    pub(crate) fn lose_holder(&mut self, now: Millis, holder: &id::Entry) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        for (name, owned) in &mut self.owned {
+            let lost: Vec<_> = owned
+                .holders
+                .iter()
+                .filter(|(_, other)| *other == holder)
+                .map(|(attempt, _)| *attempt)
+                .collect();
+            for attempt in lost {
+                let release = abandoned(name.clone(), holder.clone(), attempt);
+                effects.extend(owned.step(now, Event::Release(release)));
+            }
+        }
+        effects
+    }
+
+    /// Returns the load of the owned pools.
+    pub(crate) fn pressure(&self, now: Millis) -> Vec<Pressure> {
+        self.owned.values().map(|owned| owned.pool.pressure(now)).collect()
+    }
+
+    /// Returns what the versions of running moves showed since the last call.
+    pub(crate) fn evidence(&mut self) -> Vec<Evidence> {
+        self.owned.values_mut().flat_map(|owned| owned.pool.evidence()).collect()
+    }
+
+    /// Returns the suspects known to the owned pools.
+    pub(crate) fn suspects(&self, now: Millis) -> Vec<Suspect> {
+        self.owned.values().flat_map(|owned| owned.pool.suspects(now)).collect()
+    }
+
+    /// Returns the endpoints of the owned pools.
+    pub(crate) fn endpoints(&self) -> Vec<Announcement> {
+        self.owned.values().flat_map(|owned| owned.pool.endpoints().cloned()).collect()
+    }
+}
+
+impl Owned {
+    fn step(&mut self, now: Millis, event: Event<'_>) -> Vec<Effect> {
+        if let Event::Release(release) = &event {
+            self.holders.remove(&release.attempt);
+        }
+        if let Event::Holdings(holdings) = &event {
+            for running in &holdings.running {
+                self.holders.insert(running.request.attempt, holdings.holder.clone());
+            }
+        }
+        let mut effects = Vec::new();
+        let mut actions = self.pool.step(now, event);
+        while !actions.is_empty() {
+            let mut follow = Vec::new();
+            for action in actions {
+                self.act(now, action, &mut follow, &mut effects);
+            }
+            actions = follow;
+        }
+        effects
+    }
+
+    fn act(
+        &mut self,
+        now: Millis,
+        action: Action,
+        follow: &mut Vec<Action>,
+        effects: &mut Vec<Effect>,
+    ) {
+        match action {
+            Action::Grant { ticket, grant } => self.grant(now, ticket, grant, follow),
+            Action::Refuse { ticket, fault } => self.refuse(ticket, fault),
+            Action::Preempt { attempt, .. } => {
+                if let Some(holder) = self.holders.get(&attempt).cloned() {
+                    let pool = self.pool_name();
+                    effects.push(Effect::Preempt { pool, holder, attempt });
+                }
+            }
+            Action::RequestBudget { organisation, used } => {
+                let pool = self.pool_name();
+                effects.push(Effect::Lend { pool, organisation, used });
+            }
+        }
+    }
+
+    fn pool_name(&self) -> id::Pool {
+        // The pool states its own name with its load.
+        self.pool.pressure(Millis::ZERO).pool
+    }
+
+    fn grant(&mut self, now: Millis, ticket: u64, grant: Grant, follow: &mut Vec<Action>) {
+        let Some(waiting) = self.waiting.remove(&ticket) else { return };
+        let attempt = waiting.request.attempt;
+        self.holders.insert(attempt, waiting.holder.clone());
+        let Err(Acquired::Granted(grant)) = waiting.reply.send(Acquired::Granted(grant)) else {
+            return;
+        };
+        // The caller went away, so the grant is free again.
+        self.holders.remove(&attempt);
+        let release = Release {
+            endpoint: grant.endpoint,
+            version: grant.version,
+            route: waiting.request.route,
+            ..abandoned(grant.pool, grant.owner, attempt)
+        };
+        follow.extend(self.pool.step(now, Event::Release(release)));
+    }
+
+    fn refuse(&mut self, ticket: u64, fault: Fault) {
+        if let Some(waiting) = self.waiting.remove(&ticket) {
+            answer(waiting.reply, Acquired::Refused(fault));
+        }
+    }
+}
+
+/// Returns the release of a grant that was never used or whose holder is gone.
+pub(crate) fn abandoned(pool: id::Pool, owner: id::Entry, attempt: id::Attempt) -> Release {
+    Release {
+        pool,
+        owner,
+        grant: id::Grant(0),
+        attempt,
+        endpoint: "".into(),
+        route: "".into(),
+        version: "".into(),
+        report: Report {
+            end: End::Abandoned,
+            first_token: None,
+            stream: Millis::ZERO,
+            output_tokens: 0,
+            prompt_tokens: 0,
+        },
+    }
+}
+
+fn answer(reply: oneshot::Sender<Acquired>, acquired: Acquired) {
+    if reply.send(acquired).is_err() {
+        tracing::debug!("the caller of a waiting call went away");
+    }
+}
--- a/crates/wasabi-entry/src/shared.rs
+++ b/crates/wasabi-entry/src/shared.rs
@@ -20,20 +20,20 @@
 use crate::metrics::Metrics;
 
 /// Time for which an entry serves after it last heard control or a majority of its peers.
-pub const SERVING_SPAN: Millis = Millis::from_secs(2);
+pub(crate) const SERVING_SPAN: Millis = Millis::from_secs(2);
 
 /// The configuration in force, with an index of the callers' tokens.
 #[derive(Debug, Default)]
-pub struct InForce {
+pub(crate) struct InForce {
     /// The configuration.
-    pub config: Config,
+    pub(crate) config: Config,
     /// The position of the contract for each token digest.
     tokens: HashMap<String, usize>,
 }
 
 impl InForce {
     /// Returns the index of a configuration.
-    pub fn new(config: Config) -> Self {
+    pub(crate) fn new(config: Config) -> Self {
         let tokens = config
             .contracts
             .iter()
@@ -46,20 +46,20 @@
     }
 
     /// Returns the contract that a bearer token belongs to.
-    pub fn contract(&self, token: &str) -> Option<&Contract> {
+    pub(crate) fn contract(&self, token: &str) -> Option<&Contract> {
         let index = *self.tokens.get(&fingerprint::token(token))?;
         self.config.contracts.get(index)
     }
 
     /// Returns the sum of the shares of all contracts.
-    pub fn shares_total(&self) -> u64 {
+    pub(crate) fn shares_total(&self) -> u64 {
         self.config.contracts.iter().map(|contract| u64::from(contract.share)).sum()
     }
 }
 
 /// Whether an entry depends on a control group.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Mode {
+pub(crate) enum Mode {
     /// Contracts come from control.
     Controlled,
     /// Contracts come from a local file; nothing is promised to run at most once.
@@ -68,17 +68,17 @@
 
 /// State of one entry process.
 #[derive(Debug)]
-pub struct Shared {
+pub(crate) struct Shared {
     /// The entry as peers and control know it. Its duty changes with [`Shared::drain`].
-    pub entry: Entry,
+    pub(crate) entry: Entry,
     /// The settings.
-    pub settings: Settings,
+    pub(crate) settings: Settings,
     /// Where contracts come from.
-    pub mode: Mode,
+    pub(crate) mode: Mode,
     /// The monotonic clock of the process.
-    pub clock: Clock,
+    pub(crate) clock: Clock,
     /// The metrics.
-    pub metrics: Metrics,
+    pub(crate) metrics: Metrics,
     in_force: RwLock<Arc<InForce>>,
     /// End of the time for which new work is accepted, on `clock`.
     serving_until: AtomicU64,
@@ -90,7 +90,7 @@
 
 impl Shared {
     /// Returns the state of an entry that holds no configuration and does not serve yet.
-    pub fn new(entry: Entry, settings: Settings, mode: Mode, metrics: Metrics) -> Self {
+    pub(crate) fn new(entry: Entry, settings: Settings, mode: Mode, metrics: Metrics) -> Self {
         Self {
             entry,
             settings,
@@ -106,13 +106,13 @@
     }
 
     /// Returns the configuration in force.
-    pub fn in_force(&self) -> Arc<InForce> {
+    pub(crate) fn in_force(&self) -> Arc<InForce> {
         Arc::clone(&self.in_force.read().unwrap_or_else(PoisonError::into_inner))
     }
 
     /// Puts a configuration in force unless one with the same or a higher revision is, and
     /// returns whether it did.
-    pub fn put_in_force(&self, config: &Config) -> bool {
+    pub(crate) fn put_in_force(&self, config: &Config) -> bool {
         let mut current = self.in_force.write().unwrap_or_else(PoisonError::into_inner);
         if config.revision <= current.config.revision {
             return false;
@@ -123,7 +123,7 @@
     }
 
     /// Extends the serving time to [`SERVING_SPAN`] after `heard`.
-    pub fn extend_serving(&self, heard: Millis) {
+    pub(crate) fn extend_serving(&self, heard: Millis) {
         self.serving_until.fetch_max((heard + SERVING_SPAN).0, Ordering::AcqRel);
     }
 
@@ -132,18 +132,25 @@
     /// # Errors
     ///
     /// Returns the refusal when the entry is isolated or drains past the lists that name it.
-    pub fn admit(&self) -> Result<(), Fault> {
+    pub(crate) fn admit(&self) -> Result<(), Fault> {
         let now = self.clock.now();
         if self.is_draining() && Millis(self.listed_until.load(Ordering::Acquire)) < now {
             let message = "this entry is stopping; use another entry of the list";
             return Err(Fault::new(Kind::EntryDraining, message));
         }
+        self.check_serving()
+    }
+
+    /// Returns whether the entry still hears enough of the others, judged at this moment.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal when the entry is isolated.
+    pub(crate) fn check_serving(&self) -> Result<(), Fault> {
+        let now = self.clock.now();
         if self.serving_until.load(Ordering::Acquire) <= now.0 {
-            let others: Vec<_> = self
-                .others()
-                .iter()
-                .map(|entry| entry.caller_address.clone())
-                .collect();
+            let others: Vec<_> =
+                self.others().iter().map(|entry| entry.caller_address.clone()).collect();
             let message = format!(
                 "this entry hears neither control nor most entries; use another one: {}",
                 others.join(", ")
@@ -154,7 +161,7 @@
     }
 
     /// Returns the other serving entries of the view.
-    pub fn others(&self) -> Vec<Entry> {
+    pub(crate) fn others(&self) -> Vec<Entry> {
         let in_force = self.in_force();
         let entries = in_force.config.view.entries.iter();
         entries
@@ -164,51 +171,50 @@
     }
 
     /// Notes that a caller got a list that names this entry.
-    pub fn listed(&self) {
+    pub(crate) fn listed(&self) {
         let until = self.clock.now() + *self.settings.callers.list_lifetime;
         self.listed_until.fetch_max(until.0, Ordering::AcqRel);
     }
 
     /// Returns the end of the last lifetime of a list that names this entry.
-    pub fn listed_until(&self) -> Millis {
+    pub(crate) fn listed_until(&self) -> Millis {
         Millis(self.listed_until.load(Ordering::Acquire))
     }
 
     /// Starts draining. `elsewhere` is the time within which the other entries stop naming this one.
-    pub fn drain(&self, elsewhere: Millis) {
+    pub(crate) fn drain(&self, elsewhere: Millis) {
         if !self.draining.swap(true, Ordering::AcqRel) {
-            let until =
-                self.clock.now() + elsewhere + *self.settings.callers.list_lifetime;
+            let until = self.clock.now() + elsewhere + *self.settings.callers.list_lifetime;
             self.listed_until.fetch_max(until.0, Ordering::AcqRel);
         }
     }
 
     /// Returns whether the entry drains.
-    pub fn is_draining(&self) -> bool {
+    pub(crate) fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Acquire)
     }
 
     /// Returns the entry as it stands now.
-    pub fn checked_entry(&self) -> Entry {
+    pub(crate) fn checked_entry(&self) -> Entry {
         let duty = if self.is_draining() { Duty::Draining } else { Duty::Serving };
         Entry { duty, ..self.entry.clone() }
     }
 
     /// Counts an open request until the guard is dropped.
-    pub fn open(self: &Arc<Self>) -> Open {
+    pub(crate) fn open(self: &Arc<Self>) -> Open {
         self.open.fetch_add(1, Ordering::AcqRel);
         Open { shared: Arc::clone(self) }
     }
 
     /// Returns the number of open requests.
-    pub fn open_count(&self) -> usize {
+    pub(crate) fn open_count(&self) -> usize {
         self.open.load(Ordering::Acquire)
     }
 }
 
 /// An open request, counted for draining.
 #[derive(Debug)]
-pub struct Open {
+pub(crate) struct Open {
     shared: Arc<Shared>,
 }
 
@@ -219,6 +225,6 @@
 }
 
 /// Returns a new attempt id; it is never 0, which stands for malformed text.
-pub fn new_attempt() -> id::Attempt {
+pub(crate) fn new_attempt() -> id::Attempt {
     id::Attempt(fastrand::u128(1..))
 }
--- /dev/null
+++ b/crates/wasabi-entry/src/shell.rs
@@ -0,0 +1,314 @@
+//! The control thread: one place for the view, the configuration and the pools.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use jsonrpsee::rpc_params;
+use tokio::sync::mpsc;
+use wasabi_protocol::{
+    clock::Millis,
+    command::{Config, Duty, Entry},
+    id,
+    rpc::{Acquired, Evidence, Heartbeat, Preempt, Release, method},
+};
+use wasabi_routing::rendezvous;
+use wasabi_scheduler::pool::Event;
+
+use crate::{
+    control::link::Link,
+    drain,
+    message::{Message, Peer},
+    peers::{heartbeat, table},
+    pools::{
+        acquire,
+        holder::Holder,
+        owner::{self, Effect},
+    },
+    shared::{Mode, Shared},
+};
+
+/// Times that a message to a pool owner is sent. The owner may change in between.
+const TELL_TRIES: u32 = 3;
+
+/// Time between two ticks of the pools.
+const TICK: Duration = Duration::from_millis(50);
+
+/// State of the control thread.
+pub(crate) struct Shell {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) pools: RefCell<owner::Table>,
+    pub(crate) holder: RefCell<Holder>,
+    pub(crate) peers: RefCell<table::Table>,
+    pub(crate) control: Link,
+    /// When the control leader was last heard.
+    pub(crate) control_heard: Cell<Option<Millis>>,
+    /// Evidence that control has not taken yet.
+    pub(crate) unsent: RefCell<Vec<Evidence>>,
+    /// The owner of each pool as last seen, so that a change is noticed.
+    pub(crate) owners: RefCell<HashMap<id::Pool, id::Entry>>,
+    drain: RefCell<Option<drain::Start>>,
+}
+
+impl Shell {
+    /// Returns the state of a control thread.
+    pub(crate) fn new(shared: Arc<Shared>, control: Link, drain: drain::Start) -> Rc<Self> {
+        Rc::new(Self {
+            shared,
+            pools: RefCell::default(),
+            holder: RefCell::default(),
+            peers: RefCell::default(),
+            control,
+            control_heard: Cell::new(None),
+            unsent: RefCell::default(),
+            owners: RefCell::default(),
+            drain: RefCell::new(Some(drain)),
+        })
+    }
+
+    /// Handles messages until every sender is gone.
+    pub(crate) async fn run(self: Rc<Self>, mut messages: mpsc::UnboundedReceiver<Message>) {
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                message = messages.recv() => match message {
+                    Some(message) => self.handle(message),
+                    None => return,
+                },
+                _ = ticks.tick() => self.tick(),
+            }
+        }
+    }
+
+    /// Returns the time of the process's clock.
+    pub(crate) fn now(&self) -> Millis {
+        self.shared.clock.now()
+    }
+
+    /// Returns the entry that owns a pool: the first live one in rendezvous order.
+    pub(crate) fn owner_of(&self, pool: &id::Pool) -> Option<Entry> {
+        let in_force = self.shared.in_force();
+        let (now, peers) = (self.now(), self.peers.borrow());
+        let view = &in_force.config.view;
+        let own = &self.shared.entry.name;
+        let live = rendezvous::owners(pool, view)
+            .into_iter()
+            .find(|entry| entry.name == *own || peers.is_live(now, &entry.name));
+        // An entry that drains as the last one still finishes what it has.
+        live.or_else(|| view.entries.iter().find(|entry| entry.name == *own)).cloned()
+    }
+
+    /// Returns the pools of a backend in this entry's region.
+    pub(crate) fn pools_of(&self, backend: &id::Backend) -> Vec<id::Pool> {
+        acquire::pools_of(backend, &self.shared.entry.region)
+    }
+
+    /// Makes this entry the owner of a pool.
+    pub(crate) fn own(&self, pool: &id::Pool, backend: &id::Backend) {
+        let in_force = self.shared.in_force();
+        let own = &self.shared.entry.name;
+        self.pools.borrow_mut().own(self.now(), pool, backend, own, &in_force.config);
+    }
+
+    /// Does what the pools ask for.
+    pub(crate) fn perform(self: &Rc<Self>, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Preempt { holder, attempt, .. } if holder == self.shared.entry.name => {
+                    self.holder.borrow_mut().preempt(attempt);
+                }
+                Effect::Preempt { pool, holder, attempt } => {
+                    let preempt = Preempt { pool, attempt };
+                    self.tell(holder, method::PREEMPT, rpc_params![preempt]);
+                }
+                Effect::Lend { pool, organisation, used } => {
+                    tracing::trace!(%pool, %organisation, ?used, "no budget owner yet");
+                }
+            }
+        }
+    }
+
+    /// Gives a grant back to the pool's owner.
+    pub(crate) fn release(self: &Rc<Self>, release: Release) {
+        self.holder.borrow_mut().release(release.attempt);
+        let shell = Rc::clone(self);
+        if self.is_owner(&release.pool) {
+            self.release_here(release);
+            return;
+        }
+        actix_rt::spawn(async move {
+            for _ in 0..TELL_TRIES {
+                if shell.is_owner(&release.pool) {
+                    shell.release_here(release);
+                    return;
+                }
+                if let Some(owner) = shell.owner_of(&release.pool)
+                    && shell.call(&owner.name, method::RELEASE, rpc_params![&release]).await
+                {
+                    return;
+                }
+                tokio::time::sleep(TICK).await;
+            }
+            tracing::warn!(pool = %release.pool, attempt = %release.attempt, "release is lost");
+        });
+    }
+
+    /// Puts a configuration in force unless a newer one is.
+    pub(crate) fn apply(self: &Rc<Self>, config: &Config) {
+        if !self.shared.put_in_force(config) {
+            return;
+        }
+        tracing::info!(revision = %config.revision, view = %config.view.number, "in force");
+        let now = self.now();
+        let own = &self.shared.entry.name;
+        let gone = self.peers.borrow_mut().set_view(now, &config.view, own);
+        let mut effects = self.pools.borrow_mut().step_all(now, || Event::Config(config));
+        for name in gone {
+            effects.extend(self.pools.borrow_mut().lose_holder(now, &name));
+        }
+        self.perform(effects);
+        let is_drained = config
+            .view
+            .entries
+            .iter()
+            .any(|entry| entry.name == *own && entry.duty == Duty::Draining);
+        if is_drained {
+            self.drain();
+        }
+        self.settle_owners();
+    }
+
+    /// Returns what this entry tells its peers.
+    pub(crate) fn heartbeat(&self) -> Heartbeat {
+        let now = self.now();
+        let in_force = self.shared.in_force();
+        let pools = self.pools.borrow();
+        Heartbeat {
+            from: self.shared.entry.name.clone(),
+            view: in_force.config.view.number,
+            revision: in_force.config.revision,
+            known: self.peers.borrow().known(now),
+            pools: pools.pressure(now),
+            suspects: pools.suspects(now),
+        }
+    }
+
+    /// Extends the serving time when most entries of the view answer and none has a newer
+    /// configuration.
+    pub(crate) fn extend_by_majority(&self) {
+        let in_force = self.shared.in_force();
+        let own = &self.shared.entry.name;
+        if !in_force.config.view.entries.iter().any(|entry| entry.name == *own) {
+            return;
+        }
+        let majority = self.peers.borrow().majority(self.now());
+        if let Some((heard, revision)) = majority
+            && revision <= in_force.config.revision
+        {
+            self.shared.extend_serving(heard);
+        }
+    }
+
+    /// Returns the degraded parts, in words for the operator.
+    pub(crate) fn degraded(&self) -> Vec<String> {
+        let now = self.now();
+        let is_heard = self
+            .control_heard
+            .get()
+            .is_some_and(|heard| now.since(heard) < crate::shared::SERVING_SPAN);
+        if is_heard || self.shared.mode == Mode::StandAlone {
+            return Vec::new();
+        }
+        vec![format!("entry {}: control is not heard", self.shared.entry.name)]
+    }
+
+    pub(crate) fn is_owner(&self, pool: &id::Pool) -> bool {
+        self.owner_of(pool).is_some_and(|entry| entry.name == self.shared.entry.name)
+    }
+
+    pub(crate) fn release_here(self: &Rc<Self>, release: Release) {
+        let (now, pool) = (self.now(), release.pool.clone());
+        let effects = self.pools.borrow_mut().step(now, &pool, Event::Release(release));
+        self.perform(effects);
+    }
+
+    fn handle(self: &Rc<Self>, message: Message) {
+        match message {
+            Message::Acquire { request, reply } => {
+                actix_rt::spawn(acquire::acquire(Rc::clone(self), *request, reply));
+            }
+            Message::Release(release) => self.release(*release),
+            Message::Announce(announcement) => self.announce(*announcement),
+            Message::Leave(endpoint) => self.leave(&endpoint),
+            Message::Propose { command, reply } => {
+                let shell = Rc::clone(self);
+                actix_rt::spawn(async move {
+                    if reply.send(shell.control.propose(*command).await).is_err() {
+                        tracing::debug!("the proposer went away");
+                    }
+                });
+            }
+            Message::Peer(peer) => self.handle_peer(peer),
+            Message::Drain => self.drain(),
+        }
+    }
+
+    fn handle_peer(self: &Rc<Self>, peer: Peer) {
+        let now = self.now();
+        match peer {
+            Peer::Acquire(asked, reply) => {
+                if !self.is_owner(&asked.pool) {
+                    let view = self.shared.in_force().config.view.number;
+                    drop(reply.send(Acquired::NotOwner { view }));
+                    return;
+                }
+                self.own(&asked.pool, &asked.request.backend);
+                let (_, effects) = self.pools.borrow_mut().acquire(
+                    now,
+                    &asked.pool,
+                    asked.holder,
+                    asked.request,
+                    reply,
+                );
+                self.perform(effects);
+            }
+            Peer::Release(release) => self.release_here(*release),
+            Peer::Report(holdings) => {
+                let pool = holdings.pool.clone();
+                let effects = self.pools.borrow_mut().step(now, &pool, Event::Holdings(*holdings));
+                self.perform(effects);
+            }
+            Peer::Preempt(preempt) => self.holder.borrow_mut().preempt(preempt.attempt),
+            Peer::Announce(announcement) => self.announce_here(*announcement),
+            Peer::Leave(endpoint) => self.leave_here(&endpoint),
+            Peer::Heartbeat(beat, reply) => {
+                heartbeat::heard(self, &beat);
+                drop(reply.send(self.heartbeat()));
+            }
+            Peer::Config(reply) => drop(reply.send(self.shared.in_force().config.clone())),
+            Peer::Lend(_, reply) => drop(reply),
+        }
+    }
+
+    fn tick(self: &Rc<Self>) {
+        let now = self.now();
+        let effects = self.pools.borrow_mut().step_all(now, || Event::Tick);
+        self.perform(effects);
+        self.peers.borrow().wake_lost(now);
+        self.settle_owners();
+        if self.shared.mode == Mode::StandAlone {
+            self.shared.extend_serving(now);
+        }
+    }
+
+    fn drain(self: &Rc<Self>) {
+        if let Some(start) = self.drain.borrow_mut().take() {
+            start.run(Rc::clone(self));
+        }
+    }
+}
--- /dev/null
+++ b/crates/wasabi-entry/tests/path.rs
@@ -0,0 +1,55 @@
+//! The path of a request between a caller, an entry and stand-ins on loopback.
+
+mod support;
+
+use awc::http::StatusCode;
+use serde_json::Value;
+use support::{Entry, engine, expected, service};
+
+/// Guards against a list that callers cannot use: without it they find no entry.
+#[actix_rt::test]
+async fn the_list_names_the_entry() {
+    let entry = Entry::stand_alone("");
+    let caller = entry.caller();
+    let answer = caller.send(caller.request("GET", "/v1/entries"), "").await;
+    assert_eq!(answer.status, StatusCode::OK);
+    let list: Value = serde_json::from_str(&answer.body).unwrap();
+    assert_eq!(list["entries"][0]["address"], entry.address());
+    assert_eq!(list["revision"], 1);
+}
+
+/// Guards against lost, reordered or repeated tokens on the way of a stream.
+#[actix_rt::test]
+async fn a_caller_gets_the_whole_stream() {
+    let entry = Entry::stand_alone("");
+    let _engine = engine("m1", &[&entry]);
+    let answer = entry.caller().chat("stock of coal", 500).await;
+    assert_eq!(answer.status, StatusCode::OK, "{}", answer.body);
+    assert_eq!(answer.text(), expected("stock of coal", 500));
+    assert!(answer.is_done() && answer.is_complete);
+    assert_eq!(answer.ran, "ran");
+}
+
+/// Guards against a call without a record where it must not run twice.
+#[actix_rt::test]
+async fn stand_alone_refuses_calls_that_must_not_run_twice() {
+    let entry = Entry::stand_alone("");
+    let service = service("s1", &[&entry]);
+    let answer = entry.caller().order("k1", "one lorry").await;
+    assert_eq!(answer.kind(), "record_unavailable", "{}", answer.body);
+    assert_eq!(answer.ran, "not_run");
+    assert_eq!(service.counts().requests, 0);
+}
+
+/// Guards against a repeatable service call that is not passed through.
+#[actix_rt::test]
+async fn a_service_call_is_passed_through() {
+    let entry = Entry::stand_alone("");
+    let service = service("s1", &[&entry]);
+    let caller = entry.caller();
+    let answer = caller.send(caller.request("POST", "/services/desk/repeatable"), "hello").await;
+    assert_eq!(answer.status, StatusCode::OK, "{}", answer.body);
+    let body: Value = serde_json::from_str(&answer.body).unwrap();
+    assert_eq!(body["echo"], "hello");
+    assert_eq!(service.counts().requests, 1);
+}
--- a/crates/wasabi-protocol/src/rpc.rs
+++ b/crates/wasabi-protocol/src/rpc.rs
@@ -18,6 +18,8 @@
     pub const ACQUIRE: &str = "pool.acquire";
     /// Gives a grant back with its report.
     pub const RELEASE: &str = "pool.release";
+    /// Takes a grant back from its holder before the first token.
+    pub const PREEMPT: &str = "pool.preempt";
     /// Tells a new pool owner the grants that a holder still uses.
     pub const REPORT: &str = "pool.report";
     /// Relays an endpoint's announcement to the pool owner.
@@ -115,6 +117,15 @@
     pub report: Report,
 }
 
+/// Takes a grant back from its holder, unless a token of the answer came already.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Preempt {
+    /// The pool.
+    pub pool: id::Pool,
+    /// The attempt that the grant started.
+    pub attempt: id::Attempt,
+}
+
 /// A grant that a holder still uses, told to a new owner.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Running {
--- a/crates/wasabi-standin/src/handle.rs
+++ b/crates/wasabi-standin/src/handle.rs
@@ -117,7 +117,11 @@
     });
     if u64::from(faults.fail_permille) > fastrand::u64(0..1000) {
         shared.ledger.record(|counts| counts.finished += 1);
-        return with_attempt(plain(StatusCode::INTERNAL_SERVER_ERROR, "failing by setting"), &attempt, &faults);
+        return with_attempt(
+            plain(StatusCode::INTERNAL_SERVER_ERROR, "failing by setting"),
+            &attempt,
+            &faults,
+        );
     }
     match shared.settings.kind {
         Kind::Model => chat(shared, request, &body, attempt, faults, crashes, number).await,
@@ -170,7 +174,11 @@
         Ok(chat) => chat,
         Err(error) => {
             shared.ledger.record(|counts| counts.finished += 1);
-            return with_attempt(plain(StatusCode::BAD_REQUEST, &error.to_string()), &attempt, &faults);
+            return with_attempt(
+                plain(StatusCode::BAD_REQUEST, &error.to_string()),
+                &attempt,
+                &faults,
+            );
         }
     };
     let resume = text(request, "x-wasabi-resume-from").and_then(|text| text.parse().ok());
@@ -200,19 +208,24 @@
         return with_attempt(whole(shared, plan).await, &attempt, &faults);
     }
     let tokens = Tokens::new(plan, Arc::clone(&shared.ledger), Arc::clone(&shared.crash));
-    let response =
-        Response::build(StatusCode::OK).content_type("text/event-stream").body(tokens).map_into_boxed_body();
+    let response = Response::build(StatusCode::OK)
+        .content_type("text/event-stream")
+        .body(tokens)
+        .map_into_boxed_body();
     with_attempt(response, &attempt, &faults)
 }
 
 /// Answers without a stream.
 async fn whole(shared: &Arc<Shared>, plan: Plan) -> Response<BoxBody> {
-    let mut tokens = Tokens::new(plan.clone(), Arc::clone(&shared.ledger), Arc::clone(&shared.crash));
+    let mut tokens =
+        Tokens::new(plan.clone(), Arc::clone(&shared.ledger), Arc::clone(&shared.crash));
     loop {
         let chunk = std::future::poll_fn(|cx| std::pin::Pin::new(&mut tokens).poll_next(cx)).await;
         match chunk {
             Some(Ok(_)) => {}
-            Some(Err(error)) => return plain(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
+            Some(Err(error)) => {
+                return plain(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string());
+            }
             None => break,
         }
     }
--- a/crates/wasabi-standin/src/stream.rs
+++ b/crates/wasabi-standin/src/stream.rs
@@ -11,40 +11,36 @@
 use bytes::{Bytes, BytesMut};
 use tokio::time::{Instant, Sleep, sleep_until};
 
-use crate::{
-    counts::Ledger,
-    server::Crash,
-    settings::Faults,
-};
+use crate::{counts::Ledger, server::Crash, settings::Faults};
 
 /// Most bytes gathered into one chunk when tokens are sent without a pause.
 const CHUNK_BYTES: usize = 16 * 1024;
 
 /// What one stream sends.
 #[derive(Debug, Clone)]
-pub struct Plan {
+pub(crate) struct Plan {
     /// The attempt id of the request.
-    pub attempt: String,
+    pub(crate) attempt: String,
     /// The model's name.
-    pub model: String,
+    pub(crate) model: String,
     /// The first token to send.
-    pub from: u32,
+    pub(crate) from: u32,
     /// The number of tokens of the whole answer.
-    pub total: u32,
+    pub(crate) total: u32,
     /// The text that each token starts with; it identifies the prompt.
-    pub seed: String,
+    pub(crate) seed: String,
     /// Time before the first token.
-    pub first: Duration,
+    pub(crate) first: Duration,
     /// Time between tokens.
-    pub between: Duration,
+    pub(crate) between: Duration,
     /// The fault modes.
-    pub faults: Faults,
+    pub(crate) faults: Faults,
     /// Whether the process crashes on this request.
-    pub crashes: bool,
+    pub(crate) crashes: bool,
 }
 
 /// A response body that sends tokens at a set pace.
-pub struct Tokens {
+pub(crate) struct Tokens {
     plan: Plan,
     next: u32,
     ended: bool,
@@ -55,7 +51,7 @@
 
 impl Tokens {
     /// Returns the stream for a plan.
-    pub fn new(plan: Plan, ledger: Arc<Ledger>, crash: Crash) -> Self {
+    pub(crate) fn new(plan: Plan, ledger: Arc<Ledger>, crash: Crash) -> Self {
         let wake = Box::pin(sleep_until(Instant::now() + plan.first));
         Self { next: plan.from, plan, ended: false, wake, ledger, crash }
     }
@@ -101,11 +97,19 @@
         let mut out = BytesMut::new();
         loop {
             if this.plan.faults.frozen || this.plan.faults.silent_after == Some(this.next) {
-                return if out.is_empty() { Poll::Pending } else { Poll::Ready(Some(Ok(out.freeze()))) };
+                return if out.is_empty() {
+                    Poll::Pending
+                } else {
+                    Poll::Ready(Some(Ok(out.freeze())))
+                };
             }
             let paced = this.next == this.plan.from || !this.plan.between.is_zero();
             if paced && this.wake.as_mut().poll(cx).is_pending() {
-                return if out.is_empty() { Poll::Pending } else { Poll::Ready(Some(Ok(out.freeze()))) };
+                return if out.is_empty() {
+                    Poll::Pending
+                } else {
+                    Poll::Ready(Some(Ok(out.freeze())))
+                };
             }
             if this.plan.crashes && this.plan.faults.crash_after_tokens <= this.next {
                 (this.crash)();
