testkit: processes end with their test and links can be cut silently

Cause: tests of failures need real processes and links that go silent. Ruled out: closing connections as a cut, since it tells both ends about the partition.

--- /dev/null
+++ b/crates/wasabi-testkit/src/process.rs
@@ -0,0 +1,158 @@
+//! Processes that end with the test that started them.
+
+use std::{
+    env,
+    ffi::OsStr,
+    fs::{self, File},
+    io,
+    net::{SocketAddr, TcpListener},
+    path::{Path, PathBuf},
+    process::{Child, Command, ExitStatus, Stdio},
+    time::Duration,
+};
+
+use crate::wait;
+
+/// Longest time that a process may take to end after a signal.
+const END_BOUND: Duration = Duration::from_secs(30);
+
+/// A signal that a test sends to a process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Signal {
+    /// Asks the process to stop.
+    Terminate,
+    /// Ends the process at once.
+    Kill,
+    /// Freezes the process.
+    Stop,
+    /// Thaws the process.
+    Continue,
+}
+
+impl Signal {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Terminate => "-TERM",
+            Self::Kill => "-KILL",
+            Self::Stop => "-STOP",
+            Self::Continue => "-CONT",
+        }
+    }
+}
+
+/// A running process. It is killed when it is dropped.
+#[derive(Debug)]
+pub struct Daemon {
+    child: Child,
+    log: PathBuf,
+}
+
+impl Daemon {
+    /// Starts a binary with its standard output and standard error appended to the file `log`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the log cannot be opened or the binary cannot be started.
+    pub fn start<A: AsRef<OsStr>>(
+        binary: &Path,
+        arguments: impl IntoIterator<Item = A>,
+        log: &Path,
+    ) -> io::Result<Self> {
+        let output = File::options().create(true).append(true).open(log)?;
+        let child = Command::new(binary)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(output.try_clone()?)
+            .stderr(output)
+            .spawn()?;
+        Ok(Self { child, log: log.to_owned() })
+    }
+
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Returns what the process has printed so far.
+    pub fn output(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    /// Sends a signal.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the signal cannot be sent.
+    pub fn signal(&self, signal: Signal) {
+        let status = Command::new("kill").args([signal.name(), &self.id().to_string()]).status();
+        assert!(status.is_ok_and(|status| status.success()), "{signal:?} could not be sent");
+    }
+
+    /// Returns the exit status when the process has ended.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the process cannot be observed.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        match self.child.try_wait() {
+            Ok(status) => status,
+            Err(error) => panic!("cannot observe process {}: {error}", self.child.id()),
+        }
+    }
+
+    /// Waits until the process has ended by itself.
+    ///
+    /// # Panics
+    ///
+    /// Panics when it has not ended within 30 s.
+    pub fn wait(&mut self) -> ExitStatus {
+        wait::until("the end of the process", END_BOUND, || self.ended())
+    }
+
+    /// Kills the process at once and waits for its end, as `kill -9` does.
+    ///
+    /// # Panics
+    ///
+    /// Panics when it has not ended within 30 s.
+    pub fn kill(&mut self) {
+        // It may have ended already, which is what the caller wants.
+        let _ = self.child.kill();
+        self.wait();
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        // A process that has already ended needs no kill.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Returns the path of a binary of this workspace, built in the same profile as the test.
+///
+/// # Panics
+///
+/// Panics when the binary is not built; `cargo test --workspace` builds it.
+pub fn binary(name: &str) -> PathBuf {
+    let path = env::current_exe()
+        .ok()
+        .and_then(|test| Some(test.parent()?.parent()?.join(name)))
+        .filter(|path| path.is_file());
+    match path {
+        Some(path) => path,
+        None => panic!("binary {name} is not built; run `cargo build --workspace` first"),
+    }
+}
+
+/// Returns a loopback address whose port was free just now.
+///
+/// # Panics
+///
+/// Panics when the machine has no free port.
+pub fn free_address() -> SocketAddr {
+    match TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()) {
+        Ok(address) => address,
+        Err(error) => panic!("no free port: {error}"),
+    }
+}
--- /dev/null
+++ b/crates/wasabi-testkit/src/relay.rs
@@ -0,0 +1,174 @@
+//! A TCP relay between two processes that a test can cut, in one direction or in both.
+
+use std::{
+    io::{self, Read as _, Write as _},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+/// Time between two looks of a copying thread at the state of its direction.
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+
+/// Size of the copy buffer, in bytes.
+const BUFFER_BYTES: usize = 16 * 1024;
+
+/// A direction through the relay.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Direction {
+    /// From the side that connects to the target.
+    Forward,
+    /// From the target to the side that connects.
+    Backward,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    forward_cut: AtomicBool,
+    backward_cut: AtomicBool,
+    closed: AtomicBool,
+}
+
+impl State {
+    fn is_cut(&self, direction: Direction) -> bool {
+        let flag = match direction {
+            Direction::Forward => &self.forward_cut,
+            Direction::Backward => &self.backward_cut,
+        };
+        flag.load(Ordering::SeqCst)
+    }
+
+    fn is_closed(&self) -> bool {
+        self.closed.load(Ordering::SeqCst)
+    }
+}
+
+/// A relay that listens on its own address and passes bytes to its target.
+///
+/// A cut drops bytes silently and keeps the connections open, as a network that has lost track of
+/// them does. Connections that were open during a cut stay silent for good, since bytes of the
+/// stream are missing; connections opened after [`Relay::restore`] work.
+#[derive(Debug)]
+pub struct Relay {
+    address: SocketAddr,
+    state: Arc<State>,
+}
+
+impl Relay {
+    /// Starts a relay to `target` on a free loopback port.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no port can be bound.
+    pub fn start(target: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let state = Arc::new(State::default());
+        let shared = Arc::clone(&state);
+        thread::spawn(move || {
+            for near in listener.incoming() {
+                if shared.is_closed() {
+                    return;
+                }
+                let Ok(near) = near else { continue };
+                let Ok(far) = TcpStream::connect(target) else { continue };
+                connect(near, far, &shared);
+            }
+        });
+        Ok(Self { address, state })
+    }
+
+    /// Returns the address to connect to in place of the target.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Drops all bytes of one direction from now on.
+    pub fn cut(&self, direction: Direction) {
+        let flag = match direction {
+            Direction::Forward => &self.state.forward_cut,
+            Direction::Backward => &self.state.backward_cut,
+        };
+        flag.store(true, Ordering::SeqCst);
+    }
+
+    /// Drops all bytes of both directions from now on.
+    pub fn cut_both(&self) {
+        self.cut(Direction::Forward);
+        self.cut(Direction::Backward);
+    }
+
+    /// Passes bytes again, on connections opened from now on.
+    pub fn restore(&self) {
+        self.state.forward_cut.store(false, Ordering::SeqCst);
+        self.state.backward_cut.store(false, Ordering::SeqCst);
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.state.closed.store(true, Ordering::SeqCst);
+        // Wakes the accepting thread, which then sees that the relay is closed.
+        let _ = TcpStream::connect(self.address);
+    }
+}
+
+fn connect(near: TcpStream, far: TcpStream, state: &Arc<State>) {
+    let (Ok(near_copy), Ok(far_copy)) = (near.try_clone(), far.try_clone()) else { return };
+    // A connection is silenced as a whole once bytes of either direction were dropped.
+    let silenced = Arc::new(AtomicBool::new(false));
+    for (from, to, direction) in
+        [(near, far, Direction::Forward), (far_copy, near_copy, Direction::Backward)]
+    {
+        let state = Arc::clone(state);
+        let silenced = Arc::clone(&silenced);
+        thread::spawn(move || copy(from, to, direction, &state, &silenced));
+    }
+}
+
+fn copy(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    direction: Direction,
+    state: &State,
+    silenced: &AtomicBool,
+) {
+    let mut buffer = vec![0; BUFFER_BYTES];
+    if from.set_read_timeout(Some(LOOK_EVERY)).is_err() {
+        return;
+    }
+    while !state.is_closed() {
+        let count = match from.read(&mut buffer) {
+            Ok(0) => break,
+            Ok(count) => count,
+            Err(error)
+                if matches!(
+                    error.kind(),
+                    io::ErrorKind::WouldBlock
+                        | io::ErrorKind::TimedOut
+                        | io::ErrorKind::Interrupted
+                ) =>
+            {
+                continue;
+            }
+            Err(_) => break,
+        };
+        if state.is_cut(direction) {
+            silenced.store(true, Ordering::SeqCst);
+        }
+        if silenced.load(Ordering::SeqCst) {
+            continue;
+        }
+        if to.write_all(&buffer[..count]).is_err() {
+            break;
+        }
+    }
+    // A closed or broken side ends the connection; after a cut the end must stay unseen.
+    if !silenced.load(Ordering::SeqCst) {
+        let _ = to.shutdown(Shutdown::Write);
+    }
+}
