protocol: a server error may have run

Cause: an endpoint's server error was classed as run, but a service can fail before or after its effect. Ruled out: classing it as not run, since bytes of the request left. Before / after: End::Failed gave ran, now may_have_run; no test covered it. Conclusion: what is said about a failed attempt is true in both cases.

--- a/crates/wasabi-protocol/src/request.rs
+++ b/crates/wasabi-protocol/src/request.rs
@@ -70,9 +70,10 @@
     /// Returns what is known about whether the attempt ran.
     pub const fn ran(self) -> fault::Ran {
         match self {
-            Self::Finished | Self::Failed => fault::Ran::Ran,
+            Self::Finished => fault::Ran::Ran,
             Self::Unreachable => fault::Ran::NotRun,
-            Self::Broken | Self::Silent | Self::Abandoned => fault::Ran::MayHaveRun,
+            // A server error does not say how much of the request took effect.
+            Self::Failed | Self::Broken | Self::Silent | Self::Abandoned => fault::Ran::MayHaveRun,
         }
     }
 
