admission: queue by tier and share, and limits by leased slices

Cause: the pool owner needs an order of starts that no burst of one organisation changes for the others, and contract limits that hold over pools without a round trip per request. Ruled out: an advance that is paid once, which starves a pool while its lender is replaced; a purse that is full when a lender starts, which would lend a slice twice at each change of lender. Conclusion: the error of a limit is one slice and one request per pool.

--- /dev/null
+++ b/crates/wasabi-admission/src/lender.rs
@@ -0,0 +1,128 @@
+//! The owner of an organisation's budget, which lends slices of it to pool owners.
+//!
+//! What is lent in a span `w` is at most the limit times `w` plus one slice: the purse fills at the
+//! rate of the limit, holds at most one slice, and is empty when a lender starts.
+
+use std::collections::HashMap;
+
+use wasabi_protocol::{
+    clock::Millis,
+    contract::Limits,
+    id,
+    rpc::{Slice, Usage},
+};
+
+use crate::limit::{SLICE, overdraft};
+
+/// Time after which a pool that did not ask is forgotten, in milliseconds.
+///
+/// Accounts in use ask at least once a second; the rest allows for one lost ask.
+pub const FORGET: Millis = Millis(2_500);
+
+/// The budgets that one entry owns.
+#[derive(Debug, Default)]
+pub struct Lender {
+    purses: HashMap<id::Organisation, Purse>,
+}
+
+#[derive(Debug)]
+struct Purse {
+    requests: f64,
+    tokens: f64,
+    filled: Millis,
+    borrowers: HashMap<id::Pool, Borrower>,
+}
+
+#[derive(Debug, Default)]
+struct Borrower {
+    asked: Millis,
+    requests: f64,
+    tokens: f64,
+    running: u32,
+    wanted: u32,
+    allotted: u32,
+}
+
+impl Lender {
+    /// Returns a lender that has lent nothing.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the next slice for a pool that asks.
+    pub fn lend(
+        &mut self,
+        now: Millis,
+        organisation: &id::Organisation,
+        limits: &Limits,
+        pool: &id::Pool,
+        used: &Usage,
+    ) -> Slice {
+        let purse = self.purses.entry(organisation.clone()).or_insert_with(|| Purse {
+            requests: 0.0,
+            tokens: 0.0,
+            filled: now,
+            borrowers: HashMap::new(),
+        });
+        purse.fill(now, limits);
+        purse.lend(now, limits, pool, used)
+    }
+
+    /// Forgets budgets of which nothing was asked for a while; called now and then.
+    pub fn sweep(&mut self, now: Millis) {
+        self.purses.retain(|_, purse| now.since(purse.filled) < FORGET);
+    }
+}
+
+impl Purse {
+    fn fill(&mut self, now: Millis, limits: &Limits) {
+        let elapsed = now.since(self.filled).seconds();
+        self.filled = self.filled.max(now);
+        let (requests, tokens) = overdraft(limits);
+        self.requests = (self.requests + f64::from(limits.requests_per_s) * elapsed).min(requests);
+        self.tokens = (self.tokens + f64::from(limits.tokens_per_s) * elapsed).min(tokens);
+        self.borrowers.retain(|_, borrower| now.since(borrower.asked) < FORGET);
+    }
+
+    fn lend(&mut self, now: Millis, limits: &Limits, pool: &id::Pool, used: &Usage) -> Slice {
+        let borrower = self.borrowers.entry(pool.clone()).or_default();
+        borrower.asked = now;
+        // What was used since the last ask is the best guess of what will be used until the next.
+        borrower.requests = used.requests as f64 + f64::from(used.waiting) + 1.0;
+        borrower.tokens = used.tokens as f64 + used.waiting_tokens as f64 + 1.0;
+        borrower.running = used.running;
+        borrower.wanted = used.running + used.waiting + 1;
+        let (wanted_requests, wanted_tokens) = (borrower.requests, borrower.tokens);
+
+        let all_requests: f64 = self.borrowers.values().map(|other| other.requests).sum();
+        let all_tokens: f64 = self.borrowers.values().map(|other| other.tokens).sum();
+        let part =
+            |held: f64, wanted: f64, all: f64| (held.max(0.0) * wanted / all).min(2.0 * wanted);
+        let requests = part(self.requests, wanted_requests, all_requests);
+        let tokens = part(self.tokens, wanted_tokens, all_tokens);
+        self.requests -= requests;
+        self.tokens -= tokens;
+        let concurrency = self.allot(limits.concurrency, pool);
+        Slice { requests, tokens, concurrency, span: SLICE }
+    }
+
+    /// Allots concurrency: as much as is wanted while there is enough, and in proportion to what
+    /// each pool wants otherwise. What other pools hold or run is never allotted twice.
+    fn allot(&mut self, limit: u32, pool: &id::Pool) -> u32 {
+        let others: u64 = self
+            .borrowers
+            .iter()
+            .filter(|(name, _)| *name != pool)
+            .map(|(_, other)| u64::from(other.allotted.max(other.running)))
+            .sum();
+        let wanted: u64 = self.borrowers.values().map(|other| u64::from(other.wanted)).sum();
+        let free = u64::from(limit).saturating_sub(others) as u32;
+        let Some(borrower) = self.borrowers.get_mut(pool) else { return 0 };
+        let fair = (u64::from(limit) * u64::from(borrower.wanted)).div_ceil(wanted.max(1)) as u32;
+        let is_scarce = u64::from(limit) < wanted;
+        let most = if is_scarce { fair.min(free) } else { free };
+        // While there is enough, twice what is wanted leaves room for a burst between two asks.
+        borrower.allotted = most.min(borrower.wanted.saturating_mul(2));
+        borrower.allotted
+    }
+}
--- a/crates/wasabi-admission/src/lib.rs
+++ b/crates/wasabi-admission/src/lib.rs
@@ -3,4 +3,6 @@
 //! All types are pure state machines: time comes in as an argument.
 
 pub mod bound;
+pub mod lender;
+pub mod limit;
 pub mod queue;
--- /dev/null
+++ b/crates/wasabi-admission/src/limit.rs
@@ -0,0 +1,162 @@
+//! A pool's account with an organisation's budget.
+//!
+//! A pool starts work against slices that the owner of the budget lends, and may overdraw its
+//! account by one slice while it waits for the next. Overdrafts are paid from later slices, so the
+//! work started by one pool never exceeds what it was lent by more than one slice and one request.
+
+use wasabi_protocol::{
+    clock::Millis,
+    contract::Limits,
+    rpc::{Slice, Usage},
+};
+
+/// How long a slice lasts, in milliseconds.
+pub const SLICE: Millis = Millis(250);
+
+/// Time between two asks of an account that is short, in milliseconds.
+const ASK_SHORT: Millis = Millis(25);
+
+/// Time between two asks of an account in steady use, in milliseconds.
+const ASK_STEADY: Millis = Millis(125);
+
+/// Time between two asks of an account that uses little, in milliseconds.
+///
+/// Organisations far below their limits need no slices; asking once a second keeps the owner's
+/// picture of who runs what current at an eighth of the messages.
+const ASK_IDLE: Millis = Millis(1_000);
+
+/// Part of the concurrency limit that a pool may use before it was lent any: one slice of a
+/// second.
+const CONCURRENCY_ADVANCE: u32 = 4;
+
+/// An organisation's account at one pool.
+#[derive(Debug, Clone)]
+pub struct Account {
+    limits: Limits,
+    requests: f64,
+    tokens: f64,
+    credit_ends: Millis,
+    concurrency: u32,
+    concurrency_ends: Millis,
+    running: u32,
+    used: Usage,
+    asked: Option<Millis>,
+    refused: bool,
+}
+
+impl Account {
+    /// Returns an account that was lent nothing yet.
+    pub fn new(limits: Limits) -> Self {
+        Self {
+            limits,
+            requests: 0.0,
+            tokens: 0.0,
+            credit_ends: Millis::ZERO,
+            concurrency: 0,
+            concurrency_ends: Millis::ZERO,
+            running: 0,
+            used: Usage::default(),
+            asked: None,
+            refused: false,
+        }
+    }
+
+    /// Follows a changed contract.
+    pub fn change(&mut self, limits: Limits) {
+        self.limits = limits;
+    }
+
+    /// Returns whether one more request may start, and remembers a refusal for the next ask.
+    pub fn may_start(&mut self, now: Millis) -> bool {
+        self.expire(now);
+        let (requests, tokens) = overdraft(&self.limits);
+        let allowed = -requests < self.requests
+            && -tokens < self.tokens
+            && self.running < self.concurrency(now);
+        self.refused |= !allowed;
+        allowed
+    }
+
+    /// Charges a request that starts.
+    pub fn start(&mut self, tokens: u64) {
+        self.requests -= 1.0;
+        self.tokens -= tokens as f64;
+        self.running += 1;
+        self.used.requests += 1;
+        self.used.tokens += tokens;
+    }
+
+    /// Counts a request that runs here but was started by an earlier owner of the pool.
+    pub fn adopt(&mut self) {
+        self.running += 1;
+    }
+
+    /// Counts a request that ended.
+    pub fn end(&mut self) {
+        self.running = self.running.saturating_sub(1);
+    }
+
+    /// Adds a slice.
+    pub fn lend(&mut self, now: Millis, slice: &Slice) {
+        self.expire(now);
+        self.requests += slice.requests.max(0.0);
+        self.tokens += slice.tokens.max(0.0);
+        self.credit_ends = now + slice.span;
+        self.concurrency = slice.concurrency;
+        // The lender forgets a pool that it has not heard for this time and lends its part anew.
+        self.concurrency_ends = now + crate::lender::FORGET;
+    }
+
+    /// Returns what to tell the lender, when it is time to ask. `waiting` and `waiting_tokens`
+    /// describe the organisation's queue here.
+    pub fn ask(&mut self, now: Millis, waiting: u32, waiting_tokens: u64) -> Option<Usage> {
+        let is_idle = waiting == 0 && self.running == 0 && self.used.requests == 0;
+        if is_idle && !self.refused {
+            return None;
+        }
+        let (requests, tokens) = overdraft(&self.limits);
+        let is_short = self.refused;
+        let is_steady = 4.0 * self.used.requests as f64 > requests
+            || 4.0 * self.used.tokens as f64 > tokens
+            || 2 * self.running > self.concurrency(now);
+        let pause = match (is_short, is_steady) {
+            (true, _) => ASK_SHORT,
+            (false, true) => ASK_STEADY,
+            (false, false) => ASK_IDLE,
+        };
+        if self.asked.is_some_and(|at| now.since(at) < pause) {
+            return None;
+        }
+        self.asked = Some(now);
+        self.refused = false;
+        let used = std::mem::take(&mut self.used);
+        Some(Usage { running: self.running, waiting, waiting_tokens, ..used })
+    }
+
+    /// Returns whether nothing of the organisation runs or is owed here.
+    pub fn is_settled(&self, now: Millis) -> bool {
+        self.running == 0
+            && self.used.requests == 0
+            && 0.0 <= self.requests
+            && 0.0 <= self.tokens
+            && self.credit_ends <= now
+    }
+
+    fn concurrency(&self, now: Millis) -> u32 {
+        let advance = (self.limits.concurrency / CONCURRENCY_ADVANCE).max(1);
+        if now < self.concurrency_ends { self.concurrency } else { advance }
+    }
+
+    fn expire(&mut self, now: Millis) {
+        if self.credit_ends <= now {
+            self.requests = self.requests.min(0.0);
+            self.tokens = self.tokens.min(0.0);
+        }
+    }
+}
+
+/// Returns the requests and tokens of one whole slice of a contract.
+pub fn overdraft(limits: &Limits) -> (f64, f64) {
+    let part = SLICE.seconds();
+    (f64::from(limits.requests_per_s) * part, f64::from(limits.tokens_per_s) * part)
+}
--- a/crates/wasabi-admission/src/queue.rs
+++ b/crates/wasabi-admission/src/queue.rs
@@ -7,6 +7,11 @@
 /// Fixed-point scale of virtual time, so that small requests of large shares still advance it.
 const VIRTUAL_SCALE: u128 = 1 << 20;
 
+/// Most accounts kept in one tier for organisations without waiting requests.
+///
+/// The accounts nearest to virtual time, which matter least, are dropped first.
+const IDLE_ACCOUNTS_MAX: usize = 1_024;
+
 /// What the queue needs to know of a waiting request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Item {
@@ -54,6 +59,8 @@
     flows: HashMap<id::Organisation, Flow>,
     /// Flows with waiting requests, by virtual time.
     order: BTreeSet<(u128, id::Organisation)>,
+    /// Flows without waiting requests whose account is still ahead of virtual time.
+    idle: BTreeSet<(u128, id::Organisation)>,
     due: BTreeSet<(Millis, u64)>,
     arrivals: BTreeSet<(Millis, u64)>,
     virtual_now: u128,
@@ -225,6 +232,7 @@
         flow.share = item.share.max(1);
         if flow.items.is_empty() {
             // An idle organisation saves up no credit: its share was lent meanwhile.
+            self.idle.remove(&(flow.virtual_start, item.organisation.clone()));
             flow.virtual_start = flow.virtual_start.max(virtual_now);
             self.order.insert((flow.virtual_start, item.organisation.clone()));
         }
@@ -245,49 +253,41 @@
         self.arrivals.remove(&(item.arrived, item.ticket));
         self.len -= 1;
         if flow.items.is_empty() {
-            self.order.remove(&(flow.virtual_start, place.organisation.clone()));
-            if flow.virtual_start <= self.virtual_now {
-                self.flows.remove(&place.organisation);
-            }
+            let key = (flow.virtual_start, place.organisation.clone());
+            self.order.remove(&key);
+            self.idle.insert(key);
         }
         Some(item)
     }
 
+    /// Charges a started request to its organisation, and forgets the idle accounts that virtual
+    /// time has reached.
     fn charge(&mut self, item: &Item) {
         let cost = u128::from(item.tokens.max(1)) * VIRTUAL_SCALE / u128::from(item.share.max(1));
-        let start = self
-            .flows
-            .get(&item.organisation)
-            .map_or(self.virtual_now, |flow| flow.virtual_start.max(self.virtual_now));
-        // A flow that is already ahead of virtual time only starts when nothing else waits.
-        let previous = self.flows.get(&item.organisation).map(|flow| flow.virtual_start);
-        self.virtual_now = match self.order.first() {
-            Some((first, _)) => self.virtual_now.max(*first.min(&start)),
-            None => self.virtual_now.max(start),
+        let Some(flow) = self.flows.get_mut(&item.organisation) else { return };
+        let mut key = (flow.virtual_start, item.organisation.clone());
+        let waits = self.order.remove(&key);
+        self.idle.remove(&key);
+        // A request that starts out of turn does not move virtual time past those that wait.
+        let first = self.order.first().map_or(key.0, |(first, _)| key.0.min(*first));
+        self.virtual_now = self.virtual_now.max(first);
+        flow.virtual_start += cost;
+        key.0 = flow.virtual_start;
+        if waits {
+            self.order.insert(key)
+        } else {
+            self.idle.insert(key)
         };
-        let virtual_start = previous.unwrap_or(start).max(start) + cost;
-        match self.flows.get_mut(&item.organisation) {
-            Some(flow) => {
-                let waits = self.order.remove(&(flow.virtual_start, item.organisation.clone()));
-                flow.virtual_start = virtual_start;
-                if waits {
-                    self.order.insert((virtual_start, item.organisation.clone()));
-                }
-            }
-            None => {
-                let flow = Flow {
-                    virtual_start,
-                    share: item.share.max(1),
-                    backlog_tokens: 0,
-                    items: BTreeMap::new(),
-                    newest: BTreeMap::new(),
-                };
-                self.flows.insert(item.organisation.clone(), flow);
-            }
+        while let Some((start, _)) = self.idle.first()
+            && (*start <= self.virtual_now
+                || self.order.is_empty()
+                || IDLE_ACCOUNTS_MAX < self.idle.len())
+        {
+            // Once nothing waits, no share was taken from anyone and all accounts restart equal.
+            let Some((_, organisation)) = self.idle.pop_first() else { break };
+            self.flows.remove(&organisation);
         }
         if self.order.is_empty() {
-            // Nothing waits, so no share was taken from anyone and all accounts restart equal.
-            self.flows.clear();
             self.virtual_now = 0;
         }
     }
@@ -298,7 +298,9 @@
             .iter()
             .filter_map(|(_, organisation)| self.flows.get(organisation))
             .max_by_key(|flow| {
-            u128::from(flow.backlog_tokens) * VIRTUAL_SCALE / u128::from(flow.share)
+            let backlog = u128::from(flow.backlog_tokens) * VIRTUAL_SCALE;
+            let newest = flow.newest.last_key_value().map(|(sequence, _)| *sequence);
+            (backlog / u128::from(flow.share), newest)
         })?;
         let (sequence, deadline) = flow.newest.last_key_value()?;
         flow.items.get(&(*deadline, *sequence)).map(|item| item.ticket)
