--- a/crates/wasabi-admission/src/queue.rs
+++ b/crates/wasabi-admission/src/queue.rs
@@ -1,4 +1,8 @@
 //! The queue of a pool: strict tiers, fair shares between organisations, earliest deadline first.
+//!
+//! Requests that can no longer meet their first-token target go behind the other requests of
+//! their organisation. Under overload, earliest deadline first would otherwise serve each request
+//! just after its target has passed.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -27,8 +31,8 @@
     pub tokens: u64,
     /// When it first arrived at any entry.
     pub arrived: Millis,
-    /// When its first token is due.
-    pub first_token_by: Millis,
+    /// When it must start to meet its first-token target.
+    pub start_by: Millis,
     /// When it becomes useless.
     pub deadline: Millis,
 }
@@ -72,8 +76,10 @@
     virtual_start: u128,
     share: u32,
     backlog_tokens: u64,
-    /// Ordered by deadline, then by arrival.
-    items: BTreeMap<(Millis, u64), Item>,
+    /// Requests that can still meet their first-token target, by deadline, then by arrival.
+    fresh: BTreeMap<(Millis, u64), Item>,
+    /// Requests that cannot, in the same order.
+    late: BTreeMap<(Millis, u64), Item>,
     /// Arrival order, for shedding the newest.
     newest: BTreeMap<u64, Millis>,
 }
@@ -173,24 +179,43 @@
         expired
     }
 
+    /// Moves the requests that can no longer meet their first-token target behind the others, and
+    /// returns their tickets.
+    pub fn age(&mut self, now: Millis) -> Vec<u64> {
+        let mut late = Vec::new();
+        for lane in &mut self.tiers {
+            while let Some((start_by, ticket)) = lane.due.first().copied()
+                && start_by < now
+            {
+                lane.due.pop_first();
+                late.push(ticket);
+                let Some(place) = self.places.get(&ticket) else { continue };
+                if let Some(flow) = lane.flows.get_mut(&place.organisation) {
+                    flow.set_late((place.deadline, place.sequence));
+                }
+            }
+        }
+        late
+    }
+
     /// Returns the requests of a tier in the order in which they should start: organisations by
-    /// virtual time, and at most `depth` requests of each by deadline.
+    /// virtual time, and at most `depth` requests of each by deadline, late ones last.
     pub fn candidates(&self, tier: Tier, depth: usize) -> impl Iterator<Item = &Item> {
         let lane = &self.tiers[tier.index()];
         lane.order
             .iter()
             .filter_map(|(_, organisation)| lane.flows.get(organisation))
-            .flat_map(move |flow| flow.items.values().take(depth))
+            .flat_map(move |flow| flow.fresh.values().chain(flow.late.values()).take(depth))
     }
 
-    /// Returns the oldest waiting request of a tier.
-    pub fn oldest(&self, tier: Tier) -> Option<&Item> {
-        let (_, ticket) = self.tiers[tier.index()].arrivals.first()?;
-        self.item(*ticket)
+    /// Returns the waiting requests of a tier, the oldest first.
+    pub fn by_arrival(&self, tier: Tier) -> impl Iterator<Item = &Item> {
+        let arrivals = self.tiers[tier.index()].arrivals.iter();
+        arrivals.filter_map(|(_, ticket)| self.item(*ticket))
     }
 
-    /// Returns the earliest time at which a first token is due among the waiting requests of a
-    /// tier.
+    /// Returns the earliest time by which a waiting request of a tier must start, among those that
+    /// can still meet their first-token target.
     pub fn first_due(&self, tier: Tier) -> Option<Millis> {
         self.tiers[tier.index()].due.first().map(|(due, _)| *due)
     }
@@ -199,7 +224,16 @@
     pub fn item(&self, ticket: u64) -> Option<&Item> {
         let place = self.places.get(&ticket)?;
         let flow = self.tiers[place.tier.index()].flows.get(&place.organisation)?;
-        flow.items.get(&(place.deadline, place.sequence))
+        let key = (place.deadline, place.sequence);
+        flow.fresh.get(&key).or_else(|| flow.late.get(&key))
+    }
+
+    /// Returns the number and the tokens of an organisation's waiting requests.
+    pub fn backlog(&self, organisation: &id::Organisation) -> (u32, u64) {
+        let flows = self.tiers.iter().filter_map(|lane| lane.flows.get(organisation));
+        flows.fold((0, 0), |(count, tokens), flow| {
+            (count + flow.newest.len() as u32, tokens + flow.backlog_tokens)
+        })
     }
 
     fn insert(&mut self, item: Item) {
@@ -226,11 +260,12 @@
             virtual_start: virtual_now,
             share: 1,
             backlog_tokens: 0,
-            items: BTreeMap::new(),
+            fresh: BTreeMap::new(),
+            late: BTreeMap::new(),
             newest: BTreeMap::new(),
         });
         flow.share = item.share.max(1);
-        if flow.items.is_empty() {
+        if flow.newest.is_empty() {
             // An idle organisation saves up no credit: its share was lent meanwhile.
             self.idle.remove(&(flow.virtual_start, item.organisation.clone()));
             flow.virtual_start = flow.virtual_start.max(virtual_now);
@@ -238,21 +273,22 @@
         }
         flow.backlog_tokens += item.tokens;
         flow.newest.insert(sequence, item.deadline);
-        self.due.insert((item.first_token_by, item.ticket));
+        self.due.insert((item.start_by, item.ticket));
         self.arrivals.insert((item.arrived, item.ticket));
         self.len += 1;
-        flow.items.insert((item.deadline, sequence), item);
+        flow.fresh.insert((item.deadline, sequence), item);
     }
 
     fn remove(&mut self, place: &Place) -> Option<Item> {
         let flow = self.flows.get_mut(&place.organisation)?;
-        let item = flow.items.remove(&(place.deadline, place.sequence))?;
+        let key = (place.deadline, place.sequence);
+        let item = flow.fresh.remove(&key).or_else(|| flow.late.remove(&key))?;
         flow.newest.remove(&place.sequence);
         flow.backlog_tokens -= item.tokens;
-        self.due.remove(&(item.first_token_by, item.ticket));
+        self.due.remove(&(item.start_by, item.ticket));
         self.arrivals.remove(&(item.arrived, item.ticket));
         self.len -= 1;
-        if flow.items.is_empty() {
+        if flow.newest.is_empty() {
             let key = (flow.virtual_start, place.organisation.clone());
             self.order.remove(&key);
             self.idle.insert(key);
@@ -303,6 +339,15 @@
             (backlog / u128::from(flow.share), newest)
         })?;
         let (sequence, deadline) = flow.newest.last_key_value()?;
-        flow.items.get(&(*deadline, *sequence)).map(|item| item.ticket)
+        let key = (*deadline, *sequence);
+        flow.fresh.get(&key).or_else(|| flow.late.get(&key)).map(|item| item.ticket)
+    }
+}
+
+impl Flow {
+    fn set_late(&mut self, key: (Millis, u64)) {
+        if let Some(item) = self.fresh.remove(&key) {
+            self.late.insert(key, item);
+        }
     }
 }
--- a/crates/wasabi-admission/tests/queue.rs
+++ b/crates/wasabi-admission/tests/queue.rs
@@ -20,7 +20,7 @@
         share: u32::from(organisation) + 1,
         tokens,
         arrived: Millis(ticket),
-        first_token_by: Millis(deadline / 2),
+        start_by: Millis(deadline / 2),
         deadline: Millis(deadline),
     }
 }
@@ -29,6 +29,7 @@
 #[derive(Default)]
 struct Naive {
     items: Vec<Item>,
+    late: Vec<u64>,
     /// Virtual start of each organisation in each tier, and the tier's virtual time.
     accounts: BTreeMap<(u8, String), f64>,
     virtual_now: BTreeMap<u8, f64>,
@@ -80,7 +81,8 @@
         let tier = self.items.iter().map(|item| item.tier.0).min()?;
         let key = |item: &Item| {
             let name = item.organisation.to_string();
-            (self.account(tier, &name), name, item.deadline, item.ticket)
+            let is_late = self.late.contains(&item.ticket);
+            (self.account(tier, &name), name, is_late, item.deadline, item.ticket)
         };
         self.of(tier).min_by(|a, b| key(a).partial_cmp(&key(b)).unwrap()).map(|item| item.ticket)
     }
@@ -106,6 +108,7 @@
     Start,
     Cancel(u64),
     Expire(u64),
+    Age(u64),
 }
 
 fn steps() -> impl Strategy<Value = Vec<Step>> {
@@ -119,6 +122,7 @@
         3 => Just(Step::Start),
         1 => (0..200_u64).prop_map(Step::Cancel),
         1 => (0..500_u64).prop_map(Step::Expire),
+        1 => (0..250_u64).prop_map(Step::Age),
     ];
     proptest::collection::vec(step, 1..200)
 }
@@ -161,6 +165,15 @@
                     naive.items.retain(|item| item.ticket != ticket);
                     prop_assert_eq!(removed, naive.items.len() < before);
                 }
+                Step::Age(now) => {
+                    let due = naive.items.iter().filter(|item| item.start_by < Millis(now));
+                    let mut due: Vec<_> = due.map(|item| item.ticket).collect();
+                    due.retain(|ticket| !naive.late.contains(ticket));
+                    let mut late = queue.age(Millis(now));
+                    late.sort_unstable();
+                    prop_assert_eq!(&late, &due);
+                    naive.late.extend(late);
+                }
                 Step::Expire(now) => {
                     let mut expired: Vec<_> =
                         queue.expire(Millis(now)).iter().map(|item| item.ticket).collect();
@@ -175,10 +188,11 @@
             prop_assert_eq!(queue.len(), naive.items.len());
             prop_assert!(queue.len() <= CAPACITY);
             for tier in Tier::all() {
-                let due = naive.of(tier.0).map(|item| item.first_token_by).min();
+                let fresh = naive.of(tier.0).filter(|item| !naive.late.contains(&item.ticket));
+                let due = fresh.map(|item| item.start_by).min();
                 prop_assert_eq!(queue.first_due(tier), due);
                 let oldest = naive.of(tier.0).map(|item| (item.arrived, item.ticket)).min();
-                let found = queue.oldest(tier).map(|item| (item.arrived, item.ticket));
+                let found = queue.by_arrival(tier).next().map(|item| (item.arrived, item.ticket));
                 prop_assert_eq!(found, oldest);
             }
         }
--- /dev/null
+++ b/crates/wasabi-scheduler/src/pool/budget.rs
@@ -0,0 +1,97 @@
+//! Contract limits of the organisations that use the pool.
+
+use std::collections::HashMap;
+
+use wasabi_admission::{limit::Account, queue::Queue};
+use wasabi_protocol::{
+    clock::Millis,
+    command::Config,
+    contract::Limits,
+    id,
+    request::Request,
+    rpc::{Slice, Usage},
+};
+
+/// The accounts of a pool with the organisations' budgets.
+#[derive(Debug, Default)]
+pub(super) struct Budgets {
+    limits: HashMap<id::Organisation, Limits>,
+    accounts: HashMap<id::Organisation, Account>,
+}
+
+impl Budgets {
+    pub(super) fn configure(&mut self, config: &Config) {
+        self.limits = config
+            .contracts
+            .iter()
+            .map(|contract| (contract.organisation.clone(), contract.limits))
+            .collect();
+        for (organisation, account) in &mut self.accounts {
+            if let Some(limits) = self.limits.get(organisation) {
+                account.change(*limits);
+            }
+        }
+    }
+
+    /// Returns whether the organisation may start one more request. Without a contract in force
+    /// there is no limit; entries refuse callers without one.
+    pub(super) fn may_start(&mut self, now: Millis, organisation: &id::Organisation) -> bool {
+        self.account(organisation).is_none_or(|account| account.may_start(now))
+    }
+
+    pub(super) fn start(&mut self, request: &Request) {
+        if let Some(account) = self.account(&request.organisation) {
+            account.start(request.tokens());
+        }
+    }
+
+    pub(super) fn adopt(&mut self, organisation: &id::Organisation) {
+        if let Some(account) = self.account(organisation) {
+            account.adopt();
+        }
+    }
+
+    pub(super) fn end(&mut self, organisation: &id::Organisation) {
+        if let Some(account) = self.accounts.get_mut(organisation) {
+            account.end();
+        }
+    }
+
+    pub(super) fn lend(&mut self, now: Millis, organisation: &id::Organisation, slice: &Slice) {
+        if let Some(account) = self.account(organisation) {
+            account.lend(now, slice);
+        }
+    }
+
+    /// Returns the slices to ask for, and forgets the accounts that owe nothing.
+    pub(super) fn asks(&mut self, now: Millis, queue: &Queue) -> Vec<(id::Organisation, Usage)> {
+        let mut asks = Vec::new();
+        self.accounts.retain(|organisation, account| {
+            let (waiting, tokens) = queue.backlog(organisation);
+            if let Some(used) = account.ask(now, waiting, tokens) {
+                asks.push((organisation.clone(), used));
+            }
+            0 < waiting || !account.is_settled(now)
+        });
+        asks
+    }
+
+    /// Returns the slice to ask for now that a request of the organisation arrived.
+    pub(super) fn ask(
+        &mut self,
+        now: Millis,
+        queue: &Queue,
+        organisation: &id::Organisation,
+    ) -> Option<Usage> {
+        let (waiting, tokens) = queue.backlog(organisation);
+        self.accounts.get_mut(organisation)?.ask(now, waiting, tokens)
+    }
+
+    fn account(&mut self, organisation: &id::Organisation) -> Option<&mut Account> {
+        if !self.accounts.contains_key(organisation) {
+            let limits = self.limits.get(organisation)?;
+            self.accounts.insert(organisation.clone(), Account::new(*limits));
+        }
+        self.accounts.get_mut(organisation)
+    }
+}
--- /dev/null
+++ b/crates/wasabi-scheduler/src/pool/choice.rs
@@ -0,0 +1,152 @@
+//! The endpoint for one request.
+
+use wasabi_protocol::{clock::Millis, contract::Tier, request::Request};
+use wasabi_rollout::credit::Side;
+use wasabi_routing::{choice, pace::Standing, quarantine::Permit};
+
+use super::{endpoint::Slot, owner::Pool, running::Mark, versions::Offer};
+
+/// Stands for an endpoint that the request cannot use now.
+const FULL: choice::Candidate =
+    choice::Candidate { in_flight: 0, bound: 0, prefill_waiting: 0, prefill_rate: 1.0, cached: 0 };
+
+/// Where a request can run.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum Choice {
+    /// On this endpoint, now.
+    Now { index: usize, side: Option<Side>, mark: Mark },
+    /// Later: the endpoints that it may use are busy.
+    Later,
+    /// Nowhere: it already met each endpoint of the pool.
+    Never,
+    /// Not before its quarantine ends.
+    Quarantined,
+}
+
+impl Pool {
+    /// Returns whether an endpoint's version may get requests.
+    pub(super) fn is_offered(&self, slot: &Slot) -> bool {
+        self.versions.offer(&slot.announcement.version) != Offer::Never
+    }
+
+    /// Returns whether any endpoint has room, be it for a suspect only.
+    pub(super) fn has_room(&self, half: bool) -> bool {
+        self.endpoints.slots.iter().any(|slot| {
+            slot.in_flight() < slot.limit(half)
+                && !slot.unreachable
+                && (slot.running.is_empty() || !self.reserve.holds(slot.name()))
+        })
+    }
+
+    /// Returns where a request can run now.
+    pub(super) fn choose(&mut self, now: Millis, request: &Request, half: bool) -> Choice {
+        match self.suspects.permit(now, request.fingerprint) {
+            Permit::Free => {}
+            Permit::Refused { .. } => return Choice::Quarantined,
+            Permit::Wait => return Choice::Later,
+            Permit::Alone => {
+                let Some(index) = self.alone(now, request) else { return Choice::Later };
+                let side = self.versions.side(&self.endpoints.slots[index].announcement.version);
+                return Choice::Now { index, side, mark: Mark::Alone };
+            }
+        }
+        let proven = self.best(now, request, half, Offer::Proven);
+        let unproven = self.best(now, request, half, Offer::Unproven);
+        let (index, side) = match (proven.found, unproven.found) {
+            (None, None) => {
+                let is_met =
+                    0 < proven.offered + unproven.offered && proven.allowed + unproven.allowed == 0;
+                return if is_met { Choice::Never } else { Choice::Later };
+            }
+            // Without a move there is no unproven version.
+            (Some(index), None) if unproven.offered == 0 => (index, None),
+            (Some(old), new) => match (self.versions.choose(&request.route, request.tier), new) {
+                (Side::New, Some(new)) => (new, Some(Side::New)),
+                (Side::New, None) => {
+                    self.versions.refund(&request.route);
+                    (old, Some(Side::Old))
+                }
+                (Side::Old, _) => (old, Some(Side::Old)),
+            },
+            // The share is counted in dispatches, so a full old version adds nothing to it.
+            (None, Some(new)) if proven.offered == 0 || self.versions.has_moved() => {
+                (new, Some(Side::New))
+            }
+            (None, Some(_)) => return Choice::Later,
+        };
+        Choice::Now { index, side, mark: Mark::Usual }
+    }
+
+    /// Returns the endpoint with the lowest predicted time to the first token.
+    fn best(&mut self, now: Millis, request: &Request, half: bool, offer: Offer) -> Best {
+        let mut best = Best::default();
+        let mut candidates = std::mem::take(&mut self.candidates);
+        candidates.clear();
+        let slots = &self.endpoints.slots;
+        let is_offered = |slot: &&Slot| self.versions.offer(&slot.announcement.version) == offer;
+        best.offered = slots.iter().filter(is_offered).count();
+        if best.offered == 0 {
+            self.candidates = candidates;
+            return best;
+        }
+        let last = match offer {
+            Offer::Unproven => self.last_replica(),
+            Offer::Proven | Offer::Never => None,
+        };
+        let is_usable = |slot: &Slot| {
+            is_offered(&slot)
+                && !request.avoid.contains(slot.name())
+                && last.is_none_or(|last| slot.name() <= last)
+        };
+        // Tier 0 and calls that run once meet no straggler, unless there is nothing else.
+        let is_careful = (request.tier == Tier::TOP || !request.idempotent)
+            && slots.iter().any(|slot| is_usable(slot) && slot.standing == Standing::Normal);
+        let mut probe = None;
+        for (index, slot) in slots.iter().enumerate() {
+            if !is_usable(slot) {
+                candidates.push(FULL);
+                continue;
+            }
+            best.allowed += 1;
+            let is_shut = slot.unreachable
+                || self.reserve.holds(slot.name())
+                || (is_careful && slot.standing == Standing::Probation);
+            if is_shut || slot.limit(half) <= slot.in_flight() {
+                candidates.push(FULL);
+                continue;
+            }
+            if slot.probe_due {
+                probe = Some(index);
+            }
+            candidates.push(slot.candidate(now, request, half));
+        }
+        self.turn = self.turn.wrapping_add(1);
+        best.found =
+            probe.or_else(|| choice::choose(&candidates, request.prompt_tokens, self.turn));
+        self.candidates = candidates;
+        best
+    }
+
+    /// Returns the last of the endpoints that the new version may use, in the order of names.
+    fn last_replica(&self) -> Option<&wasabi_protocol::id::Endpoint> {
+        let slots = &self.endpoints.slots;
+        let count = self.versions.replicas(slots.len());
+        let mut names: Vec<_> = slots
+            .iter()
+            .filter(|slot| self.versions.offer(&slot.announcement.version) == Offer::Unproven)
+            .map(Slot::name)
+            .collect();
+        names.sort_unstable();
+        names.get(count.max(1) - 1).copied()
+    }
+}
+
+#[derive(Debug, Default)]
+struct Best {
+    /// Endpoints of the side.
+    offered: usize,
+    /// Those of them that the request may use.
+    allowed: usize,
+    /// The best of those that have room.
+    found: Option<usize>,
+}
--- a/crates/wasabi-scheduler/src/pool/dispatch.rs
+++ b/crates/wasabi-scheduler/src/pool/dispatch.rs
@@ -1,94 +1,171 @@
-//! Which waiting request starts next, and on which endpoint.
+//! Which waiting request starts next.
 
-use wasabi_protocol::{
-    clock::Millis, contract::Tier, fault::Kind, id, request::Request, rpc::Grant,
-};
+use wasabi_protocol::{clock::Millis, contract::Tier, fault::Kind, request::Request, rpc::Grant};
+use wasabi_rollout::credit::Side;
 
 use super::{
-    endpoint::Slot,
+    choice::Choice,
     event::Action,
-    owner::{Pool, Running, refuse},
+    owner::{Pool, refuse},
+    running::{Mark, Running},
 };
 
 /// Waiting requests of one organisation that are tried before the next organisation.
 const DEPTH: usize = 4;
 
-/// Longest silence before the first token that a grant allows, in milliseconds.
-const FIRST_TOKEN_BOUND: Millis = Millis::from_secs(30);
+/// Waiting requests of one tier that are tried in one decision. Most of the time the first one
+/// can start; the others count when it is held back by a limit or by what it must avoid.
+const TRIED: usize = 32;
 
-/// Longest silence between tokens that a grant allows, in milliseconds.
-const BETWEEN_TOKENS_BOUND: Millis = Millis::from_secs(5);
+/// Aged requests that are tried in one decision.
+const AGED_TRIED: usize = 4;
 
-/// Where a request can run.
-enum Choice {
-    /// On this endpoint, now.
-    Now(usize),
-    /// Later: each endpoint that it may use is busy.
-    Later,
-    /// Nowhere: it already met each endpoint of the pool.
-    Never,
-}
+/// Part of the pool's capacity that aged work may use beside more urgent work.
+pub(super) const AGED_PART: f64 = 0.05;
 
 impl Pool {
     /// Starts waiting requests while endpoints have room, the most urgent tier first.
     pub(super) fn dispatch(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        if self.queue.is_empty() {
+            return;
+        }
+        let half = self.is_taking_over(now);
+        self.dispatch_aged(now, half, actions);
         for tier in Tier::all() {
-            while let Some((ticket, choice)) = self.next(now, tier) {
-                self.queue_start(now, ticket, choice, actions);
+            while 0 < self.queue.waiting(tier) && self.has_room(half) {
+                let tickets: Vec<_> = self
+                    .queue
+                    .candidates(tier, DEPTH)
+                    .take(TRIED)
+                    .map(|item| item.ticket)
+                    .collect();
+                if !tickets.into_iter().any(|ticket| self.try_start(now, ticket, half, actions)) {
+                    break;
+                }
             }
         }
     }
 
-    /// Returns whether requests may go to an endpoint, apart from its load.
-    pub(super) fn is_offered(&self, slot: &Slot) -> bool {
-        !slot.unreachable && !self.config.banned.contains(&slot.announcement.version)
-    }
-
-    fn next(&self, now: Millis, tier: Tier) -> Option<(u64, Choice)> {
-        if self.queue.waiting(tier) == 0 {
-            return None;
+    /// Starts aged work of lower tiers within its reserved fraction, while more urgent work waits
+    /// and none of that would miss its first-token target by it.
+    fn dispatch_aged(&mut self, now: Millis, half: bool, actions: &mut Vec<Action>) {
+        let capacity = f64::from(self.endpoints.capacity());
+        let most = ((capacity * AGED_PART) as u32).max(1);
+        if self.timers.aged_credit <= 0.0 || most <= self.running.aged() || !self.has_room(half) {
+            return;
         }
-        self.queue.candidates(tier, DEPTH).find_map(|item| {
-            let request = self.requests.get(&item.ticket)?;
-            match self.choose(now, request) {
-                Choice::Later => None,
-                choice => Some((item.ticket, choice)),
+        let patience = self.timers.patience();
+        let oldest = |tier: &Tier| self.queue.by_arrival(*tier).next().map(|item| item.arrived);
+        let mut tiers: Vec<_> = Tier::all().skip(1).filter(|tier| oldest(tier).is_some()).collect();
+        tiers.sort_by_key(oldest);
+        for tier in tiers {
+            let higher = || Tier::all().take(tier.index());
+            if higher().all(|higher| self.queue.waiting(higher) == 0) {
+                continue;
             }
-        })
+            let is_risky = higher()
+                .filter_map(|higher| self.queue.first_due(higher))
+                .any(|due| due < now + patience);
+            if is_risky {
+                continue;
+            }
+            let tickets: Vec<_> = self
+                .queue
+                .by_arrival(tier)
+                .take_while(|item| item.start_by < now)
+                .filter(|item| now + self.timers.span_of(item.tokens) < item.deadline)
+                .take(AGED_TRIED)
+                .map(|item| item.ticket)
+                .collect();
+            for ticket in tickets {
+                if self.try_start_as(now, ticket, half, Mark::Aged, actions) {
+                    return;
+                }
+            }
+        }
     }
 
-    fn choose(&self, now: Millis, request: &Request) -> Choice {
-        let half = self.is_taking_over(now);
-        let offered = || {
-            let slots = self.endpoints.slots.iter().enumerate();
-            slots.filter(|(_, slot)| self.is_offered(slot))
+    /// Starts or refuses a waiting request; returns whether it no longer waits.
+    fn try_start(
+        &mut self,
+        now: Millis,
+        ticket: u64,
+        half: bool,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        self.try_start_as(now, ticket, half, Mark::Usual, actions)
+    }
+
+    fn try_start_as(
+        &mut self,
+        now: Millis,
+        ticket: u64,
+        half: bool,
+        wanted: Mark,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let Some(request) = self.requests.remove(&ticket) else {
+            self.queue.remove(ticket);
+            return true;
         };
-        let allowed = |slot: &Slot| !request.avoid.contains(&slot.announcement.name);
-        let free = offered()
-            .filter(|(_, slot)| allowed(slot) && slot.in_flight() < slot.limit(half))
-            .min_by_key(|(_, slot)| slot.in_flight());
-        if let Some((index, _)) = free {
-            return Choice::Now(index);
+        if !self.budgets.may_start(now, &request.organisation) {
+            self.requests.insert(ticket, request);
+            return false;
         }
-        let has_endpoint = offered().next().is_some();
-        if has_endpoint && !offered().any(|(_, slot)| allowed(slot)) {
-            return Choice::Never;
-        }
-        Choice::Later
+        let (kind, message) = match self.choose(now, &request, half) {
+            Choice::Later => {
+                self.requests.insert(ticket, request);
+                return false;
+            }
+            Choice::Now { index, side, mark } => {
+                let mark = if mark == Mark::Usual { wanted } else { mark };
+                self.start(now, ticket, request, Start { index, side, mark }, actions);
+                return true;
+            }
+            Choice::Never => {
+                (Kind::NoEndpoint, "the request failed on every endpoint that provides this now")
+            }
+            Choice::Quarantined => {
+                (Kind::Quarantined, "the request crashed endpoints and is held back")
+            }
+        };
+        self.queue.remove(ticket);
+        refuse(actions, ticket, kind, message);
+        true
     }
 
-    fn queue_start(&mut self, now: Millis, ticket: u64, choice: Choice, actions: &mut Vec<Action>) {
-        let Choice::Now(index) = choice else {
+    fn start(
+        &mut self,
+        now: Millis,
+        ticket: u64,
+        request: Request,
+        how: Start,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.running.contains(request.attempt) {
             self.queue.remove(ticket);
-            self.requests.remove(&ticket);
-            let message = "the request failed on every endpoint that provides this now";
-            refuse(actions, ticket, Kind::NoEndpoint, message);
-            return;
-        };
+            let message = "this attempt already holds a grant, so it may have run";
+            return refuse(actions, ticket, Kind::Internal, message);
+        }
         let Some(item) = self.queue.start(ticket) else { return };
-        let Some(request) = self.requests.remove(&ticket) else { return };
-        let slot = &mut self.endpoints.slots[index];
+        self.budgets.start(&request);
+        if how.mark == Mark::Alone {
+            self.suspects.started_alone(request.fingerprint, request.attempt);
+        }
+        let slot = &mut self.endpoints.slots[how.index];
+        let candidate = slot.candidate(now, &request, false);
+        let own = request.prompt_tokens.saturating_sub(candidate.cached);
+        let prefill_tokens = candidate.prefill_waiting.saturating_add(own);
+        let load = f64::from(slot.in_flight()) / f64::from(slot.announcement.concurrency.max(1));
+        let first_token = candidate.first_token_ms(request.prompt_tokens).ceil() as u64;
+        slot.prefilled_at = now + Millis(first_token);
         slot.running.push(request.attempt);
+        slot.urgent += u32::from(request.tier == Tier::TOP);
+        slot.cache.sent(now, &request.prefix);
+        if slot.probe_due {
+            slot.probe_due = false;
+            self.board.probed(now, &slot.announcement.name);
+        }
         let grant = Grant {
             grant: self.next_grant,
             pool: self.name.clone(),
@@ -97,17 +174,32 @@
             address: slot.announcement.address.clone(),
             version: slot.announcement.version.clone(),
             resume: slot.announcement.abilities.resume,
-            first_token_bound: FIRST_TOKEN_BOUND,
-            between_tokens_bound: BETWEEN_TOKENS_BOUND,
+            first_token_bound: self.board.first_token_bound(slot.name(), prefill_tokens),
+            between_tokens_bound: self.board.between_tokens_bound(slot.name()),
         };
-        self.next_grant = id::Grant::next(self.next_grant);
-        let running = Running {
+        self.next_grant = self.next_grant.next();
+        self.last_started[request.tier.index()] = Some(now);
+        self.running.insert(Running {
+            grant: Some(grant.grant),
             endpoint: grant.endpoint.clone(),
-            tier: request.tier,
+            started: now,
             deadline: item.deadline,
-        };
-        self.running.insert(request.attempt, running);
-        self.last_started[item.tier.index()] = Some(now);
+            first_token_at: now + Millis(first_token),
+            prefill_tokens,
+            load,
+            side: how.side,
+            mark: how.mark,
+            preempted: false,
+            overdue: false,
+            request,
+        });
         actions.push(Action::Grant { ticket, grant });
     }
 }
+
+/// Where and by what right a request starts.
+struct Start {
+    index: usize,
+    side: Option<Side>,
+    mark: Mark,
+}
--- a/crates/wasabi-scheduler/src/pool/endpoint.rs
+++ b/crates/wasabi-scheduler/src/pool/endpoint.rs
@@ -6,11 +6,18 @@
 use wasabi_protocol::{
     clock::Millis,
     endpoint::{Announcement, SILENT_AFTER},
+    fingerprint::PREFIX_BLOCK_BYTES,
     id,
+    request::Request,
+};
+use wasabi_routing::{
+    affinity::Cache,
+    choice::Candidate,
+    pace::{Board, Standing},
 };
 
 /// Most endpoints of one pool.
-pub(super) const ENDPOINTS_MAX: usize = 64;
+const ENDPOINTS_MAX: usize = wasabi_routing::rendezvous::POOL_ENDPOINTS_MAX;
 
 /// Time for which the name of an endpoint that left is remembered, in milliseconds.
 ///
@@ -21,22 +28,57 @@
 /// Most remembered names of endpoints that left.
 const LEFT_MAX: usize = 1_024;
 
+/// Prompt tokens that one prefix block stands for, at four bytes a token.
+const TOKENS_PER_BLOCK: u32 = PREFIX_BLOCK_BYTES as u32 / 4;
+
+/// Prefill rate that is assumed before an endpoint or its kind has shown one, in tokens per
+/// millisecond.
+const PREFILL_RATE_UNKNOWN: f64 = 2.0;
+
 /// One endpoint as its owner sees it.
 #[derive(Debug)]
 pub(super) struct Slot {
     pub(super) announcement: Announcement,
     pub(super) heard: Millis,
     pub(super) bound: Bound,
+    pub(super) cache: Cache,
     /// Attempts that run on it, exact.
     pub(super) running: Vec<id::Attempt>,
+    /// Tier-0 attempts that run on it.
+    pub(super) urgent: u32,
     /// A connection to it failed since its last announcement.
     pub(super) unreachable: bool,
+    /// When its last batch was counted as crashed.
+    pub(super) crashed: Option<Millis>,
+    /// When it should have read all prompts that it was given.
+    pub(super) prefilled_at: Millis,
+    /// A copy of what the pace board says of it, so that a decision reads no map.
+    pub(super) prefill_rate: f64,
+    pub(super) standing: Standing,
+    pub(super) probe_due: bool,
 }
 
 impl Slot {
     fn new(now: Millis, announcement: Announcement) -> Self {
         let bound = Bound::new(announcement.concurrency);
-        Self { announcement, heard: now, bound, running: Vec::new(), unreachable: false }
+        Self {
+            announcement,
+            heard: now,
+            bound,
+            cache: Cache::default(),
+            running: Vec::new(),
+            urgent: 0,
+            unreachable: false,
+            crashed: None,
+            prefilled_at: now,
+            prefill_rate: PREFILL_RATE_UNKNOWN,
+            standing: Standing::Normal,
+            probe_due: false,
+        }
+    }
+
+    pub(super) fn name(&self) -> &id::Endpoint {
+        &self.announcement.name
     }
 
     pub(super) fn in_flight(&self) -> u32 {
@@ -46,9 +88,42 @@
     /// Returns how many requests may run on it; half of that while grants of an earlier owner may
     /// be unknown.
     pub(super) fn limit(&self, half: bool) -> u32 {
-        let limit = self.bound.limit();
+        let limit = match self.standing {
+            Standing::Normal => self.bound.limit(),
+            Standing::Probation => 1,
+        };
         if half { (limit / 2).max(1) } else { limit }
     }
+
+    /// Returns what is known of it for a request.
+    pub(super) fn candidate(&self, now: Millis, request: &Request, half: bool) -> Candidate {
+        let ahead_ms = self.prefilled_at.since(now).0 as f64;
+        Candidate {
+            in_flight: self.in_flight(),
+            bound: self.limit(half),
+            prefill_waiting: (ahead_ms * self.prefill_rate) as u32,
+            prefill_rate: self.prefill_rate,
+            cached: self.cached_tokens(now, request),
+        }
+    }
+
+    /// Copies what the pace board says.
+    pub(super) fn refresh(&mut self, now: Millis, board: &Board) {
+        let name = &self.announcement.name;
+        self.prefill_rate = board.prefill_rate(name).unwrap_or(PREFILL_RATE_UNKNOWN);
+        self.standing = board.standing(name);
+        self.probe_due = self.standing == Standing::Probation && board.probe_due(now, name);
+    }
+
+    fn cached_tokens(&self, now: Millis, request: &Request) -> u32 {
+        let prefix = request.prefix.as_slice();
+        // Most endpoints do not hold the first block, which one look-up shows.
+        let Some(first) = prefix.get(..1) else { return 0 };
+        if self.cache.cached_blocks(now, first) == 0 {
+            return 0;
+        }
+        self.cache.cached_tokens(now, prefix, TOKENS_PER_BLOCK).min(request.prompt_tokens)
+    }
 }
 
 /// The endpoints of a pool, and the names of those that left.
@@ -71,8 +146,8 @@
     Joined,
     /// It renewed its announcement.
     Renewed,
-    /// It is a new process under the same name.
-    Restarted,
+    /// It is a new process under the same name; this is the old one.
+    Restarted(Box<Slot>),
     /// It left before, or the pool is full.
     Ignored,
 }
@@ -82,59 +157,56 @@
         self.slots.iter().position(|slot| slot.announcement.name == *name)
     }
 
+    pub(super) fn get_mut(&mut self, name: &id::Endpoint) -> Option<&mut Slot> {
+        self.slots.iter_mut().find(|slot| slot.announcement.name == *name)
+    }
+
     pub(super) fn announce(&mut self, now: Millis, announcement: Announcement) -> Announced {
         if let Some(left) = self.left.get(&announcement.name) {
             let is_old = left.incarnation.is_none_or(|last| announcement.incarnation <= last);
             if is_old && now.since(left.at) < LEFT_KEPT {
                 return Announced::Ignored;
             }
-            self.left.remove(&announcement.name);
         }
-        let Some(index) = self.find(&announcement.name) else {
+        let Some(slot) = self.get_mut(&announcement.name) else {
             if ENDPOINTS_MAX <= self.slots.len() {
                 return Announced::Ignored;
             }
             self.slots.push(Slot::new(now, announcement));
             return Announced::Joined;
         };
-        let slot = &mut self.slots[index];
         if announcement.incarnation < slot.announcement.incarnation {
             return Announced::Ignored;
         }
-        slot.heard = now;
-        if slot.announcement.incarnation == announcement.incarnation {
-            slot.bound.announce(announcement.concurrency);
-            slot.announcement = announcement;
-            slot.unreachable = false;
-            return Announced::Renewed;
+        if slot.announcement.incarnation < announcement.incarnation {
+            let old = std::mem::replace(slot, Slot::new(now, announcement));
+            return Announced::Restarted(Box::new(old));
         }
-        *slot = Slot::new(now, announcement);
-        Announced::Restarted
+        slot.heard = now;
+        slot.bound.announce(announcement.concurrency);
+        slot.announcement = announcement;
+        slot.unreachable = false;
+        Announced::Renewed
     }
 
     /// Takes an endpoint that leaves out of the table. Its running attempts go on.
-    pub(super) fn leave(&mut self, now: Millis, name: &id::Endpoint) -> Option<Slot> {
+    pub(super) fn leave(&mut self, now: Millis, name: &id::Endpoint) {
         let index = self.find(name);
         let slot = index.map(|index| self.slots.swap_remove(index));
-        let incarnation = slot.as_ref().map(|slot| slot.announcement.incarnation);
+        let incarnation = slot.map(|slot| slot.announcement.incarnation);
         if self.left.len() < LEFT_MAX {
             self.left.insert(name.clone(), Left { incarnation, at: now });
         }
-        slot
     }
 
     /// Takes the endpoints that were silent for too long out of the table.
     pub(super) fn expire(&mut self, now: Millis) -> Vec<Slot> {
         self.left.retain(|_, left| now.since(left.at) < LEFT_KEPT);
-        let mut gone = Vec::new();
-        let mut index = 0;
-        while index < self.slots.len() {
-            if now.since(self.slots[index].heard) < SILENT_AFTER {
-                index += 1;
-            } else {
-                gone.push(self.slots.swap_remove(index));
-            }
-        }
-        gone
+        self.slots.extract_if(.., |slot| SILENT_AFTER <= now.since(slot.heard)).collect()
+    }
+
+    /// Returns how many requests all endpoints may run at one time.
+    pub(super) fn capacity(&self) -> u32 {
+        self.slots.iter().map(|slot| slot.limit(false)).sum()
     }
 }
--- a/crates/wasabi-scheduler/src/pool/mod.rs
+++ b/crates/wasabi-scheduler/src/pool/mod.rs
@@ -1,9 +1,18 @@
 //! A pool of at most 64 endpoints of one model or service, and its only queue.
 
+mod announce;
+mod budget;
+mod choice;
 mod dispatch;
 mod endpoint;
 mod event;
 mod owner;
+mod preempt;
+mod release;
+mod reserve;
+mod running;
+mod tick;
+mod versions;
 
 pub use event::{Action, Event};
 pub use owner::Pool;
--- a/crates/wasabi-scheduler/src/pool/owner.rs
+++ b/crates/wasabi-scheduler/src/pool/owner.rs
@@ -11,28 +11,29 @@
     endpoint::Announcement,
     fault::{Fault, Kind},
     id,
-    request::{End, Request},
-    rpc::{Evidence, Holdings, Pressure, Release, Suspect},
+    request::Request,
+    rpc::{Evidence, Holdings, Pressure, Suspect},
+};
+use wasabi_routing::{
+    choice::Candidate,
+    pace::Board,
+    quarantine::{self, Permit},
+    retry,
 };
 
 use super::{
-    endpoint::{Announced, Table},
+    budget::Budgets,
+    endpoint::Table,
     event::{Action, Event},
+    reserve::Reserve,
+    running::{Ledger, Mark, Running},
+    tick::Timers,
+    versions::Versions,
 };
 
 /// Most waiting requests of one pool.
 const WAITING_MAX: usize = 4_096;
 
-/// Time after its deadline at which an attempt that was never released is counted as ended.
-///
-/// Holders end attempts at the deadline; only a lost release message leaves one behind.
-const RELEASE_LATE: Millis = Millis::from_secs(5);
-
-/// Time without any endpoint after which requests are refused instead of kept waiting.
-///
-/// Endpoints announce every second, so a new owner knows all of them well within this time.
-const NO_ENDPOINT_AFTER: Millis = Millis::from_secs(3);
-
 /// Time after which a new owner stops waiting for reports of running grants.
 const TAKEOVER: Millis = Millis(500);
 
@@ -43,33 +44,27 @@
     pub(super) backend: id::Backend,
     pub(super) owner: id::Entry,
     pub(super) next_grant: id::Grant,
-    pub(super) config: Settled,
+    pub(super) revision: id::Revision,
+    pub(super) entries: Vec<id::Entry>,
     pub(super) endpoints: Table,
     pub(super) queue: Queue,
     pub(super) requests: HashMap<u64, Request>,
-    pub(super) running: HashMap<id::Attempt, Running>,
+    pub(super) running: Ledger,
+    pub(super) board: Board,
+    pub(super) suspects: quarantine::Table,
+    pub(super) reserve: Reserve,
+    pub(super) retries: retry::Budget,
+    pub(super) versions: Versions,
+    pub(super) budgets: Budgets,
+    pub(super) timers: Timers,
     pub(super) last_started: [Option<Millis>; TIERS],
+    /// Candidates of the decision at hand, kept so that a decision allocates nothing.
+    pub(super) candidates: Vec<Candidate>,
+    pub(super) turn: usize,
     started: Option<Millis>,
-    had_endpoint: Millis,
     reported: Vec<id::Entry>,
 }
 
-/// What the pool keeps of the configuration in force.
-#[derive(Debug, Default)]
-pub(super) struct Settled {
-    pub(super) revision: id::Revision,
-    pub(super) entries: Vec<id::Entry>,
-    pub(super) banned: Vec<id::Version>,
-}
-
-/// An attempt that holds a grant.
-#[derive(Debug)]
-pub(super) struct Running {
-    pub(super) endpoint: id::Endpoint,
-    pub(super) tier: Tier,
-    pub(super) deadline: Millis,
-}
-
 impl Pool {
     /// Returns the owner of a pool that knows no endpoint and no request yet.
     ///
@@ -82,14 +77,23 @@
             owner,
             // Below 2^53, so that JSON readers that use floating point keep it exact.
             next_grant: id::Grant(rng.u64(1..1 << 52)),
-            config: Settled::default(),
+            revision: id::Revision::default(),
+            entries: Vec::new(),
             endpoints: Table::default(),
             queue: Queue::new(WAITING_MAX),
             requests: HashMap::new(),
-            running: HashMap::new(),
+            running: Ledger::default(),
+            board: Board::default(),
+            suspects: quarantine::Table::default(),
+            reserve: Reserve::default(),
+            retries: retry::Budget::default(),
+            versions: Versions::default(),
+            budgets: Budgets::default(),
+            timers: Timers::default(),
             last_started: [None; TIERS],
+            candidates: Vec::new(),
+            turn: rng.usize(..64),
             started: None,
-            had_endpoint: Millis::ZERO,
             reported: Vec::new(),
         }
     }
@@ -98,25 +102,33 @@
     pub fn step(&mut self, now: Millis, event: Event<'_>) -> Vec<Action> {
         if self.started.is_none() {
             self.started = Some(now);
-            self.had_endpoint = now;
+            self.timers.start(now);
         }
         let mut actions = Vec::new();
         match event {
             Event::Config(config) => self.configure(config),
             Event::Announce(announcement) => self.announce(now, announcement),
-            Event::Leave { endpoint } => {
-                self.endpoints.leave(now, &endpoint);
-            }
+            Event::Leave { endpoint } => self.leave(now, &endpoint),
             Event::Acquire { ticket, request } => {
+                let organisation = request.organisation.clone();
                 self.acquire(now, ticket, request, &mut actions);
+                self.dispatch(now, &mut actions);
+                self.preempt(now, &mut actions);
+                if let Some(used) = self.budgets.ask(now, &self.queue, &organisation) {
+                    actions.push(Action::RequestBudget { organisation, used });
+                }
+                return actions;
             }
             Event::Cancel { ticket } => {
                 self.queue.remove(ticket);
                 self.requests.remove(&ticket);
             }
-            Event::Release(release) => self.release(&release),
+            Event::Release(release) => self.release(now, &release),
             Event::Holdings(holdings) => self.adopt(now, holdings),
-            Event::Suspects(_) | Event::Budget { .. } => {}
+            Event::Suspects(suspects) => self.suspects.merge(now, suspects),
+            Event::Budget { organisation, slice } => {
+                self.budgets.lend(now, &organisation, &slice);
+            }
             Event::Tick => self.tick(now, &mut actions),
         }
         self.dispatch(now, &mut actions);
@@ -125,10 +137,6 @@
 
     /// Returns the load of the pool, for other entries.
     pub fn pressure(&self, now: Millis) -> Pressure {
-        let mut running = [0; TIERS];
-        for attempt in self.running.values() {
-            running[attempt.tier.index()] += 1;
-        }
         let mut waiting = [0; TIERS];
         for tier in Tier::all() {
             waiting[tier.index()] = self.queue.waiting(tier) as u32;
@@ -140,20 +148,20 @@
             pool: self.name.clone(),
             backend: self.backend.clone(),
             waiting,
-            running,
-            capacity: self.endpoints.slots.iter().map(|slot| slot.bound.limit()).sum(),
+            running: self.running.by_tier(),
+            capacity: self.endpoints.capacity(),
             lowest_started,
         }
     }
 
-    /// Returns what the versions of running moves showed since the last call.
+    /// Returns what the versions of a running move showed since the last call.
     pub fn evidence(&mut self) -> Vec<Evidence> {
-        Vec::new()
+        self.versions.evidence()
     }
 
     /// Returns the request fingerprints that are suspected or quarantined here.
-    pub fn suspects(&self, _now: Millis) -> Vec<Suspect> {
-        Vec::new()
+    pub fn suspects(&self, now: Millis) -> Vec<Suspect> {
+        self.suspects.report(now)
     }
 
     /// Returns the endpoints in the pool.
@@ -161,58 +169,40 @@
         self.endpoints.slots.iter().map(|slot| &slot.announcement)
     }
 
-    /// Returns whether an entry may still hold grants of an earlier owner.
+    /// Returns whether an entry may still hold grants of an earlier owner that it did not report.
     pub(super) fn is_taking_over(&self, now: Millis) -> bool {
         let started = self.started.unwrap_or(now);
-        if TAKEOVER <= now.since(started) {
-            return false;
-        }
-        self.config.entries.is_empty()
-            || !self.config.entries.iter().all(|entry| self.reported.contains(entry))
+        now.since(started) < TAKEOVER
+            && (self.entries.is_empty()
+                || !self.entries.iter().all(|entry| self.reported.contains(entry)))
     }
 
-    fn configure(&mut self, config: &Config) {
-        if config.revision < self.config.revision {
-            return;
-        }
-        self.config = Settled {
-            revision: config.revision,
-            entries: config.view.entries.iter().map(|entry| entry.name.clone()).collect(),
-            banned: config
-                .banned
-                .iter()
-                .filter(|(backend, _)| *backend == self.backend)
-                .map(|(_, version)| version.clone())
-                .collect(),
-        };
+    /// Returns whether an owner before this one may have given grants that are reported late.
+    pub(super) fn is_new(&self, now: Millis) -> bool {
+        now.since(self.started.unwrap_or(now)) < TAKEOVER + TAKEOVER
     }
 
-    fn announce(&mut self, now: Millis, announcement: Announcement) {
-        if announcement.backend != self.backend {
+    fn configure(&mut self, config: &Config) {
+        if config.revision < self.revision {
             return;
         }
-        let name = announcement.name.clone();
-        if let Announced::Joined = self.endpoints.announce(now, announcement)
-            && let Some(slot) = self.endpoints.slots.last_mut()
-        {
-            // Attempts that outlived a silence of the endpoint still take up its capacity.
-            let attempts = self.running.iter().filter(|(_, running)| running.endpoint == name);
-            slot.running = attempts.map(|(attempt, _)| *attempt).collect();
-        }
+        self.revision = config.revision;
+        self.entries = config.view.entries.iter().map(|entry| entry.name.clone()).collect();
+        self.budgets.configure(config);
+        self.versions.configure(config, &self.backend, &self.endpoints.slots);
+        self.versions.settle(&self.endpoints.slots);
     }
 
     fn acquire(&mut self, now: Millis, ticket: u64, request: Request, actions: &mut Vec<Action>) {
-        let arrived = now - request.waited;
-        let item = Item {
-            ticket,
-            organisation: request.organisation.clone(),
-            tier: request.tier,
-            share: request.share,
-            tokens: request.tokens(),
-            arrived,
-            first_token_by: arrived + request.first_token,
-            deadline: now + request.remaining,
-        };
+        if let Permit::Refused { .. } = self.suspects.permit(now, request.fingerprint) {
+            let message = "the request crashed endpoints and is held back; change it, or wait";
+            return refuse(actions, ticket, Kind::Quarantined, message);
+        }
+        if !request.avoid.is_empty() && !self.retries.take_retry(now) {
+            let message = "the retry budget is used up; this attempt was not run";
+            return refuse(actions, ticket, Kind::Overloaded, message);
+        }
+        let item = self.item(now, ticket, &request);
         match self.queue.push(item) {
             Pushed::Queued => {}
             Pushed::Displaced(shed) => {
@@ -222,83 +212,63 @@
             }
             Pushed::Refused => {
                 let message = "the queue is full of work that is at least as urgent";
-                refuse(actions, ticket, Kind::Overloaded, message);
-                return;
+                return refuse(actions, ticket, Kind::Overloaded, message);
             }
         }
         self.requests.insert(ticket, request);
     }
 
-    fn release(&mut self, release: &Release) {
-        let Some(running) = self.running.remove(&release.attempt) else { return };
-        self.free(&release.attempt, &running);
-        if release.report.end == End::Unreachable
-            && let Some(index) = self.endpoints.find(&release.endpoint)
-        {
-            // The endpoint is tried again only after it announces itself once more.
-            self.endpoints.slots[index].unreachable = true;
+    fn item(&self, now: Millis, ticket: u64, request: &Request) -> Item {
+        let arrived = now - request.waited;
+        let fastest = self.endpoints.slots.iter().map(|slot| slot.prefill_rate).fold(0.0, f64::max);
+        let prefill = if 0.0 < fastest {
+            Millis((f64::from(request.prompt_tokens) / fastest) as u64)
+        } else {
+            Millis::ZERO
+        };
+        Item {
+            ticket,
+            organisation: request.organisation.clone(),
+            tier: request.tier,
+            share: request.share,
+            tokens: request.tokens(),
+            arrived,
+            start_by: arrived + (request.first_token - prefill),
+            deadline: now + request.remaining,
         }
     }
 
     fn adopt(&mut self, now: Millis, holdings: Holdings) {
         for held in holdings.running {
             let attempt = held.request.attempt;
-            if self.running.contains_key(&attempt) {
+            if self.running.is_known(attempt) {
                 continue;
             }
-            if let Some(index) = self.endpoints.find(&held.endpoint) {
-                self.endpoints.slots[index].running.push(attempt);
+            self.budgets.adopt(&held.request.organisation);
+            if let Some(slot) = self.endpoints.get_mut(&held.endpoint) {
+                slot.running.push(attempt);
+                slot.urgent += u32::from(held.request.tier == Tier::TOP);
+                slot.cache.sent(now, &held.request.prefix);
             }
-            let running = Running {
-                endpoint: held.endpoint,
-                tier: held.request.tier,
+            self.running.insert(Running {
                 deadline: now + held.request.remaining,
-            };
-            self.running.insert(attempt, running);
+                endpoint: held.endpoint,
+                grant: None,
+                started: now,
+                first_token_at: now,
+                prefill_tokens: held.request.prompt_tokens,
+                load: 0.0,
+                side: None,
+                mark: Mark::Usual,
+                preempted: false,
+                overdue: false,
+                request: held.request,
+            });
         }
         if !self.reported.contains(&holdings.holder) {
             self.reported.push(holdings.holder);
         }
     }
-
-    fn tick(&mut self, now: Millis, actions: &mut Vec<Action>) {
-        self.endpoints.expire(now);
-        let late: Vec<_> = self
-            .running
-            .iter()
-            .filter(|(_, running)| running.deadline + RELEASE_LATE <= now)
-            .map(|(attempt, _)| *attempt)
-            .collect();
-        for attempt in late {
-            if let Some(running) = self.running.remove(&attempt) {
-                self.free(&attempt, &running);
-            }
-        }
-        for item in self.queue.expire(now) {
-            self.requests.remove(&item.ticket);
-            let message = "the deadline passed while the request waited; nothing ran";
-            refuse(actions, item.ticket, Kind::DeadlineInQueue, message);
-        }
-        if self.endpoints.slots.iter().any(|slot| self.is_offered(slot)) {
-            self.had_endpoint = now;
-        } else if NO_ENDPOINT_AFTER <= now.since(self.had_endpoint) {
-            let tickets: Vec<_> = self.requests.keys().copied().collect();
-            for ticket in tickets {
-                self.queue.remove(ticket);
-                self.requests.remove(&ticket);
-                let message = "no endpoint provides this model or service now";
-                refuse(actions, ticket, Kind::NoEndpoint, message);
-            }
-        }
-    }
-
-    fn free(&mut self, attempt: &id::Attempt, running: &Running) {
-        let Some(index) = self.endpoints.find(&running.endpoint) else { return };
-        let on_slot = &mut self.endpoints.slots[index].running;
-        if let Some(position) = on_slot.iter().position(|other| other == attempt) {
-            on_slot.swap_remove(position);
-        }
-    }
 }
 
 /// Adds a refusal of a request of which no byte left.
--- /dev/null
+++ b/crates/wasabi-scheduler/src/pool/release.rs
@@ -0,0 +1,90 @@
+//! What an ended attempt shows of its endpoint, its version and itself.
+
+use wasabi_protocol::{
+    clock::Millis,
+    contract::Tier,
+    request::{End, Report},
+    rpc::Release,
+};
+use wasabi_rollout::evidence::Observation;
+use wasabi_routing::pace::Sample;
+
+use super::{owner::Pool, running::Running};
+
+impl Pool {
+    pub(super) fn release(&mut self, now: Millis, release: &Release) {
+        let Some(running) = self.running.remove(release.attempt) else { return };
+        self.free(&running);
+        self.timers.ended(now, &running, &release.report);
+        self.learn_pace(now, &running, &release.report);
+        self.learn_version(now, &running, &release.report);
+        let request = &running.request;
+        match release.report.end {
+            End::Finished => {
+                self.suspects.finished(now, request.fingerprint);
+                self.retries.succeeded(now);
+            }
+            End::Unreachable => {
+                if let Some(slot) = self.endpoints.get_mut(&running.endpoint) {
+                    // It gets no new work before it announces itself again.
+                    slot.unreachable = true;
+                }
+            }
+            End::Broken => {
+                let fingerprint = (request.fingerprint, request.organisation.clone());
+                self.broke(now, &running.endpoint, fingerprint);
+            }
+            End::Failed | End::Silent | End::Abandoned => {}
+        }
+        if release.report.first_token.is_none()
+            && let Some(slot) = self.endpoints.get_mut(&running.endpoint)
+        {
+            slot.cache.unsent(running.started, &running.request.prefix);
+        }
+    }
+
+    /// Takes an ended attempt off its endpoint and out of its organisation's account.
+    pub(super) fn free(&mut self, running: &Running) {
+        let attempt = running.request.attempt;
+        self.suspects.ended(attempt);
+        self.budgets.end(&running.request.organisation);
+        let Some(slot) = self.endpoints.get_mut(&running.endpoint) else { return };
+        let Some(position) = slot.running.iter().position(|other| *other == attempt) else {
+            return;
+        };
+        slot.running.swap_remove(position);
+        slot.urgent -= u32::from(running.request.tier == Tier::TOP);
+    }
+
+    fn learn_pace(&mut self, now: Millis, running: &Running, report: &Report) {
+        // The owner that started an adopted attempt knew what lay ahead of it; this one does not.
+        if running.grant.is_none() {
+            return;
+        }
+        let Some(sample) = Sample::of(report, running.prefill_tokens) else { return };
+        let name = &running.endpoint;
+        let reference = self.board.kind_per_token_ms(name);
+        self.board.sample(now, name, sample);
+        let Some(slot) = self.endpoints.get_mut(name) else { return };
+        slot.refresh(now, &self.board);
+        if let (Some(own), Some(kind)) = (sample.per_token_ms, reference) {
+            slot.bound.observe(now, own / kind.max(f64::MIN_POSITIVE));
+        }
+    }
+
+    fn learn_version(&mut self, now: Millis, running: &Running, report: &Report) {
+        let Some(side) = running.side else { return };
+        let hardware = self.endpoints.get_mut(&running.endpoint);
+        let hardware = hardware.map(|slot| slot.announcement.hardware.clone()).unwrap_or_default();
+        let seen = Observation {
+            route: &running.request.route,
+            side,
+            endpoint: &running.endpoint,
+            hardware: &hardware,
+            fingerprint: running.request.fingerprint,
+            load: running.load,
+            report,
+        };
+        self.versions.observe(now, seen);
+    }
+}
--- /dev/null
+++ b/crates/wasabi-scheduler/src/pool/tick.rs
@@ -0,0 +1,211 @@
+//! What is due with time: expiry, refusals, budgets, samples of overdue attempts.
+
+use wasabi_protocol::{clock::Millis, fault::Kind, request::Report};
+use wasabi_routing::pace::{Sample, Standing};
+
+use super::{
+    dispatch::AGED_PART,
+    event::Action,
+    owner::{Pool, refuse},
+    running::Running,
+};
+
+/// Time after its deadline at which an attempt that was never released is counted as ended.
+///
+/// Holders end attempts at the deadline; only a lost release message leaves one behind.
+const RELEASE_LATE: Millis = Millis::from_secs(5);
+
+/// Time without any endpoint after which requests are refused instead of kept waiting.
+///
+/// Endpoints announce every second, so a new owner knows all of them well within this time.
+const NO_ENDPOINT_AFTER: Millis = Millis::from_secs(3);
+
+/// Time between two searches for overdue attempts and settled losses, in milliseconds.
+const SWEEP_EVERY: Millis = Millis(500);
+
+/// Weight of a new sample in the pool's moving averages.
+const SAMPLE_WEIGHT: f64 = 0.05;
+
+/// Time to the next free slot that is assumed before any was freed, in milliseconds.
+const GAP_UNKNOWN: f64 = 50.0;
+
+/// Longest time to the next free slot that is believed, in milliseconds.
+const GAP_MAX: f64 = 1_000.0;
+
+/// Time that a dispatch decision may come late: one tick, in milliseconds.
+const TICK: Millis = Millis(50);
+
+/// Unused credit for aged work that is kept, in milliseconds of the reserved fraction.
+const AGED_CREDIT_SPAN: f64 = 10_000.0;
+
+/// Averages and times of a pool.
+#[derive(Debug)]
+pub(super) struct Timers {
+    /// Slot time that aged work may still use, in milliseconds; negative when it used more.
+    pub(super) aged_credit: f64,
+    last_tick: Millis,
+    last_sweep: Millis,
+    had_endpoint: Millis,
+    last_end: Millis,
+    end_gap: f64,
+    per_token: f64,
+}
+
+impl Default for Timers {
+    fn default() -> Self {
+        Self {
+            aged_credit: 0.0,
+            last_tick: Millis::ZERO,
+            last_sweep: Millis::ZERO,
+            had_endpoint: Millis::ZERO,
+            last_end: Millis::ZERO,
+            end_gap: GAP_UNKNOWN,
+            per_token: 0.0,
+        }
+    }
+}
+
+impl Timers {
+    pub(super) fn start(&mut self, now: Millis) {
+        self.last_tick = now;
+        self.last_sweep = now;
+        self.had_endpoint = now;
+        self.last_end = now;
+    }
+
+    /// Takes an ended attempt into account.
+    pub(super) fn ended(&mut self, now: Millis, running: &Running, report: &Report) {
+        let gap = now.since(self.last_end).0 as f64;
+        self.last_end = now;
+        self.end_gap += SAMPLE_WEIGHT * (gap.min(GAP_MAX) - self.end_gap);
+        let tokens = running.request.tokens().max(1) as f64;
+        if report.end == wasabi_protocol::request::End::Finished {
+            let per_token = now.since(running.started).0 as f64 / tokens;
+            self.per_token += SAMPLE_WEIGHT * (per_token - self.per_token);
+        }
+    }
+
+    /// Returns the time within which the next slot will be free, as a rule.
+    pub(super) fn patience(&self) -> Millis {
+        Millis((2.0 * self.end_gap) as u64) + TICK
+    }
+
+    /// Returns the usual time that an attempt of this size runs.
+    pub(super) fn span_of(&self, tokens: u64) -> Millis {
+        Millis((self.per_token * tokens as f64) as u64)
+    }
+}
+
+impl Pool {
+    pub(super) fn tick(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        self.accrue(now);
+        self.expire_endpoints(now);
+        self.expire_reserve(now);
+        self.refuse_expired(now, actions);
+        self.refuse_without_endpoint(now, actions);
+        if SWEEP_EVERY <= now.since(self.timers.last_sweep) {
+            self.timers.last_sweep = now;
+            self.sweep(now);
+        }
+        for (organisation, used) in self.budgets.asks(now, &self.queue) {
+            actions.push(Action::RequestBudget { organisation, used });
+        }
+        self.preempt(now, actions);
+    }
+
+    fn accrue(&mut self, now: Millis) {
+        let elapsed = now.since(self.timers.last_tick).0 as f64;
+        self.timers.last_tick = now;
+        let part = f64::from(self.endpoints.capacity()) * AGED_PART;
+        let used = f64::from(self.running.aged());
+        let credit = self.timers.aged_credit + elapsed * (part - used);
+        self.timers.aged_credit = credit.min(part * AGED_CREDIT_SPAN);
+    }
+
+    fn refuse_expired(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        for item in self.queue.expire(now) {
+            self.requests.remove(&item.ticket);
+            let message = "the deadline passed while the request waited; nothing ran";
+            refuse(actions, item.ticket, Kind::DeadlineInQueue, message);
+        }
+        for ticket in self.queue.age(now) {
+            let Some(request) = self.requests.get(&ticket) else { continue };
+            if self.budgets.may_start(now, &request.organisation) {
+                continue;
+            }
+            self.queue.remove(ticket);
+            self.requests.remove(&ticket);
+            let message = "a limit of the contract is used up; wait, or change the contract";
+            refuse(actions, ticket, Kind::LimitReached, message);
+        }
+    }
+
+    fn refuse_without_endpoint(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        if self.endpoints.slots.iter().any(|slot| self.is_offered(slot)) {
+            self.timers.had_endpoint = now;
+            return;
+        }
+        if now.since(self.timers.had_endpoint) < NO_ENDPOINT_AFTER {
+            return;
+        }
+        let mut tickets: Vec<_> = self.requests.keys().copied().collect();
+        tickets.sort_unstable();
+        for ticket in tickets {
+            self.queue.remove(ticket);
+            self.requests.remove(&ticket);
+            let message = "no endpoint provides this model or service now";
+            refuse(actions, ticket, Kind::NoEndpoint, message);
+        }
+    }
+
+    fn sweep(&mut self, now: Millis) {
+        let late: Vec<_> = self
+            .running
+            .values()
+            .filter(|running| running.deadline + RELEASE_LATE <= now)
+            .map(|running| running.request.attempt)
+            .collect();
+        for attempt in late {
+            if let Some(running) = self.running.remove(attempt) {
+                self.free(&running);
+            }
+        }
+        if !self.is_new(now) {
+            self.running.forget_ended();
+        }
+        self.sample_overdue(now);
+        self.suspects.expire(now);
+        let suspects = &self.suspects;
+        self.versions.settle_losses(now, |fingerprint| suspects.is_quarantined(now, fingerprint));
+        self.versions.regroup(&self.endpoints.slots);
+        for slot in &mut self.endpoints.slots {
+            if slot.standing == Standing::Probation {
+                slot.refresh(now, &self.board);
+            }
+        }
+    }
+
+    /// Counts attempts that run for much longer than their kind as bad samples before they end,
+    /// since an endpoint that slows down badly ends nothing.
+    fn sample_overdue(&mut self, now: Millis) {
+        let board = &mut self.board;
+        for running in self.running.values_mut() {
+            if running.overdue || running.grant.is_none() {
+                continue;
+            }
+            let tokens = (running.prefill_tokens, running.request.output_tokens);
+            let Some(after) = board.overdue_after(&running.endpoint, tokens.0, tokens.1) else {
+                continue;
+            };
+            if now.since(running.started) <= after {
+                continue;
+            }
+            running.overdue = true;
+            let sample = Sample { silent: true, ..Sample::default() };
+            board.sample(now, &running.endpoint, sample);
+            if let Some(slot) = self.endpoints.get_mut(&running.endpoint) {
+                slot.refresh(now, board);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/wasabi-scheduler/src/pool/versions.rs
@@ -0,0 +1,194 @@
+//! Which versions may be offered, and the share of an unproven one.
+
+use wasabi_protocol::{
+    clock::Millis,
+    command::{Config, Stage},
+    contract::Tier,
+    fingerprint::Body,
+    id,
+    rpc::Evidence,
+};
+use wasabi_rollout::{
+    credit::{self, Side},
+    evidence::Observation,
+    sequential::Verdict,
+    stop::Watch,
+};
+
+use super::endpoint::Slot;
+
+/// The versions of a pool's endpoints.
+#[derive(Debug, Default)]
+pub(super) struct Versions {
+    banned: Vec<id::Version>,
+    /// The version in use while no move runs. An endpoint of another version gets no work then,
+    /// since nothing limits the share of a version that no move names.
+    settled: Option<id::Version>,
+    active: Option<Active>,
+}
+
+/// A move that has not ended.
+#[derive(Debug)]
+struct Active {
+    name: id::Move,
+    from: id::Version,
+    to: id::Version,
+    stage: Stage,
+    ledger: credit::Ledger,
+    watch: Watch,
+}
+
+/// How one request may use an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Offer {
+    /// Without reserve.
+    Proven,
+    /// As part of the share of the move's new version.
+    Unproven,
+    /// Not at all.
+    Never,
+}
+
+impl Versions {
+    /// Takes a configuration into account.
+    pub(super) fn configure(&mut self, config: &Config, backend: &id::Backend, slots: &[Slot]) {
+        self.banned = config
+            .banned
+            .iter()
+            .filter(|(other, _)| other == backend)
+            .map(|(_, version)| version.clone())
+            .collect();
+        let moves = || config.moves.iter().filter(|order| order.plan.backend == *backend);
+        let routes = config
+            .contracts
+            .iter()
+            .flat_map(|contract| &contract.routes)
+            .filter(|route| route.target.backend() == backend)
+            .count();
+        let active = moves().filter(|order| !order.stage.is_final()).max_by_key(|o| o.started);
+        let ended = moves().filter(|order| order.stage.is_final()).max_by_key(|o| o.changed);
+        if let Some(order) = ended {
+            let is_done = order.stage == Stage::Done;
+            let version = if is_done { &order.plan.to } else { &order.plan.from };
+            self.settled = Some(version.clone());
+        }
+        let Some(order) = active else {
+            self.active = None;
+            return;
+        };
+        self.settled = Some(order.plan.from.clone());
+        match &mut self.active {
+            Some(known) if known.name == order.plan.name => {
+                known.stage = order.stage;
+            }
+            _ => {
+                self.active = Some(Active {
+                    name: order.plan.name.clone(),
+                    from: order.plan.from.clone(),
+                    to: order.plan.to.clone(),
+                    stage: order.stage,
+                    ledger: credit::Ledger::new(order.stage, 1),
+                    watch: Watch::new(routes),
+                });
+            }
+        }
+        self.regroup(slots);
+    }
+
+    /// Follows what the replicas of the new version can run at one time.
+    pub(super) fn regroup(&mut self, slots: &[Slot]) {
+        let Some(active) = &mut self.active else { return };
+        let replicas = credit::replicas(active.stage, slots.len());
+        let new = slots.iter().filter(|slot| slot.announcement.version == active.to);
+        let group = new.take(replicas).map(|slot| slot.announcement.concurrency).sum();
+        active.ledger.restage(active.stage, group);
+    }
+
+    /// Chooses the version in use when no move ever named one: the one with the most endpoints.
+    pub(super) fn settle(&mut self, slots: &[Slot]) {
+        let versions = || slots.iter().map(|slot| &slot.announcement.version);
+        let is_known = |version: &id::Version| versions().any(|other| other == version);
+        if self.active.is_some() || self.settled.as_ref().is_some_and(is_known) {
+            return;
+        }
+        let count = |version: &id::Version| versions().filter(|other| *other == version).count();
+        self.settled = versions()
+            .filter(|version| !self.banned.contains(version))
+            .max_by_key(|version| (count(version), *version))
+            .cloned();
+    }
+
+    /// Returns how endpoints of a version may be used.
+    pub(super) fn offer(&self, version: &id::Version) -> Offer {
+        if self.banned.contains(version) {
+            return Offer::Never;
+        }
+        let Some(active) = &self.active else {
+            let is_settled = self.settled.as_ref().is_none_or(|settled| settled == version);
+            return if is_settled { Offer::Proven } else { Offer::Never };
+        };
+        if *version == active.from {
+            return Offer::Proven;
+        }
+        let is_stopped = active.watch.stopped().is_some();
+        let is_offered = *version == active.to && !is_stopped && active.stage != Stage::TakenBack;
+        if is_offered { Offer::Unproven } else { Offer::Never }
+    }
+
+    /// Returns how many endpoints of the new version may be used.
+    pub(super) fn replicas(&self, total: usize) -> usize {
+        self.active.as_ref().map_or(0, |active| credit::replicas(active.stage, total))
+    }
+
+    /// Returns the side of an endpoint's version while a move runs.
+    pub(super) fn side(&self, version: &id::Version) -> Option<Side> {
+        let active = self.active.as_ref()?;
+        if *version == active.to {
+            Some(Side::New)
+        } else {
+            (*version == active.from).then_some(Side::Old)
+        }
+    }
+
+    /// Returns whether all traffic goes to the new version.
+    pub(super) fn has_moved(&self) -> bool {
+        self.active.as_ref().is_some_and(|active| 1_000 <= active.ledger.permille())
+    }
+
+    /// Counts a dispatch against the route's credit and returns the side that it should use.
+    pub(super) fn choose(&mut self, route: &id::Route, tier: Tier) -> Side {
+        let Some(active) = &mut self.active else { return Side::Old };
+        let verdict = active.watch.verdict(route);
+        if verdict == Verdict::Rejected {
+            return Side::Old;
+        }
+        active.ledger.side(route, tier, verdict)
+    }
+
+    /// Gives back the credit of a dispatch that did not go to the new version after all.
+    pub(super) fn refund(&mut self, route: &id::Route) {
+        if let Some(active) = &mut self.active {
+            active.ledger.refund(route);
+        }
+    }
+
+    /// Takes an ended request into account.
+    pub(super) fn observe(&mut self, now: Millis, seen: Observation<'_>) {
+        if let Some(active) = &mut self.active {
+            active.watch.observe(now, seen);
+        }
+    }
+
+    /// Counts lost connections whose cause is settled.
+    pub(super) fn settle_losses(&mut self, now: Millis, is_quarantined: impl Fn(Body) -> bool) {
+        if let Some(active) = &mut self.active {
+            active.watch.settle(now, is_quarantined);
+        }
+    }
+
+    /// Returns the evidence since the last call.
+    pub(super) fn evidence(&mut self) -> Vec<Evidence> {
+        let Some(active) = &mut self.active else { return Vec::new() };
+        active.watch.drain(&active.name, &active.from, &active.to)
+    }
+}
--- a/crates/wasabi-scheduler/tests/kit/mod.rs
+++ b/crates/wasabi-scheduler/tests/kit/mod.rs
@@ -3,8 +3,8 @@
 
 use wasabi_protocol::{
     clock::Millis,
-    command::{Config, Duty, Entry, View},
-    contract::Tier,
+    command::{Config, Duty, Entry, Move, Plan, Stage, View},
+    contract::{Contract, Limits, Tier},
     endpoint::{Announcement, Kind},
     fingerprint, id,
     request::{End, Report, Request},
@@ -93,6 +93,38 @@
     }
 }
 
+pub fn contract(organisation: &str, limits: Limits) -> Contract {
+    Contract {
+        organisation: organisation.into(),
+        token_digests: Vec::new(),
+        share: 1,
+        limits,
+        routes: Vec::new(),
+    }
+}
+
+/// Returns a move of the pool's model from `v1` to `v2`.
+pub fn order(stage: Stage) -> Move {
+    let plan = Plan {
+        name: "m1".into(),
+        kind: Kind::Model,
+        backend: "chat".into(),
+        from: "v1".into(),
+        to: "v2".into(),
+        finish_by: Millis::from_secs(3_600),
+        start_permille: 10,
+        watch: Millis::from_secs(60),
+    };
+    let reason = String::new();
+    Move { plan, stage, reason, started: Millis(1), changed: Millis(1) }
+}
+
+pub fn announce_version(pool: &mut Pool, now: u64, name: &str, concurrency: u32, version: &str) {
+    let mut announcement = announcement(name, concurrency);
+    announcement.version = version.into();
+    pool.step(Millis(now), Event::Announce(announcement));
+}
+
 pub fn acquire(pool: &mut Pool, now: u64, ticket: u64, tier: u8) -> Vec<Action> {
     pool.step(Millis(now), Event::Acquire { ticket, request: request(ticket, tier) })
 }
--- /dev/null
+++ b/crates/wasabi-scheduler/tests/suspects.rs
@@ -0,0 +1,127 @@
+//! Tests of requests that crash endpoints.
+
+mod kit;
+
+use kit::{acquire, announcement, grants, ready, refusals, release, request};
+use wasabi_protocol::{clock::Millis, fault::Kind, fingerprint, request::End, rpc::Grant};
+use wasabi_scheduler::pool::{Event, Pool};
+
+fn again(ticket: u64, fingerprint: u64, avoid: &[&str]) -> Event<'static> {
+    let mut request = request(ticket, 2);
+    request.fingerprint = fingerprint::Body(fingerprint);
+    request.avoid = avoid.iter().map(|name| (*name).into()).collect();
+    Event::Acquire { ticket, request }
+}
+
+fn on<'a>(held: &'a [(u64, Grant)], endpoint: &str) -> Vec<&'a (u64, Grant)> {
+    held.iter().filter(|(_, grant)| grant.endpoint.as_str() == endpoint).collect()
+}
+
+/// Returns a pool of three endpoints that each run three of the requests 0 to 8.
+fn busy() -> (Pool, Vec<(u64, Grant)>) {
+    let mut pool = ready(3, 4);
+    let held: Vec<_> = (0..9).flat_map(|n| grants(&acquire(&mut pool, 1_000, n, 2))).collect();
+    assert_eq!(on(&held, "a").len(), 3);
+    (pool, held)
+}
+
+fn crash(pool: &mut Pool, now: u64, held: &[&(u64, Grant)]) {
+    for (ticket, grant) in held {
+        let mut release = release(grant, request(*ticket, 2).attempt, End::Broken);
+        if let Event::Release(release) = &mut release {
+            release.report.first_token = None;
+        }
+        pool.step(Millis(now), release);
+    }
+}
+
+/// Guards against a request that crashes endpoints and takes others' answers with it again: after
+/// a crash its batch runs one at a time, each alone on an endpoint.
+#[test]
+fn runs_suspects_alone_and_one_at_a_time() {
+    let (mut pool, held) = busy();
+    let batch = on(&held, "a");
+    crash(&mut pool, 1_100, &batch);
+    let (first, second) = (batch[0].0, batch[1].0);
+    for (ticket, fingerprint) in [(100, first), (101, second)] {
+        assert!(grants(&pool.step(Millis(1_100), again(ticket, fingerprint, &["a"]))).is_empty());
+    }
+    // The endpoint set apart drains: new work goes to the other one.
+    let mut others = Vec::new();
+    for number in 200..203 {
+        others.extend(grants(&acquire(&mut pool, 1_101, number, 2)));
+    }
+    assert_eq!(others.len(), 1, "only one place is left beside the endpoint set apart");
+    let apart = if others[0].1.endpoint.as_str() == "b" { "c" } else { "b" };
+    let mut alone = Vec::new();
+    for (ticket, grant) in on(&held, apart) {
+        let attempt = request(*ticket, 2).attempt;
+        alone.extend(grants(&pool.step(Millis(1_200), release(grant, attempt, End::Finished))));
+    }
+    assert_eq!(alone.len(), 1, "one suspect runs");
+    assert_eq!(alone[0].1.endpoint.as_str(), apart);
+    assert!(grants(&acquire(&mut pool, 1_201, 300, 0)).is_empty(), "nothing runs beside it");
+    let attempt = request(alone[0].0, 2).attempt;
+    let next = grants(&pool.step(Millis(1_300), release(&alone[0].1, attempt, End::Finished)));
+    assert!(next.iter().any(|(ticket, _)| [100, 101].contains(ticket)), "then the next one");
+}
+
+/// Guards against a request that crashes one endpoint after another when its caller sends it
+/// again, and against refusing the innocent requests of its batch.
+#[test]
+fn quarantines_the_crashing_request_only() {
+    let (mut pool, held) = busy();
+    let batch = on(&held, "a");
+    let bad = batch[0].0;
+    crash(&mut pool, 1_100, &batch);
+    for (ticket, grant) in held.iter().filter(|(_, grant)| grant.endpoint.as_str() != "a") {
+        let attempt = request(*ticket, 2).attempt;
+        pool.step(Millis(1_150), release(grant, attempt, End::Finished));
+    }
+    let alone = grants(&pool.step(Millis(1_200), again(100, bad, &["a"])));
+    crash(&mut pool, 1_300, &alone.iter().collect::<Vec<_>>());
+    let actions = pool.step(Millis(1_400), again(101, bad, &[]));
+    assert_eq!(refusals(&actions), [(101, Kind::Quarantined)]);
+    assert!(pool.suspects(Millis(1_400)).iter().any(|suspect| suspect.fingerprint.0 == bad));
+    pool.step(Millis(1_500), Event::Announce(announcement("a", 4)));
+    let innocent = grants(&pool.step(Millis(1_500), again(102, batch[1].0, &[])));
+    assert_eq!(innocent.len(), 1);
+}
+
+/// Guards against an endpoint that dies without breaking its connections: what ran on it when it
+/// fell silent, or when its next process announced itself, is suspected too.
+#[test]
+fn suspects_the_batch_of_a_silent_or_restarted_endpoint() {
+    let (mut pool, held) = busy();
+    let mut restarted = announcement("a", 4);
+    restarted.incarnation = 2;
+    pool.step(Millis(1_100), Event::Announce(restarted));
+    let mut known: Vec<_> =
+        pool.suspects(Millis(1_100)).iter().map(|suspect| suspect.fingerprint.0).collect();
+    known.sort_unstable();
+    let mut expected: Vec<_> = on(&held, "a").iter().map(|(ticket, _)| *ticket).collect();
+    expected.sort_unstable();
+    assert_eq!(known, expected);
+    pool.step(Millis(3_500), Event::Announce(announcement("c", 4)));
+    pool.step(Millis(3_500), Event::Tick);
+    assert_eq!(pool.suspects(Millis(3_500)).len(), 6, "the batch of `b` too");
+}
+
+/// Guards against a quarantine that only the entry knows which saw the crashes.
+#[test]
+fn refuses_what_a_peer_quarantined() {
+    let (mut seen, _) = busy();
+    let mut other = ready(1, 4);
+    let suspect = wasabi_protocol::rpc::Suspect {
+        fingerprint: fingerprint::Body(77),
+        organisation: "org".into(),
+        crashes: 2,
+        weight: 1.5,
+        age: Millis(100),
+    };
+    for pool in [&mut seen, &mut other] {
+        pool.step(Millis(1_000), Event::Suspects(std::slice::from_ref(&suspect)));
+        let actions = pool.step(Millis(1_001), again(500, 77, &[]));
+        assert_eq!(refusals(&actions), [(500, Kind::Quarantined)]);
+    }
+}
--- /dev/null
+++ b/crates/wasabi-scheduler/tests/versions.rs
@@ -0,0 +1,126 @@
+//! Tests of invariant 3: the share, the stop and the ban of versions.
+
+mod kit;
+
+use kit::{acquire, announce_version, config, grants, order, refusals, release, request};
+use wasabi_protocol::{
+    clock::Millis,
+    command::{Config, Stage},
+    fault::Kind,
+    request::End,
+};
+use wasabi_scheduler::pool::{Event, Pool};
+
+fn moving(stage: Stage) -> (Pool, Config) {
+    let mut pool = kit::ready(3, 8);
+    announce_version(&mut pool, 1_000, "n", 8, "v2");
+    let mut config = config(2, &["e1"]);
+    config.moves = vec![order(stage)];
+    pool.step(Millis(1_000), Event::Config(&config));
+    (pool, config)
+}
+
+/// Runs `count` requests one after another and returns how many went to `v2`.
+fn run(pool: &mut Pool, from: u64, count: u64, tier: u8, end: End) -> u64 {
+    let mut new = 0;
+    for number in from..from + count {
+        let now = 1_000 + number;
+        if number % 500 == 0 {
+            kit::announce_all(pool, Millis(now), 3, 8);
+            announce_version(pool, now, "n", 8, "v2");
+            pool.step(Millis(now), Event::Tick);
+        }
+        let granted = grants(&acquire(pool, now, number, tier));
+        let grant = &granted[0].1;
+        let is_new = grant.version.as_str() == "v2";
+        new += u64::from(is_new);
+        let end = if is_new { end } else { End::Finished };
+        pool.step(Millis(now), release(grant, request(number, tier).attempt, end));
+    }
+    new
+}
+
+/// Guards against more than the planned share of a route reaching the new version, and against a
+/// new version that gets nothing and so can never prove itself.
+#[test]
+fn gives_an_unproven_version_its_share_and_no_more() {
+    let (mut pool, _) = moving(Stage::Share(10));
+    let new = run(&mut pool, 0, 5_000, 2, End::Finished);
+    assert!((20..=50).contains(&new), "{new} of 5,000 at a share of 1%");
+}
+
+/// Guards against urgent requests on an unproven version while another endpoint is left, and
+/// against refusing them when none is.
+#[test]
+fn keeps_tier_0_off_an_unproven_version_unless_nothing_else_is_left() {
+    let (mut pool, _) = moving(Stage::Share(100));
+    assert_eq!(run(&mut pool, 0, 2_000, 0, End::Finished), 0);
+    for name in ["a", "b", "c"] {
+        pool.step(Millis(3_100), Event::Leave { endpoint: name.into() });
+    }
+    let granted = grants(&acquire(&mut pool, 3_101, 9_999, 0));
+    assert_eq!(granted[0].1.version.as_str(), "v2");
+}
+
+/// Guards against a full old version that pushes requests beyond the share to the new one.
+#[test]
+fn does_not_exceed_the_share_when_the_old_version_is_full() {
+    let (mut pool, _) = moving(Stage::Share(10));
+    let mut new = 0;
+    for ticket in 0..40 {
+        for (_, grant) in grants(&acquire(&mut pool, 1_000, ticket, 2)) {
+            new += u32::from(grant.version.as_str() == "v2");
+        }
+    }
+    assert_eq!(new, 0, "24 places of the old version are full");
+}
+
+/// Guards against traffic to a bad version after its fault shows: the owner stops it by its own
+/// evidence and reports that.
+#[test]
+fn stops_a_failing_version_on_its_own_evidence() {
+    let (mut pool, _) = moving(Stage::Share(100));
+    let failed = run(&mut pool, 0, 4_000, 2, End::Failed);
+    assert!(failed <= 12, "{failed} requests met a version that always fails");
+    assert_eq!(run(&mut pool, 4_000, 2_000, 2, End::Failed), 0);
+    assert!(pool.evidence().iter().any(|e| e.stopped && e.version.as_str() == "v2"));
+}
+
+/// Guards against a banned version that is offered again, also when nothing else is left, when
+/// its move is forgotten, or when an older configuration arrives late.
+#[test]
+fn never_offers_a_banned_version() {
+    let (mut pool, old) = moving(Stage::Share(500));
+    let mut banned = config(3, &["e1"]);
+    banned.banned = vec![("chat".into(), "v2".into())];
+    pool.step(Millis(1_000), Event::Config(&banned));
+    pool.step(Millis(1_000), Event::Config(&old));
+    assert_eq!(run(&mut pool, 0, 500, 2, End::Finished), 0);
+    for name in ["a", "b", "c"] {
+        pool.step(Millis(1_600), Event::Leave { endpoint: name.into() });
+    }
+    announce_version(&mut pool, 1_600, "n", 8, "v2");
+    assert!(grants(&acquire(&mut pool, 1_601, 9_999, 0)).is_empty());
+    for now in (1_700..4_700).step_by(500) {
+        announce_version(&mut pool, now, "n", 8, "v2");
+    }
+    let refused = refusals(&pool.step(Millis(4_700), Event::Tick));
+    assert_eq!(refused, [(9_999, Kind::NoEndpoint)]);
+}
+
+/// Guards against a version that no move names getting unlimited traffic beside the one in use.
+#[test]
+fn offers_no_version_without_a_move() {
+    let mut pool = kit::ready(3, 8);
+    announce_version(&mut pool, 1_000, "n", 8, "v2");
+    assert_eq!(run(&mut pool, 0, 1_000, 2, End::Finished), 0);
+}
+
+/// Guards against a move that ends with the old version still in use.
+#[test]
+fn moves_all_tiers_at_the_end() {
+    let (mut pool, _) = moving(Stage::Watching { until: Millis(1) });
+    for tier in 0..5 {
+        assert_eq!(run(&mut pool, u64::from(tier) * 100, 50, tier, End::Finished), 50);
+    }
+}
