--- a/crates/wasabi-admission/src/queue.rs
+++ b/crates/wasabi-admission/src/queue.rs
@@ -1,4 +1,8 @@
 //! The queue of a pool: strict tiers, fair shares between organisations, earliest deadline first.
+//!
+//! Requests that can no longer meet their first-token target go behind the other requests of
+//! their organisation. Under overload, earliest deadline first would otherwise serve each request
+//! just after its target has passed.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -7,6 +11,11 @@
 /// Fixed-point scale of virtual time, so that small requests of large shares still advance it.
 const VIRTUAL_SCALE: u128 = 1 << 20;
 
+/// Most accounts kept in one tier for organisations without waiting requests.
+///
+/// The accounts nearest to virtual time, which matter least, are dropped first.
+const IDLE_ACCOUNTS_MAX: usize = 1_024;
+
 /// What the queue needs to know of a waiting request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Item {
@@ -22,8 +31,8 @@
     pub tokens: u64,
     /// When it first arrived at any entry.
     pub arrived: Millis,
-    /// When its first token is due.
-    pub first_token_by: Millis,
+    /// When it must start to meet its first-token target.
+    pub start_by: Millis,
     /// When it becomes useless.
     pub deadline: Millis,
 }
@@ -54,6 +63,8 @@
     flows: HashMap<id::Organisation, Flow>,
     /// Flows with waiting requests, by virtual time.
     order: BTreeSet<(u128, id::Organisation)>,
+    /// Flows without waiting requests whose account is still ahead of virtual time.
+    idle: BTreeSet<(u128, id::Organisation)>,
     due: BTreeSet<(Millis, u64)>,
     arrivals: BTreeSet<(Millis, u64)>,
     virtual_now: u128,
@@ -65,8 +76,10 @@
     virtual_start: u128,
     share: u32,
     backlog_tokens: u64,
-    /// Ordered by deadline, then by arrival.
-    items: BTreeMap<(Millis, u64), Item>,
+    /// Requests that can still meet their first-token target, by deadline, then by arrival.
+    fresh: BTreeMap<(Millis, u64), Item>,
+    /// Requests that cannot, in the same order.
+    late: BTreeMap<(Millis, u64), Item>,
     /// Arrival order, for shedding the newest.
     newest: BTreeMap<u64, Millis>,
 }
@@ -166,24 +179,43 @@
         expired
     }
 
+    /// Moves the requests that can no longer meet their first-token target behind the others, and
+    /// returns their tickets.
+    pub fn age(&mut self, now: Millis) -> Vec<u64> {
+        let mut late = Vec::new();
+        for lane in &mut self.tiers {
+            while let Some((start_by, ticket)) = lane.due.first().copied()
+                && start_by < now
+            {
+                lane.due.pop_first();
+                late.push(ticket);
+                let Some(place) = self.places.get(&ticket) else { continue };
+                if let Some(flow) = lane.flows.get_mut(&place.organisation) {
+                    flow.set_late((place.deadline, place.sequence));
+                }
+            }
+        }
+        late
+    }
+
     /// Returns the requests of a tier in the order in which they should start: organisations by
-    /// virtual time, and at most `depth` requests of each by deadline.
+    /// virtual time, and at most `depth` requests of each by deadline, late ones last.
     pub fn candidates(&self, tier: Tier, depth: usize) -> impl Iterator<Item = &Item> {
         let lane = &self.tiers[tier.index()];
         lane.order
             .iter()
             .filter_map(|(_, organisation)| lane.flows.get(organisation))
-            .flat_map(move |flow| flow.items.values().take(depth))
+            .flat_map(move |flow| flow.fresh.values().chain(flow.late.values()).take(depth))
     }
 
-    /// Returns the oldest waiting request of a tier.
-    pub fn oldest(&self, tier: Tier) -> Option<&Item> {
-        let (_, ticket) = self.tiers[tier.index()].arrivals.first()?;
-        self.item(*ticket)
+    /// Returns the waiting requests of a tier, the oldest first.
+    pub fn by_arrival(&self, tier: Tier) -> impl Iterator<Item = &Item> {
+        let arrivals = self.tiers[tier.index()].arrivals.iter();
+        arrivals.filter_map(|(_, ticket)| self.item(*ticket))
     }
 
-    /// Returns the earliest time at which a first token is due among the waiting requests of a
-    /// tier.
+    /// Returns the earliest time by which a waiting request of a tier must start, among those that
+    /// can still meet their first-token target.
     pub fn first_due(&self, tier: Tier) -> Option<Millis> {
         self.tiers[tier.index()].due.first().map(|(due, _)| *due)
     }
@@ -192,7 +224,16 @@
     pub fn item(&self, ticket: u64) -> Option<&Item> {
         let place = self.places.get(&ticket)?;
         let flow = self.tiers[place.tier.index()].flows.get(&place.organisation)?;
-        flow.items.get(&(place.deadline, place.sequence))
+        let key = (place.deadline, place.sequence);
+        flow.fresh.get(&key).or_else(|| flow.late.get(&key))
+    }
+
+    /// Returns the number and the tokens of an organisation's waiting requests.
+    pub fn backlog(&self, organisation: &id::Organisation) -> (u32, u64) {
+        let flows = self.tiers.iter().filter_map(|lane| lane.flows.get(organisation));
+        flows.fold((0, 0), |(count, tokens), flow| {
+            (count + flow.newest.len() as u32, tokens + flow.backlog_tokens)
+        })
     }
 
     fn insert(&mut self, item: Item) {
@@ -219,75 +260,70 @@
             virtual_start: virtual_now,
             share: 1,
             backlog_tokens: 0,
-            items: BTreeMap::new(),
+            fresh: BTreeMap::new(),
+            late: BTreeMap::new(),
             newest: BTreeMap::new(),
         });
         flow.share = item.share.max(1);
-        if flow.items.is_empty() {
+        if flow.newest.is_empty() {
             // An idle organisation saves up no credit: its share was lent meanwhile.
+            self.idle.remove(&(flow.virtual_start, item.organisation.clone()));
             flow.virtual_start = flow.virtual_start.max(virtual_now);
             self.order.insert((flow.virtual_start, item.organisation.clone()));
         }
         flow.backlog_tokens += item.tokens;
         flow.newest.insert(sequence, item.deadline);
-        self.due.insert((item.first_token_by, item.ticket));
+        self.due.insert((item.start_by, item.ticket));
         self.arrivals.insert((item.arrived, item.ticket));
         self.len += 1;
-        flow.items.insert((item.deadline, sequence), item);
+        flow.fresh.insert((item.deadline, sequence), item);
     }
 
     fn remove(&mut self, place: &Place) -> Option<Item> {
         let flow = self.flows.get_mut(&place.organisation)?;
-        let item = flow.items.remove(&(place.deadline, place.sequence))?;
+        let key = (place.deadline, place.sequence);
+        let item = flow.fresh.remove(&key).or_else(|| flow.late.remove(&key))?;
         flow.newest.remove(&place.sequence);
         flow.backlog_tokens -= item.tokens;
-        self.due.remove(&(item.first_token_by, item.ticket));
+        self.due.remove(&(item.start_by, item.ticket));
         self.arrivals.remove(&(item.arrived, item.ticket));
         self.len -= 1;
-        if flow.items.is_empty() {
-            self.order.remove(&(flow.virtual_start, place.organisation.clone()));
-            if flow.virtual_start <= self.virtual_now {
-                self.flows.remove(&place.organisation);
-            }
+        if flow.newest.is_empty() {
+            let key = (flow.virtual_start, place.organisation.clone());
+            self.order.remove(&key);
+            self.idle.insert(key);
         }
         Some(item)
     }
 
+    /// Charges a started request to its organisation, and forgets the idle accounts that virtual
+    /// time has reached.
     fn charge(&mut self, item: &Item) {
         let cost = u128::from(item.tokens.max(1)) * VIRTUAL_SCALE / u128::from(item.share.max(1));
-        let start = self
-            .flows
-            .get(&item.organisation)
-            .map_or(self.virtual_now, |flow| flow.virtual_start.max(self.virtual_now));
-        // A flow that is already ahead of virtual time only starts when nothing else waits.
-        let previous = self.flows.get(&item.organisation).map(|flow| flow.virtual_start);
-        self.virtual_now = match self.order.first() {
-            Some((first, _)) => self.virtual_now.max(*first.min(&start)),
-            None => self.virtual_now.max(start),
+        let Some(flow) = self.flows.get_mut(&item.organisation) else { return };
+        let mut key = (flow.virtual_start, item.organisation.clone());
+        let waits = self.order.remove(&key);
+        self.idle.remove(&key);
+        // A request that starts out of turn does not move virtual time past those that wait.
+        let first = self.order.first().map_or(key.0, |(first, _)| key.0.min(*first));
+        self.virtual_now = self.virtual_now.max(first);
+        flow.virtual_start += cost;
+        key.0 = flow.virtual_start;
+        if waits {
+            self.order.insert(key)
+        } else {
+            self.idle.insert(key)
         };
-        let virtual_start = previous.unwrap_or(start).max(start) + cost;
-        match self.flows.get_mut(&item.organisation) {
-            Some(flow) => {
-                let waits = self.order.remove(&(flow.virtual_start, item.organisation.clone()));
-                flow.virtual_start = virtual_start;
-                if waits {
-                    self.order.insert((virtual_start, item.organisation.clone()));
-                }
-            }
-            None => {
-                let flow = Flow {
-                    virtual_start,
-                    share: item.share.max(1),
-                    backlog_tokens: 0,
-                    items: BTreeMap::new(),
-                    newest: BTreeMap::new(),
-                };
-                self.flows.insert(item.organisation.clone(), flow);
-            }
+        while let Some((start, _)) = self.idle.first()
+            && (*start <= self.virtual_now
+                || self.order.is_empty()
+                || IDLE_ACCOUNTS_MAX < self.idle.len())
+        {
+            // Once nothing waits, no share was taken from anyone and all accounts restart equal.
+            let Some((_, organisation)) = self.idle.pop_first() else { break };
+            self.flows.remove(&organisation);
         }
         if self.order.is_empty() {
-            // Nothing waits, so no share was taken from anyone and all accounts restart equal.
-            self.flows.clear();
             self.virtual_now = 0;
         }
     }
@@ -298,9 +334,20 @@
             .iter()
             .filter_map(|(_, organisation)| self.flows.get(organisation))
             .max_by_key(|flow| {
-            u128::from(flow.backlog_tokens) * VIRTUAL_SCALE / u128::from(flow.share)
+            let backlog = u128::from(flow.backlog_tokens) * VIRTUAL_SCALE;
+            let newest = flow.newest.last_key_value().map(|(sequence, _)| *sequence);
+            (backlog / u128::from(flow.share), newest)
         })?;
         let (sequence, deadline) = flow.newest.last_key_value()?;
-        flow.items.get(&(*deadline, *sequence)).map(|item| item.ticket)
+        let key = (*deadline, *sequence);
+        flow.fresh.get(&key).or_else(|| flow.late.get(&key)).map(|item| item.ticket)
+    }
+}
+
+impl Flow {
+    fn set_late(&mut self, key: (Millis, u64)) {
+        if let Some(item) = self.fresh.remove(&key) {
+            self.late.insert(key, item);
+        }
     }
 }
