--- /dev/null
+++ b/crates/wasabi-state/src/results.rs
@@ -0,0 +1,104 @@
+use std::collections::{BTreeMap, VecDeque};
+
+use serde::{Deserialize, Serialize};
+use wasabi_protocol::{
+    clock::Millis,
+    command::{Command, Outcome},
+    contract::Problem,
+    fingerprint, id,
+};
+
+/// Time that the result of an operator's command is kept, in milliseconds.
+pub const RESULT_RETENTION: Millis = Millis::from_secs(24 * 60 * 60);
+
+/// Most results that are kept.
+pub const RESULTS_MAX: usize = 100_000;
+
+/// The first results of operators' commands, by command id.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Results {
+    by_command: BTreeMap<id::Command, Result>,
+    /// Commands in the order of their results, which is also the order of time.
+    order: VecDeque<id::Command>,
+}
+
+/// The first result of a command.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Result {
+    at: Millis,
+    digest: u128,
+    outcome: Outcome,
+}
+
+impl Results {
+    /// Returns the first result of a command that was given before.
+    ///
+    /// An id that was used for another command is refused, because neither its first result nor
+    /// a second effect would be what the operator expects.
+    pub(crate) fn first(&self, command: &id::Command, digest: u128) -> Option<Outcome> {
+        let result = self.by_command.get(command)?;
+        if result.digest == digest {
+            return Some(result.outcome.clone());
+        }
+        let problems = vec![Problem {
+            field: "command".to_owned(),
+            message: format!("the id {command} was used for another command; use a new one"),
+        }];
+        Some(Outcome::Refused { problems })
+    }
+
+    pub(crate) fn keep(
+        &mut self,
+        command: id::Command,
+        digest: u128,
+        outcome: Outcome,
+        now: Millis,
+    ) {
+        while RESULTS_MAX <= self.order.len() {
+            self.drop_oldest();
+        }
+        self.order.push_back(command.clone());
+        self.by_command.insert(command, Result { at: now, digest, outcome });
+    }
+
+    pub(crate) fn expire(&mut self, now: Millis) {
+        while let Some(oldest) = self.order.front() {
+            let is_kept = self
+                .by_command
+                .get(oldest)
+                .is_some_and(|result| now.since(result.at) < RESULT_RETENTION);
+            if is_kept {
+                return;
+            }
+            self.drop_oldest();
+        }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.order.len()
+    }
+
+    pub(crate) fn image(&self) -> Vec<(id::Command, Result)> {
+        self.order
+            .iter()
+            .filter_map(|command| Some((command.clone(), self.by_command.get(command)?.clone())))
+            .collect()
+    }
+
+    pub(crate) fn from_image(image: Vec<(id::Command, Result)>) -> Self {
+        let order = image.iter().map(|(command, _)| command.clone()).collect();
+        Self { by_command: image.into_iter().collect(), order }
+    }
+
+    fn drop_oldest(&mut self) {
+        if let Some(command) = self.order.pop_front() {
+            self.by_command.remove(&command);
+        }
+    }
+}
+
+/// Returns the digest that tells a resent command from another one under the same id.
+pub(crate) fn digest(command: &Command) -> u128 {
+    // Encoding into a vector only fails for types that the command does not contain.
+    postcard::to_stdvec(command).map_or(0, |bytes| fingerprint::content(&bytes))
+}
