control: one member serves entries and operators

Cause: the entry daemon needs control to run against; operators need a credential, and an answer only once a change is in force. Ruled out: operators' commands through `control.propose`, which carries no credential. Before / after: no control daemon / `cargo test -p wasabi-control`: a change answers once the entry confirmed it, commands without a credential are refused, a dispatch is recorded.

--- /dev/null
+++ b/crates/wasabi-control/src/main.rs
@@ -0,0 +1,58 @@
+//! The control daemon.
+
+use std::{path::PathBuf, process::ExitCode};
+
+use argh::FromArgs;
+use tokio::signal::unix::{SignalKind, signal};
+use tracing::{error, info};
+use wasabi_control::{Options, Running};
+use wasabi_settings::{control::Settings, file};
+use wasabi_telemetry::log;
+
+/// Runs one member of the control group.
+#[derive(FromArgs)]
+struct Arguments {
+    /// the settings file (YAML)
+    #[argh(option)]
+    settings: PathBuf,
+}
+
+fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    let settings: Settings = match file::read(&arguments.settings) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(2);
+        }
+    };
+    if let Err(error) = log::start(&settings.log) {
+        eprintln!("{error}");
+        return ExitCode::from(2);
+    }
+    actix_rt::System::new().block_on(run(&settings))
+}
+
+async fn run(settings: &Settings) -> ExitCode {
+    let mut running = match Running::start(Options::from(settings)).await {
+        Ok(running) => running,
+        Err(error) => {
+            error!(%error, "cannot start");
+            return ExitCode::FAILURE;
+        }
+    };
+    info!(address = %running.address(), "listening");
+    let (Ok(mut terminate), Ok(mut interrupt)) =
+        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+    else {
+        error!("cannot wait for signals");
+        return ExitCode::FAILURE;
+    };
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => running.stop(),
+            _ = interrupt.recv() => running.stop(),
+            () = running.ended() => return ExitCode::SUCCESS,
+        }
+    }
+}
--- /dev/null
+++ b/crates/wasabi-control/src/options.rs
@@ -0,0 +1,51 @@
+//! What a member needs to know at its start.
+
+use std::{net::SocketAddr, path::PathBuf};
+
+use wasabi_protocol::id;
+use wasabi_settings::control::Settings;
+
+/// What a member needs to know at its start.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// The member's name.
+    pub name: id::Member,
+    /// Where members, entries and operators connect.
+    pub listen: SocketAddr,
+    /// The folder for everything that must survive a restart.
+    pub data: PathBuf,
+    /// The members of a new group with their addresses; empty when the member waits to be added.
+    pub members: Vec<(id::Member, String)>,
+    /// SHA-256 digests of the operators' credentials.
+    pub operator_digests: Vec<String>,
+    /// Committed entries after which a snapshot is taken.
+    pub snapshot_every: u64,
+    /// Whether proposals share a sync.
+    pub batching: Batching,
+}
+
+/// Whether proposals share a sync.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Batching {
+    /// All proposals that wait are synced together.
+    Shared,
+    /// Each proposal is committed before the next is taken; for comparison in measurements.
+    Single,
+}
+
+impl From<&Settings> for Options {
+    fn from(settings: &Settings) -> Self {
+        let member = |member: &wasabi_settings::control::Member| {
+            (member.name.as_str().into(), member.address.to_string())
+        };
+        Self {
+            name: settings.name.as_str().into(),
+            listen: *settings.listen,
+            data: settings.data.clone(),
+            members: settings.members.iter().map(member).collect(),
+            operator_digests: settings.operator_digests.clone(),
+            snapshot_every: *settings.snapshot_every,
+            batching: Batching::Shared,
+        }
+    }
+}
--- /dev/null
+++ b/crates/wasabi-control/tests/single.rs
@@ -0,0 +1,149 @@
+//! Tests of one member over its connections.
+#![allow(clippy::unwrap_used, reason = "a test ends at the first error")]
+
+use jsonrpsee::{
+    core::client::ClientT as _,
+    rpc_params,
+    ws_client::{WsClient, WsClientBuilder},
+};
+use serde::{Serialize, de::DeserializeOwned};
+use wasabi_control::{Batching, Options, Running};
+use wasabi_protocol::{
+    clock::Millis,
+    command::{Command, Duty, Entry, Key, Order, Outcome},
+    contract::{Contract, Limits, Repeat, Route, Target, Tier},
+    fault::{Fault, Kind},
+    fingerprint, id,
+    rpc::{Checked, Checkin, Operate, Operated, Propose, Proposed, method},
+};
+
+const CREDENTIAL: &str = "operator";
+
+fn options(data: &std::path::Path) -> Options {
+    Options {
+        name: "m1".into(),
+        listen: ([127, 0, 0, 1], 0).into(),
+        data: data.to_owned(),
+        members: vec![("m1".into(), "127.0.0.1:1".to_owned())],
+        operator_digests: vec![fingerprint::token(CREDENTIAL)],
+        snapshot_every: 100,
+        batching: Batching::Shared,
+    }
+}
+
+async fn call<A: DeserializeOwned>(client: &WsClient, name: &str, message: impl Serialize) -> A {
+    client.request(name, rpc_params![message]).await.unwrap()
+}
+
+fn checkin(revision: u64) -> Checkin {
+    Checkin {
+        entry: Entry {
+            name: "e1".into(),
+            caller_address: "127.0.0.1:10".to_owned(),
+            peer_address: "127.0.0.1:11".to_owned(),
+            data_centre: "a".into(),
+            region: "r".into(),
+            duty: Duty::Serving,
+        },
+        revision: id::Revision(revision),
+        known: Vec::new(),
+        evidence: Vec::new(),
+        endpoints: Vec::new(),
+        suspects: Vec::new(),
+        degraded: Vec::new(),
+    }
+}
+
+fn contract() -> Contract {
+    Contract {
+        organisation: "org".into(),
+        token_digests: vec![fingerprint::token("secret")],
+        share: 1,
+        limits: Limits { requests_per_s: 10, tokens_per_s: 1_000, concurrency: 4 },
+        routes: vec![Route {
+            name: "query".into(),
+            tier: Tier::TOP,
+            target: Target::Model { name: "m".into() },
+            repeat: Repeat::Idempotent,
+            first_token_ms: Millis(500),
+            between_tokens_ms: Millis(50),
+            deadline_ms: Millis(5_000),
+        }],
+    }
+}
+
+/// Sends heartbeats until control answers with at least this revision.
+async fn heartbeat_until(client: &WsClient, revision: u64) {
+    let mut held = 0;
+    for _ in 0..500 {
+        match call(client, method::CONTROL_HEARTBEAT, checkin(held)).await {
+            Checked::Heard { config, .. } => {
+                held = config.map_or(held, |config| config.revision.0);
+                if revision <= held {
+                    let _: Checked = call(client, method::CONTROL_HEARTBEAT, checkin(held)).await;
+                    return;
+                }
+            }
+            Checked::NotLeader { .. } => {}
+        }
+        actix_rt::time::sleep(std::time::Duration::from_millis(10)).await;
+    }
+    panic!("revision {revision} never came");
+}
+
+/// Guards against commands without a credential, against an answer before the change is in force
+/// at the entry, and against entries that never get the change.
+#[test]
+fn change_is_answered_once_it_is_in_force() {
+    actix_rt::System::new().block_on(async {
+        let folder = tempfile::tempdir().unwrap();
+        let mut running = Running::start(options(folder.path())).await.unwrap();
+        let url = format!("ws://{}", running.address());
+        let client = WsClientBuilder::default().build(&url).await.unwrap();
+        let operator = WsClientBuilder::default().build(&url).await.unwrap();
+        heartbeat_until(&client, 1).await;
+
+        let command = Command::ApplyContract {
+            order: Order {
+                command: "c1".into(),
+                operator: "ada".to_owned(),
+                base: id::Revision(1),
+            },
+            contract: contract(),
+        };
+        let operate = |credential: &str| Operate {
+            credential: credential.to_owned(),
+            command: command.clone(),
+            wait: Millis::from_secs(10),
+        };
+        let refused: Operated = call(&operator, method::OPERATE, operate("guess")).await;
+        assert!(matches!(
+            refused,
+            Operated::Refused(Fault { kind: Kind::OperatorUnauthorized, .. })
+        ));
+        let proposed = Propose { command: command.clone() };
+        let uncredited: Result<Proposed, _> =
+            client.request(method::PROPOSE, rpc_params![proposed]).await;
+        assert!(uncredited.is_err(), "an order needs a credential: {uncredited:?}");
+
+        let answer = call::<Operated>(&operator, method::OPERATE, operate(CREDENTIAL));
+        let (answer, ()) = tokio::join!(answer, heartbeat_until(&client, 2));
+        let Operated::Committed { outcome, force } = answer else { panic!("{answer:?}") };
+        assert_eq!(outcome, Outcome::Accepted { revision: id::Revision(2) });
+        assert_eq!((force.confirmed, force.behind), (vec!["e1".into()], Vec::new()));
+
+        let record = Propose {
+            command: Command::RecordDispatch {
+                key: Key { organisation: "org".into(), key: "k".into() },
+                created: None,
+                body: u128::MAX,
+                attempt: id::Attempt(1),
+                entry: "e1".into(),
+            },
+        };
+        let recorded: Proposed = call(&client, method::PROPOSE, record).await;
+        assert_eq!(recorded, Proposed::Committed(Outcome::Recorded));
+        running.stop();
+        running.ended().await;
+    });
+}
