consensus: members agree on a log and keep it on disk

Cause: the control daemon needs one durable order of changes that survives loss of hosts, disks and messages. Ruled out: releasing messages next to the persist request and trusting the runtime with the order; the node keeps dependent messages until it gets a `Persisted`, which only `Persist::store` creates. Ruled out for the log: a frame per record, since one frame per sync bounds a torn tail to one frame.

--- /dev/null
+++ b/crates/wasabi-consensus/src/leader.rs
@@ -0,0 +1,202 @@
+//! A leader's duties: proposals, replication, heartbeats and commits.
+
+use bytes::Bytes;
+use wasabi_protocol::{clock::Millis, id};
+
+use crate::{
+    Action, Message, Node, Payload, Position, Reason, Request, Verdict,
+    node::State,
+    progress::{Mode, Progress},
+};
+
+impl Node {
+    pub(crate) fn propose(&mut self, data: Bytes, request: Request, actions: &mut Vec<Action>) {
+        if let Some(reason) = self.refusal() {
+            actions.push(Action::Refuse { request, reason });
+            return;
+        }
+        let position = self.push(Payload::Command(data));
+        actions.push(Action::Accepted { request, position });
+    }
+
+    /// Returns why this member takes no proposal now.
+    pub(crate) fn refusal(&self) -> Option<Reason> {
+        let State::Leader(leader) = &self.state else { return Some(self.not_leader()) };
+        if leader.transfer.is_some() {
+            return Some(Reason::Transferring);
+        }
+        let uncommitted = self.log.last().index - self.commit;
+        (self.config.uncommitted_max <= uncommitted).then_some(Reason::Busy)
+    }
+
+    pub(crate) fn heartbeat(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        let State::Leader(leader) = &mut self.state else { return };
+        if now < leader.heartbeat + self.config.heartbeat {
+            return;
+        }
+        leader.heartbeat = now;
+        self.broadcast(now, actions);
+    }
+
+    /// Sends a heartbeat to every member.
+    pub(crate) fn broadcast(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        let State::Leader(leader) = &self.state else { return };
+        let peers: Vec<_> = leader.peers.keys().cloned().collect();
+        for peer in peers {
+            self.probe(now, &peer, actions);
+        }
+    }
+
+    /// Sends every member the entries that it lacks and that are in a batch already.
+    pub(crate) fn replicate(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        let term = self.vote.term;
+        let State::Leader(leader) = &mut self.state else { return };
+        for (member, peer) in &mut leader.peers {
+            let Progress { next, matched, mode: Mode::Stream, .. } = peer else { continue };
+            while *next <= self.durable.issued() && *next - *matched <= self.config.ahead_max {
+                let Some(prev_term) = self.log.term_at(*next - 1) else { break };
+                let prev = Position { term: prev_term, index: *next - 1 };
+                let left = self.durable.issued() - prev.index;
+                let count = usize::try_from(left).unwrap_or(usize::MAX);
+                let count = count.min(self.config.entries_max);
+                let entries = self.log.range(*next, count, self.config.bytes_max);
+                if entries.is_empty() {
+                    break;
+                }
+                *next += entries.len() as u64;
+                let commit = self.commit;
+                let message = Message::Append { term, prev, entries, commit, sent: now };
+                // Needs no wait: the term is durable since the election, and the leader counts its
+                // own copy of the entries only when that is durable.
+                actions.push(Action::Send(member.clone(), message));
+            }
+        }
+    }
+
+    pub(crate) fn count_append(
+        &mut self,
+        now: Millis,
+        from: &id::Member,
+        verdict: Verdict,
+        sent: Millis,
+        actions: &mut Vec<Action>,
+    ) {
+        let last = self.log.last().index;
+        let State::Leader(leader) = &mut self.state else { return };
+        let Some(peer) = leader.peers.get_mut(from) else { return };
+        match verdict {
+            Verdict::Stale => {}
+            Verdict::Matched(index) => {
+                peer.contact = peer.contact.max(Some(sent));
+                peer.matched = peer.matched.max(index.min(last));
+                peer.next = peer.next.max(peer.matched + 1);
+                let covered = match &peer.mode {
+                    Mode::Probe => true,
+                    Mode::Stream => false,
+                    Mode::Install { snapshot, .. } => snapshot.last.index <= peer.matched,
+                };
+                if covered {
+                    peer.next = peer.matched + 1;
+                    peer.mode = Mode::Stream;
+                }
+            }
+            Verdict::Conflict(index) => {
+                peer.contact = peer.contact.max(Some(sent));
+                if matches!(peer.mode, Mode::Install { .. }) {
+                    return;
+                }
+                peer.next = index.min(last).max(peer.matched) + 1;
+                peer.mode = Mode::Probe;
+                let from = from.clone();
+                self.probe(now, &from, actions);
+            }
+        }
+    }
+
+    pub(crate) fn count_install(
+        &mut self,
+        now: Millis,
+        from: &id::Member,
+        last: Position,
+        next: u64,
+        sent: Millis,
+        actions: &mut Vec<Action>,
+    ) {
+        let State::Leader(leader) = &mut self.state else { return };
+        let Some(peer) = leader.peers.get_mut(from) else { return };
+        peer.contact = peer.contact.max(Some(sent));
+        let Mode::Install { snapshot, offset, .. } = &mut peer.mode else { return };
+        // A repeated answer for an earlier offset must not start a second stream of chunks.
+        if snapshot.last != last || next == *offset {
+            return;
+        }
+        *offset = next.min(snapshot.data.len() as u64);
+        self.send_chunk(now, from, actions);
+    }
+
+    /// Commits what a quorum of the voters in force holds durably.
+    pub(crate) fn advance_commit(&mut self) {
+        let State::Leader(leader) = &self.state else { return };
+        let membership = self.log.membership();
+        let matched = |member: &id::Member| {
+            if *member != self.config.id {
+                return leader.peers.get(member).map_or(0, |peer| peer.matched);
+            }
+            if self.rules.sync_first { self.durable.index() } else { self.log.last().index }
+        };
+        let mut held: Vec<_> = membership.voters.iter().map(matched).collect();
+        if !self.rules.learner_has_no_vote {
+            held.extend(membership.learners.iter().map(matched));
+        }
+        held.sort_unstable_by(|a, b| b.cmp(a));
+        let Some(index) = held.get(membership.quorum() - 1).copied() else { return };
+        let own_term = self.log.term_at(index) == Some(self.vote.term);
+        if self.commit < index && (own_term || !self.rules.current_term_commit) {
+            self.commit = index;
+        }
+    }
+
+    /// Sends one heartbeat, or a snapshot's chunk when the entries that the member needs are gone.
+    fn probe(&mut self, now: Millis, member: &id::Member, actions: &mut Vec<Action>) {
+        let term = self.vote.term;
+        let State::Leader(leader) = &mut self.state else { return };
+        let Some(peer) = leader.peers.get_mut(member) else { return };
+        let prev_index = peer.next - 1;
+        if !matches!(peer.mode, Mode::Install { .. }) {
+            if let Some(prev_term) = self.log.term_at(prev_index) {
+                let prev = Position { term: prev_term, index: prev_index };
+                let commit = self.commit.min(prev_index);
+                let entries = Vec::new();
+                let message = Message::Append { term, prev, entries, commit, sent: now };
+                actions.push(Action::Send(member.clone(), message));
+                return;
+            }
+            let snapshot = self.log.snapshot().clone();
+            peer.mode = Mode::Install { snapshot, offset: 0, sent: None };
+        }
+        let Mode::Install { sent, .. } = &peer.mode else { return };
+        if sent.is_none_or(|sent| sent + self.config.heartbeat <= now) {
+            self.send_chunk(now, member, actions);
+        }
+    }
+
+    fn send_chunk(&mut self, now: Millis, member: &id::Member, actions: &mut Vec<Action>) {
+        let term = self.vote.term;
+        let State::Leader(leader) = &mut self.state else { return };
+        let Some(peer) = leader.peers.get_mut(member) else { return };
+        let Mode::Install { snapshot, offset, sent } = &mut peer.mode else { return };
+        *sent = Some(now);
+        let start = usize::try_from(*offset).unwrap_or(usize::MAX).min(snapshot.data.len());
+        let end = start.saturating_add(self.config.bytes_max).min(snapshot.data.len());
+        let message = Message::Install {
+            term,
+            last: snapshot.last,
+            membership: snapshot.membership.clone(),
+            total: snapshot.data.len() as u64,
+            offset: *offset,
+            chunk: snapshot.data.slice(start..end),
+            sent: now,
+        };
+        actions.push(Action::Send(member.clone(), message));
+    }
+}
--- /dev/null
+++ b/crates/wasabi-consensus/src/lib.rs
@@ -0,0 +1,30 @@
+//! Agreement between the control members on one log, as a pure state machine.
+//!
+//! [`Node::step`] takes the time and an [`Event`] and returns [`Action`]s. The node reads no clock
+//! and does no input or output. `docs/consensus.md` describes the protocol and its rules.
+
+mod action;
+mod change;
+mod config;
+mod durable;
+mod election;
+mod entry;
+mod follower;
+mod leader;
+mod lease;
+mod log;
+mod membership;
+mod message;
+mod node;
+mod progress;
+mod rules;
+mod transfer;
+
+pub use action::{Action, Batch, Event, Persist, Persisted, Reason, Request};
+pub use config::{Config, Restored};
+pub use entry::{Entry, Payload, Position, Snapshot, Vote};
+pub use membership::{Change, Membership, Part, Status};
+pub use message::{Message, Verdict};
+pub use node::{Node, Role};
+#[doc(hidden)]
+pub use rules::Rules;
--- /dev/null
+++ b/crates/wasabi-wal/tests/damage.rs
@@ -0,0 +1,120 @@
+//! Torn tails, damaged data and failed syncs.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use std::{
+    fs, io,
+    path::PathBuf,
+    sync::atomic::{AtomicBool, Ordering},
+};
+
+use wasabi_wal::{Error, Log, Options, Record, identity};
+
+fn record(index: u64) -> Record {
+    Record { index, term: 1, data: format!("record {index}").into() }
+}
+
+/// Writes records 1 to `count`, one sync each, and returns the path of the only segment.
+fn write(dir: &tempfile::TempDir, count: u64) -> PathBuf {
+    let mut log = Log::open(dir).unwrap().log;
+    for index in 1..=count {
+        log.append(&[record(index)]).unwrap();
+        log.sync().unwrap();
+    }
+    fs::read_dir(dir)
+        .unwrap()
+        .map(|entry| entry.unwrap().path())
+        .find(|path| path.extension().is_some_and(|end| end == "log"))
+        .unwrap()
+}
+
+/// Guards against a torn last write that makes a log unreadable or costs an earlier record.
+#[test]
+fn a_cut_at_any_byte_of_the_last_record_loses_only_that_record() {
+    let dir = tempfile::tempdir().unwrap();
+    let path = write(&dir, 3);
+    let start = fs::metadata(&path).unwrap().len();
+    {
+        let mut log = Log::open(&dir).unwrap().log;
+        log.append(&[record(4)]).unwrap();
+        log.sync().unwrap();
+    }
+    let whole = fs::read(&path).unwrap();
+    for length in start as usize..whole.len() {
+        fs::write(&path, &whole[..length]).unwrap();
+        let recovered = Log::open(&dir).unwrap();
+        assert_eq!(recovered.entries, (1..=3).map(record).collect::<Vec<_>>(), "cut at {length}");
+        let mut log = recovered.log;
+        log.append(&[record(4)]).unwrap();
+        log.sync().unwrap();
+        drop(log);
+        assert_eq!(Log::open(&dir).unwrap().entries.len(), 4, "cut at {length}");
+    }
+}
+
+/// Guards against a torn write whose later sectors reached the disk before the earlier ones.
+#[test]
+fn zeros_in_place_of_the_last_record_are_a_torn_tail() {
+    let dir = tempfile::tempdir().unwrap();
+    let path = write(&dir, 3);
+    let mut content = fs::read(&path).unwrap();
+    content.extend([0; 4_096]);
+    content.extend([7; 100]);
+    fs::write(&path, &content).unwrap();
+    assert_eq!(Log::open(&dir).unwrap().entries.len(), 3);
+}
+
+/// Guards against damage to synced records that is taken for a torn tail, which would silently
+/// lose acknowledged writes.
+#[test]
+fn a_flipped_bit_before_the_tail_stops_the_log() {
+    let dir = tempfile::tempdir().unwrap();
+    let path = write(&dir, 3);
+    // The next start marks everything before it as synced.
+    let end = fs::metadata(&path).unwrap().len() as usize;
+    drop(Log::open(&dir).unwrap());
+    let whole = fs::read(&path).unwrap();
+    for at in 0..end {
+        let mut content = whole.clone();
+        content[at] ^= 1 << (at % 8);
+        fs::write(&path, &content).unwrap();
+        let error = Log::open(&dir).unwrap_err();
+        assert!(matches!(error, Error::Damaged { .. }), "byte {at}: {error}");
+        assert_eq!(fs::read(&path).unwrap(), content, "a damaged file is left as it is");
+    }
+}
+
+static FAIL: AtomicBool = AtomicBool::new(false);
+
+fn failing(file: &fs::File) -> io::Result<()> {
+    if FAIL.load(Ordering::Relaxed) { Err(io::Error::other("no space")) } else { file.sync_data() }
+}
+
+/// Guards against a retried sync that reports success although the kernel dropped the data.
+#[test]
+fn a_failed_sync_is_final() {
+    let dir = tempfile::tempdir().unwrap();
+    let options = Options { sync: failing, ..Options::default() };
+    let mut log = Log::open_with(&dir, options).unwrap().log;
+    log.append(&[record(1)]).unwrap();
+    FAIL.store(true, Ordering::Relaxed);
+    assert!(matches!(log.sync(), Err(Error::Io { .. })));
+    FAIL.store(false, Ordering::Relaxed);
+    assert!(matches!(log.sync(), Err(Error::Failed)));
+    assert!(matches!(log.append(&[record(2)]), Err(Error::Failed)));
+}
+
+/// Guards against a member that votes under its old id after its disk was replaced, or that takes
+/// over a log whose owner is unknown.
+#[test]
+fn an_empty_folder_is_a_new_member() {
+    let dir = tempfile::tempdir().unwrap();
+    let first = identity::load_or_create(&dir, "h1").unwrap();
+    let again = identity::load_or_create(&dir, "h1").unwrap();
+    assert!(first.is_new && !again.is_new);
+    assert_eq!(first.member, again.member);
+    drop(Log::open(&dir).unwrap());
+    fs::remove_file(dir.path().join(identity::FILE_NAME)).unwrap();
+    assert!(matches!(identity::load_or_create(&dir, "h1"), Err(Error::Missing { .. })));
+    let other = tempfile::tempdir().unwrap();
+    assert_ne!(identity::load_or_create(&other, "h1").unwrap().member, first.member);
+}
