--- a/crates/wasabi-control/src/group.rs
+++ b/crates/wasabi-control/src/group.rs
@@ -1,33 +1,109 @@
-//! The replicated log as the control thread uses it.
+//! The replicated log as the control thread uses it: the consensus node and its disk.
 
 use std::collections::VecDeque;
 
 use bytes::Bytes;
+use wasabi_consensus::{
+    Action, Change, Config, Entry, Event, Membership, Message, Node, Persist, Persisted, Reason,
+    Restored, Role, Snapshot, Status,
+};
 use wasabi_protocol::{clock::Millis, id};
+use wasabi_wal::{Log, replica};
 
 /// What the log did.
 #[derive(Debug)]
 pub(crate) enum Effect {
-    /// The proposal with this number has this index.
-    Placed { request: u64, index: u64, term: u64 },
-    /// An entry is committed.
-    Apply { index: u64, term: u64, data: Bytes },
+    /// A message must be sent.
+    Send(id::Member, Message),
+    /// The proposal with this number has a place in the log.
+    Placed { request: u64, term: u64, index: u64 },
+    /// The proposal with this number never takes effect.
+    Refused { request: u64, reason: Reason },
+    /// Entries are committed.
+    Commit(Vec<Entry>),
+    /// The state is replaced by a snapshot.
+    Restore(Snapshot),
+    /// This member leads from now on.
+    Lead { term: u64 },
+    /// This member no longer leads.
+    StepDown,
+    /// The log contradicts what was committed.
+    Halt(&'static str),
 }
 
-/// A group of one member without a disk.
-#[derive(Debug, Default)]
+/// The consensus node with its disk.
+#[derive(Debug)]
 pub(crate) struct Group {
-    index: u64,
+    node: Node,
+    log: Log,
     effects: VecDeque<Effect>,
+    persist: Option<Persist>,
+    proof: Option<Persisted>,
 }
 
 impl Group {
+    /// Returns the group as this member left it.
+    pub(crate) fn new(name: id::Member, log: Log, restored: Restored, now: Millis) -> Self {
+        let node = Node::new(Config::new(name, fastrand::u64(..)), restored, now);
+        Self { node, log, effects: VecDeque::new(), persist: None, proof: None }
+    }
+
+    /// Hands an event to the node.
+    pub(crate) fn step(&mut self, now: Millis, event: Event) {
+        for action in self.node.step(now, event) {
+            let effect = match action {
+                Action::Persist(persist) => {
+                    self.persist = Some(persist);
+                    continue;
+                }
+                Action::Send(to, message) => Effect::Send(to, message),
+                Action::Restore(snapshot) => Effect::Restore(snapshot),
+                Action::Commit(entries) => Effect::Commit(entries),
+                Action::Accepted { request, position } => {
+                    Effect::Placed { request, term: position.term, index: position.index }
+                }
+                Action::Refuse { request, reason } => Effect::Refused { request, reason },
+                Action::Lead { term } => Effect::Lead { term },
+                Action::StepDown => Effect::StepDown,
+                Action::Halt(reason) => Effect::Halt(reason),
+            };
+            self.effects.push_back(effect);
+        }
+    }
+
     /// Proposes an entry.
-    pub(crate) fn propose(&mut self, _now: Millis, data: Bytes, request: u64) {
-        self.index += 1;
-        let (index, term) = (self.index, 1);
-        self.effects.push_back(Effect::Placed { request, index, term });
-        self.effects.push_back(Effect::Apply { index, term, data });
+    pub(crate) fn propose(&mut self, now: Millis, data: Bytes, request: u64) {
+        self.step(now, Event::Propose { data, request });
+    }
+
+    /// Changes one member.
+    pub(crate) fn change(&mut self, now: Millis, change: Change, request: u64) {
+        self.step(now, Event::ChangeMembers { change, request });
+    }
+
+    /// Writes and syncs what must be durable. The node learns of it by [`Group::confirm`], so that
+    /// proposals that came during the sync share the next one.
+    ///
+    /// # Errors
+    ///
+    /// Returns the disk's error; the process must then end.
+    pub(crate) fn sync(&mut self) -> wasabi_wal::Result<()> {
+        let Some(persist) = self.persist.take() else { return Ok(()) };
+        let log = &mut self.log;
+        self.proof = Some(persist.store(|batch| replica::store(log, batch))?);
+        Ok(())
+    }
+
+    /// Tells the node what the last sync made durable.
+    pub(crate) fn confirm(&mut self, now: Millis) {
+        if let Some(proof) = self.proof.take() {
+            self.step(now, Event::Persisted(proof));
+        }
+    }
+
+    /// Returns whether there is work that waits for no input.
+    pub(crate) fn is_busy(&self) -> bool {
+        self.persist.is_some() || self.proof.is_some() || !self.effects.is_empty()
     }
 
     /// Returns the next thing that the log did.
@@ -36,12 +112,37 @@
     }
 
     /// Returns whether the state may be read as the group's.
-    pub(crate) fn can_read(&self, _now: Millis) -> bool {
-        true
+    pub(crate) fn can_read(&self, now: Millis) -> bool {
+        self.node.can_read(now)
+    }
+
+    /// Returns whether this member leads, as far as it knows.
+    pub(crate) fn is_leader(&self) -> bool {
+        self.node.role() == Role::Leader
     }
 
     /// Returns the leader, when known.
     pub(crate) fn leader(&self) -> Option<&id::Member> {
-        None
+        self.node.leader()
+    }
+
+    /// Returns the members in force.
+    pub(crate) fn membership(&self) -> &Membership {
+        self.node.membership()
+    }
+
+    /// Returns what is known of each member.
+    pub(crate) fn members(&self, now: Millis) -> Vec<Status> {
+        self.node.members(now)
+    }
+
+    /// Returns whether no change of members is under way and a quorum holds everything committed.
+    pub(crate) fn is_settled(&self) -> bool {
+        self.node.settled()
+    }
+
+    /// Returns the length of the log on disk, in bytes.
+    pub(crate) fn log_bytes(&self) -> u64 {
+        self.log.size()
     }
 }
--- a/crates/wasabi-control/src/input.rs
+++ b/crates/wasabi-control/src/input.rs
@@ -1,8 +1,10 @@
 //! What reaches the control thread from connections.
 
 use tokio::sync::oneshot::Sender;
+use wasabi_consensus::Message;
 use wasabi_protocol::{
     command::Config,
+    id,
     rpc::{
         ChangeMembers, Checked, Checkin, Drain, Drained, Inquire, Inquired, MembersChanged,
         Operate, Operated, Propose, Proposed,
@@ -26,6 +28,16 @@
     Drain(Drain, Sender<Drained>),
     /// A question for the configuration that this member holds.
     Config(Sender<Config>),
+    /// Messages from another member.
+    Step(Step),
     /// A planned stop: leadership is handed over, then the thread ends.
     Stop,
 }
+
+/// Messages from another member.
+#[derive(Debug)]
+pub(crate) struct Step {
+    pub(crate) from: id::Member,
+    pub(crate) address: String,
+    pub(crate) messages: Vec<Message>,
+}
--- a/crates/wasabi-control/src/lib.rs
+++ b/crates/wasabi-control/src/lib.rs
@@ -4,12 +4,18 @@
 //! of entries, operators and other members are served on the thread that calls
 //! [`Running::start`].
 
+mod founding;
 mod group;
+mod heard;
 mod input;
+mod lead;
+mod link;
 mod liveness;
 mod member;
+mod members;
 mod options;
 mod record;
+mod serve;
 mod server;
 
 pub use liveness::{Liveness, SILENT_AFTER};
--- a/crates/wasabi-control/src/liveness.rs
+++ b/crates/wasabi-control/src/liveness.rs
@@ -48,15 +48,15 @@
     /// Returns the knowledge of a leader that starts at `now` and knows nothing of any entry.
     pub fn new(now: Millis, view: &View, revision: id::Revision) -> Self {
         let mut liveness = Self { since: now, ..Self::default() };
-        for entry in &view.entries {
-            liveness.entries.insert(entry.name.clone(), Seen::default());
-        }
         liveness.set_view(view, revision);
         liveness
     }
 
     /// Takes a committed view into account, with the revision that it first belongs to.
     pub fn set_view(&mut self, view: &View, revision: id::Revision) {
+        for entry in &view.entries {
+            self.entries.entry(entry.name.clone()).or_default();
+        }
         let names: BTreeSet<_> = view.entries.iter().map(|entry| entry.name.clone()).collect();
         if self.views.last().is_some_and(|(_, last)| *last == names) {
             return;
--- a/crates/wasabi-control/src/main.rs
+++ b/crates/wasabi-control/src/main.rs
@@ -52,7 +52,15 @@
         tokio::select! {
             _ = terminate.recv() => running.stop(),
             _ = interrupt.recv() => running.stop(),
-            () = running.ended() => return ExitCode::SUCCESS,
+            end = running.ended() => {
+                return match end {
+                    Ok(()) => ExitCode::SUCCESS,
+                    Err(error) => {
+                        error!(%error, "ended");
+                        ExitCode::FAILURE
+                    }
+                };
+            }
         }
     }
 }
--- a/crates/wasabi-control/src/member.rs
+++ b/crates/wasabi-control/src/member.rs
@@ -1,319 +1,375 @@
 //! The control thread of one member.
 
 use std::{
-    collections::BTreeMap,
-    sync::mpsc::{Receiver, RecvTimeoutError},
-    time::Duration,
+    collections::{BTreeMap, VecDeque},
+    sync::{
+        Arc, Mutex, PoisonError,
+        mpsc::{Receiver, RecvTimeoutError},
+    },
 };
 
 use bytes::Bytes;
-use tokio::sync::oneshot::Sender;
-use tracing::{info, warn};
+use snafu::{ResultExt as _, Snafu};
+use tokio::sync::{mpsc::UnboundedSender, oneshot::Sender};
+use tracing::{error, info, warn};
+use wasabi_consensus::{Event, Message, Payload};
 use wasabi_protocol::{
     clock::{Clock, Millis, unix_now},
     command::{Command, Outcome},
-    fault::{Fault, Kind},
-    fingerprint, id,
-    rpc::{
-        Checked, Checkin, Drained, Force, Inquired, MembersChanged, Operated, Proposed, Source,
-        Status,
-    },
+    id,
+    rpc::{Drained, Operated, Proposed},
 };
 use wasabi_state::Machine;
 
 use crate::{
+    founding::Start,
     group::{Effect, Group},
+    heard::Heard,
     input::Input,
+    lead::Duties,
+    link::Parcel,
     liveness::Liveness,
-    options::Options,
-    record::{Item, Record},
+    options::{Batching, Options},
+    record::{self, Addresses, Item, Record},
 };
 
-/// Time between two turns without input, in milliseconds.
+/// Time between two ticks of the consensus node, in milliseconds.
 const TICK: Millis = Millis(20);
 
+/// Most inputs that are taken in one turn, so that ticks come in time.
+const INPUTS_MAX: usize = 4_096;
+
 /// Time without a turn after which silence so far says nothing, in milliseconds.
 const PAUSE: Millis = Millis(500);
 
-/// Longest time that an operator's command waits to be in force everywhere, in milliseconds.
-const FORCE_WAIT_MAX: Millis = Millis::from_secs(60);
+/// Longest time that a planned stop waits for another leader, in milliseconds.
+const STOP_BOUND: Millis = Millis(3_000);
+
+/// Why the control thread ended.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// A write or sync failed. What reached the disk is unknown, so the process must end.
+    #[snafu(display("the log cannot go on: {source}"))]
+    Disk {
+        /// The cause.
+        source: wasabi_wal::Error,
+    },
+    /// The log or a snapshot holds bytes that this version cannot read.
+    #[snafu(display("{source}"))]
+    Record {
+        /// The cause.
+        source: record::Error,
+    },
+    /// The log contradicts what was committed. The disk must be kept for inspection.
+    #[snafu(display("halted: {reason}; keep the data folder and replace this member"))]
+    Halted {
+        /// What was seen.
+        reason: &'static str,
+    },
+}
 
 /// One member of the control group.
 pub(crate) struct Member {
-    options: Options,
-    clock: Clock,
-    group: Group,
-    machine: Machine,
-    liveness: Liveness,
+    pub(crate) name: id::Member,
+    pub(crate) options: Options,
+    pub(crate) clock: Clock,
+    pub(crate) group: Group,
+    pub(crate) machine: Machine,
+    /// Addresses of members, from the log.
+    pub(crate) addresses: Addresses,
+    /// Addresses that members stated in their messages, or that stand in the settings.
+    pub(crate) learned: Addresses,
+    pub(crate) liveness: Liveness,
+    pub(crate) duties: Duties,
     /// Answers that wait for the commit of their proposal, by its number.
     waiting: BTreeMap<u64, Waiting>,
     /// Numbers of the proposals that have a place in the log, by index, with their term.
     placed: BTreeMap<u64, (u64, u64)>,
     next_request: u64,
-    forces: Vec<ForceWait>,
-    last_turn: Millis,
-    view_pending: bool,
+    snapshot_index: u64,
+    /// The last index that the state machine has taken into account.
+    applied: u64,
+    heard: Arc<Mutex<Heard>>,
+    parcels: UnboundedSender<Parcel>,
+    /// Inputs held back while a proposal is under way, without batching.
+    held: VecDeque<Input>,
+    stopping: Option<Millis>,
 }
 
 /// What waits for the commit of a proposal.
-enum Waiting {
+pub(crate) enum Waiting {
+    /// An entry.
     Propose(Sender<Proposed>),
+    /// An operator, with the time at which it is answered at the latest.
     Operate(Sender<Operated>, Millis),
+    /// An operator that drains an entry.
     Drain(Sender<Drained>),
-    View,
+    /// The leader itself.
+    Duty(Duty),
 }
 
-/// An operator's accepted change that is not in force everywhere yet.
-struct ForceWait {
-    revision: id::Revision,
-    deadline: Millis,
-    outcome: Outcome,
-    reply: Sender<Operated>,
+/// A proposal of the leader itself. At most one of each kind is under way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Duty {
+    View,
+    Expiry,
+    Address,
+    Members,
 }
 
 impl Member {
-    pub(crate) fn new(options: Options) -> Self {
+    pub(crate) fn new(
+        options: Options,
+        start: Start,
+        heard: Arc<Mutex<Heard>>,
+        parcels: UnboundedSender<Parcel>,
+    ) -> Self {
         let clock = Clock::start();
+        let now = clock.now();
+        let snapshot_index = start.restored.snapshot.last.index;
         let machine = Machine::new();
         Self {
-            group: Group::default(),
-            liveness: Liveness::new(clock.now(), machine.view(), machine.revision()),
-            machine,
-            options,
+            group: Group::new(start.name.clone(), start.log, start.restored, now),
+            liveness: Liveness::new(now, machine.view(), machine.revision()),
+            name: start.name,
             clock,
+            machine,
+            addresses: Addresses::new(),
+            learned: options.members.iter().cloned().collect(),
+            duties: Duties::default(),
             waiting: BTreeMap::new(),
             placed: BTreeMap::new(),
             next_request: 0,
-            forces: Vec::new(),
-            last_turn: Millis::ZERO,
-            view_pending: false,
+            snapshot_index,
+            applied: 0,
+            heard,
+            parcels,
+            held: VecDeque::new(),
+            stopping: None,
+            options,
         }
     }
 
-    /// Runs until a planned stop or until all connections are gone.
-    pub(crate) fn run(mut self, inputs: &Receiver<Input>) {
-        info!(member = %self.options.name, "control thread started");
+    /// Runs until a planned stop.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the process must end.
+    pub(crate) fn run(mut self, inputs: &Receiver<Input>) -> Result<(), Error> {
+        info!(member = %self.name, "control thread started");
+        let (mut last_turn, mut last_tick) = (self.clock.now(), Millis::ZERO);
         loop {
             let now = self.clock.now();
-            if PAUSE < now.since(self.last_turn) {
+            if PAUSE < now.since(last_turn) {
+                warn!(pause = %now.since(last_turn), "this process did not run for a while");
                 self.liveness.resume(now);
             }
-            self.last_turn = now;
-            match inputs.recv_timeout(Duration::from_millis(TICK.0)) {
-                Ok(Input::Stop) | Err(RecvTimeoutError::Disconnected) => return,
-                Ok(input) => self.handle(input),
-                Err(RecvTimeoutError::Timeout) => {}
+            last_turn = now;
+            if last_tick + TICK <= now {
+                last_tick = now;
+                self.group.step(now, Event::Tick);
             }
-            self.drain_effects();
+            let is_open = self.take_inputs(inputs)?;
+            if !is_open || self.has_stopped() {
+                return Ok(());
+            }
+            self.group.confirm(self.clock.now());
+            self.use_effects()?;
             self.lead();
-            self.answer_forces();
+            self.use_effects()?;
+            self.group.sync().context(DiskSnafu)?;
         }
     }
 
-    fn handle(&mut self, input: Input) {
-        match input {
-            Input::Checkin(checkin, reply) => {
-                let _ = reply.send(self.check_in(*checkin));
+    /// Handles what waits, or waits until the next tick when there is nothing to do. Returns
+    /// whether more inputs may come.
+    fn take_inputs(&mut self, inputs: &Receiver<Input>) -> Result<bool, Error> {
+        let mut wait = if self.group.is_busy() { Millis::ZERO } else { TICK };
+        for _ in 0..INPUTS_MAX {
+            let single = self.options.batching == Batching::Single;
+            if single
+                && self.waiting.is_empty()
+                && let Some(input) = self.held.pop_front()
+            {
+                self.handle(input);
+                return Ok(true);
             }
-            Input::Propose(propose, reply) => match propose.command {
-                command @ (Command::RecordDispatch { .. }
-                | Command::ReleaseDispatch { .. }
-                | Command::FinishDispatch { .. }
-                | Command::GrantOrderLease { .. }) => {
-                    self.propose(Item::Command(command), Waiting::Propose(reply));
+            match inputs.recv_timeout(wait.duration()) {
+                Ok(input @ (Input::Propose(..) | Input::Operate(..)))
+                    if single && !self.waiting.is_empty() =>
+                {
+                    self.held.push_back(input);
                 }
-                _ => warn!("a command that needs an operator was proposed without a credential"),
-            },
-            Input::Operate(operate, reply) => {
-                let is_order = matches!(
-                    operate.command,
-                    Command::ApplyContract { .. }
-                        | Command::RemoveContract { .. }
-                        | Command::StartMove { .. }
-                        | Command::TakeBackMove { .. }
-                );
-                if let Err(fault) = self.authorize(&operate.credential) {
-                    let _ = reply.send(Operated::Refused(fault));
-                } else if !is_order {
-                    let message = "only commands with an order are taken from operators";
-                    let _ = reply.send(Operated::Refused(Fault::new(Kind::BadRequest, message)));
-                } else {
-                    let deadline = self.clock.now() + operate.wait.min(FORCE_WAIT_MAX);
-                    self.propose(Item::Command(operate.command), Waiting::Operate(reply, deadline));
+                Ok(Input::Step(step)) => self.receive(step),
+                Ok(Input::Stop) => {
+                    self.stopping.get_or_insert(self.clock.now());
                 }
-            }
-            Input::Inquire(inquire, reply) => {
-                let answer = match self.authorize(&inquire.credential) {
-                    Err(fault) => Inquired::Refused(fault),
-                    Ok(()) if inquire.source == Source::Leader && !self.leads() => {
-                        Inquired::NotLeader { leader: self.leader_address() }
-                    }
-                    Ok(()) => Inquired::Status(Box::new(self.status())),
-                };
-                let _ = reply.send(answer);
-            }
-            Input::Config(reply) => {
-                let _ = reply.send(self.machine.config());
-            }
-            Input::Drain(drain, reply) => {
-                if let Err(fault) = self.authorize(&drain.credential) {
-                    let _ = reply.send(Drained::Refused(fault));
-                    return;
+                Ok(input) => {
+                    // The node may have handed out entries that the state machine lacks, so that
+                    // an answer from its state would be old.
+                    self.use_effects()?;
+                    self.handle(input);
                 }
-                self.liveness.drain(self.clock.now(), &drain.entry);
-                let view = self.machine.view();
-                let next = self.liveness.next_view(self.clock.now(), view);
-                let base = view.number;
-                let entries = next.unwrap_or_else(|| view.entries.clone());
-                self.propose(
-                    Item::Command(Command::SetView { base, entries }),
-                    Waiting::Drain(reply),
-                );
-            }
-            Input::ChangeMembers(change, reply) => {
-                let fault = self.authorize(&change.credential).err().unwrap_or_else(|| {
-                    Fault::new(Kind::ControlUnavailable, "this member runs without a group")
-                });
-                let _ = reply.send(MembersChanged::Refused(fault));
+                Err(RecvTimeoutError::Timeout) => return Ok(true),
+                Err(RecvTimeoutError::Disconnected) => return Ok(false),
             }
-            Input::Stop => {}
+            wait = Millis::ZERO;
         }
+        Ok(true)
     }
 
-    fn check_in(&mut self, checkin: Checkin) -> Checked {
-        if !self.leads() {
-            return Checked::NotLeader { leader: self.leader_address() };
+    /// Hands leadership over once a stop is asked for. Returns whether the thread may end.
+    fn has_stopped(&mut self) -> bool {
+        let Some(since) = self.stopping else { return false };
+        let now = self.clock.now();
+        let is_alone = self.group.membership().voters.len() <= 1;
+        if !self.group.is_leader() || is_alone || since + STOP_BOUND <= now {
+            let settled = self.waiting.is_empty() || since + STOP_BOUND <= now;
+            return settled && !self.group.is_busy();
         }
-        let held = checkin.revision;
-        self.liveness.check_in(self.clock.now(), checkin);
-        let revision = self.machine.revision();
-        let config = (held < revision).then(|| Box::new(self.machine.config()));
-        Checked::Heard { revision, config }
+        self.group.step(now, Event::Transfer);
+        false
     }
 
-    fn authorize(&self, credential: &str) -> Result<(), Fault> {
-        let digest = fingerprint::token(credential);
-        if self.options.operator_digests.contains(&digest) {
-            return Ok(());
+    /// Takes messages of another member, once it is durable that this member was heard.
+    fn receive(&mut self, step: crate::input::Step) {
+        let mut heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Err(error) = heard.add(&step.from) {
+            error!(%error, from = %step.from, "cannot remember a member; its messages are dropped");
+            return;
+        }
+        drop(heard);
+        self.learned.insert(step.from.clone(), step.address);
+        for message in step.messages {
+            self.group.step(self.clock.now(), Event::Receive(step.from.clone(), message));
         }
-        let message = "the operator's credential is missing or wrong";
-        Err(Fault::new(Kind::OperatorUnauthorized, message))
-    }
-
-    fn leads(&self) -> bool {
-        self.group.can_read(self.clock.now())
     }
 
-    fn leader_address(&self) -> Option<String> {
-        let leader = self.group.leader()?;
-        let member = self.options.members.iter().find(|(name, _)| name == leader);
-        member.map(|(_, address)| address.clone())
+    /// Proposes an item; `waiting` is answered when it is committed or known not to be.
+    pub(crate) fn propose(&mut self, item: Item, waiting: Waiting) {
+        let request = self.wait(waiting);
+        let now = unix_now().max(self.machine.now());
+        match record::encode(&Record { now, item }) {
+            Ok(bytes) => self.group.propose(self.clock.now(), Bytes::from(bytes), request),
+            Err(error) => {
+                error!(%error, "a command cannot be proposed");
+                self.waiting.remove(&request);
+            }
+        }
     }
 
-    fn propose(&mut self, item: Item, waiting: Waiting) {
+    /// Returns the number under which `waiting` is kept.
+    pub(crate) fn wait(&mut self, waiting: Waiting) -> u64 {
         self.next_request += 1;
-        let request = self.next_request;
-        let record = Record { now: unix_now(), item };
-        let Ok(bytes) = postcard::to_stdvec(&record) else {
-            warn!("a command cannot be encoded");
-            return;
-        };
-        self.waiting.insert(request, waiting);
-        self.group.propose(self.clock.now(), Bytes::from(bytes), request);
+        self.waiting.insert(self.next_request, waiting);
+        self.next_request
     }
 
-    fn drain_effects(&mut self) {
+    fn use_effects(&mut self) -> Result<(), Error> {
+        let mut parcels: BTreeMap<id::Member, Vec<Message>> = BTreeMap::new();
         while let Some(effect) = self.group.next_effect() {
             match effect {
-                Effect::Placed { request, index, term } => {
+                Effect::Send(to, message) => parcels.entry(to).or_default().push(message),
+                Effect::Placed { request, term, index } => {
                     self.placed.insert(index, (term, request));
                 }
-                Effect::Apply { index, term, data } => {
-                    let request = self.placed.remove(&index).filter(|(placed, _)| *placed == term);
-                    let Some(outcome) = self.apply(index, &data) else { continue };
-                    if let Some(waiting) =
-                        request.and_then(|(_, request)| self.waiting.remove(&request))
-                    {
-                        self.committed(waiting, outcome);
+                Effect::Refused { request, reason } => {
+                    let waiting = self.waiting.remove(&request);
+                    info!(?reason, "a proposal was refused");
+                    self.answer_lost(waiting, Lost::NotProposed);
+                }
+                Effect::Commit(entries) => {
+                    for entry in entries {
+                        self.commit(entry.index, entry.term, &entry.data)?;
                     }
+                    self.compact()?;
                 }
+                Effect::Restore(snapshot) => {
+                    self.snapshot_index = snapshot.last.index;
+                    self.applied = snapshot.last.index;
+                    (self.addresses, self.machine) =
+                        record::restore(&snapshot.data).context(RecordSnafu)?;
+                }
+                Effect::Lead { term } => {
+                    info!(term, "leading");
+                    let (view, revision) = (self.machine.view(), self.machine.revision());
+                    self.liveness = Liveness::new(self.clock.now(), view, revision);
+                    self.duties = Duties::default();
+                }
+                Effect::StepDown => self.step_down(),
+                Effect::Halt(reason) => return HaltedSnafu { reason }.fail(),
             }
         }
-    }
-
-    fn apply(&mut self, index: u64, data: &[u8]) -> Option<Outcome> {
-        let record: Record = postcard::from_bytes(data).ok()?;
-        let Item::Command(command) = record.item;
-        let view = self.machine.view().number;
-        let outcome = self.machine.apply(index, record.now, &command);
-        if view != self.machine.view().number {
-            self.liveness.set_view(self.machine.view(), self.machine.revision());
+        for (to, messages) in parcels {
+            let address = self.addresses.get(&to).or_else(|| self.learned.get(&to)).cloned();
+            let Some(address) = address else { continue };
+            let _ = self.parcels.send(Parcel { to, address, messages });
         }
-        Some(outcome)
+        Ok(())
     }
 
-    fn committed(&mut self, waiting: Waiting, outcome: Outcome) {
-        match waiting {
-            Waiting::Propose(reply) => {
-                let _ = reply.send(Proposed::Committed(outcome));
+    fn commit(&mut self, index: u64, term: u64, data: &Payload) -> Result<(), Error> {
+        self.applied = index;
+        let placed = self.placed.remove(&index).filter(|(placed, _)| *placed == term);
+        let outcome = match data {
+            Payload::Command(bytes) => {
+                let record = record::decode(bytes).context(RecordSnafu)?;
+                self.apply(index, record)
             }
-            Waiting::Operate(reply, deadline) => match outcome {
-                Outcome::Accepted { revision } => {
-                    self.forces.push(ForceWait { revision, deadline, outcome, reply });
-                }
-                _ => {
-                    let force = Force::default();
-                    let _ = reply.send(Operated::Committed { outcome, force });
-                }
-            },
-            Waiting::Drain(reply) => {
-                let answer = match outcome {
-                    Outcome::Accepted { revision } => Drained::Ordered { revision },
-                    _ => Drained::Unknown,
-                };
-                let _ = reply.send(answer);
-            }
-            Waiting::View => self.view_pending = false,
+            Payload::Empty | Payload::Members(_) => Outcome::Done,
+        };
+        if let Some(waiting) = placed.and_then(|(_, request)| self.waiting.remove(&request)) {
+            self.answer_committed(waiting, outcome);
         }
+        Ok(())
     }
 
-    /// Does what only the leader does.
-    fn lead(&mut self) {
-        if !self.leads() || self.view_pending {
-            return;
+    fn apply(&mut self, index: u64, record: Record) -> Outcome {
+        let command = match record.item {
+            Item::Command(command) => command,
+            Item::Address { member, address } => {
+                self.addresses.insert(member, address);
+                return Outcome::Done;
+            }
+        };
+        let outcome = self.machine.apply(index, record.now, &command);
+        if matches!(command, Command::SetView { .. }) {
+            self.liveness.set_view(self.machine.view(), self.machine.revision());
         }
-        let now = self.clock.now();
-        let Some(entries) = self.liveness.next_view(now, self.machine.view()) else { return };
-        let base = self.machine.view().number;
-        self.view_pending = true;
-        self.propose(Item::Command(Command::SetView { base, entries }), Waiting::View);
-        self.drain_effects();
+        outcome
     }
 
-    fn answer_forces(&mut self) {
-        let now = self.clock.now();
-        let (liveness, view) = (&self.liveness, self.machine.view());
-        self.forces.retain_mut(|wait| {
-            let force = liveness.force(now, view, wait.revision);
-            if !force.behind.is_empty() && now < wait.deadline {
-                return true;
-            }
-            let (reply, _) = tokio::sync::oneshot::channel();
-            let reply = std::mem::replace(&mut wait.reply, reply);
-            let _ = reply.send(Operated::Committed { outcome: wait.outcome.clone(), force });
-            false
-        });
+    /// Has a snapshot taken once enough entries are committed.
+    fn compact(&mut self) -> Result<(), Error> {
+        let index = self.applied;
+        if index < self.snapshot_index + self.options.snapshot_every {
+            return Ok(());
+        }
+        let data = record::snapshot(&self.addresses, &self.machine).context(RecordSnafu)?;
+        info!(index, bytes = data.len(), log_bytes = self.group.log_bytes(), "taking a snapshot");
+        self.snapshot_index = index;
+        let data = Bytes::from(data);
+        self.group.step(self.clock.now(), Event::Compact { index, data });
+        Ok(())
     }
 
-    fn status(&self) -> Status {
-        let now = self.clock.now();
-        Status {
-            config: self.machine.config(),
-            entries: self.liveness.status(now, self.machine.view(), self.machine.revision()),
-            endpoints: self.liveness.endpoints(now),
-            suspects: self.liveness.suspects(now),
-            members: Vec::new(),
-            degraded: self.liveness.degraded(now),
+    /// Answers everything that waits: its outcome is unknown to this member from now on.
+    fn step_down(&mut self) {
+        info!("no longer leading");
+        self.placed.clear();
+        for waiting in std::mem::take(&mut self.waiting).into_values() {
+            self.answer_lost(Some(waiting), Lost::Unknown);
         }
+        self.lose_forces();
+        self.duties = Duties::default();
     }
 }
+
+/// Why a proposal has no outcome here.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Lost {
+    /// It never takes effect.
+    NotProposed,
+    /// It may be committed by another leader.
+    Unknown,
+}
--- /dev/null
+++ b/crates/wasabi-control/src/members.rs
@@ -0,0 +1,105 @@
+//! Changes of the control group by an operator.
+
+use wasabi_consensus::Change;
+use wasabi_protocol::{
+    clock::Millis,
+    fault::{Fault, Kind},
+    id,
+    rpc::{ChangeMembers, MemberChange, MembersChanged},
+};
+
+use crate::{
+    member::{Duty, Member, Waiting},
+    record::Item,
+};
+
+/// Silence after which a member does not count as able to hold data, in milliseconds.
+const SILENT_AFTER: Millis = Millis(1_200);
+
+impl Member {
+    /// Takes the next step of a change and tells whether it is done. The operator's command calls
+    /// this again until it is, so that it goes on under a new leader.
+    pub(crate) fn change_members(&mut self, change: &ChangeMembers) -> MembersChanged {
+        if let Err(fault) = self.authorize(&change.credential) {
+            return MembersChanged::Refused(fault);
+        }
+        if !self.leads() {
+            return MembersChanged::NotLeader { leader: self.leader_address() };
+        }
+        match &change.change {
+            MemberChange::Add { member, address } => self.add_member(member, address),
+            MemberChange::Remove { member } => self.remove_member(member),
+        }
+    }
+
+    fn add_member(&mut self, member: &id::Member, address: &str) -> MembersChanged {
+        let membership = self.group.membership();
+        if membership.voters.contains(member) {
+            return self.changed();
+        }
+        if address.parse::<std::net::SocketAddr>().is_err() {
+            return refused(format!("{address} is not an IP address and port"));
+        }
+        if membership.learners.contains(member) {
+            self.change(Change::Promote(member.clone()));
+            return self.waiting(format!("{member} is catching up"));
+        }
+        if self.addresses.get(member).is_none_or(|known| known != address) {
+            let (member, address) = (member.clone(), address.to_owned());
+            self.propose_duty(Duty::Address, Item::Address { member, address });
+            return self.waiting("the address is being recorded".to_owned());
+        }
+        self.change(Change::AddLearner(member.clone()));
+        self.waiting(format!("{member} is being added without a vote"))
+    }
+
+    fn remove_member(&mut self, member: &id::Member) -> MembersChanged {
+        let membership = self.group.membership();
+        if !membership.contains(member) {
+            return self.changed();
+        }
+        let change = Change::Remove(member.clone());
+        let Some(next) = membership.after(&change) else {
+            return refused(format!("{member} is the last member"));
+        };
+        let answering = self
+            .group
+            .members(self.clock.now())
+            .into_iter()
+            .filter(|status| next.voters.contains(&status.member))
+            .filter(|status| status.silent.is_some_and(|silent| silent < SILENT_AFTER))
+            .count();
+        if answering < next.quorum() {
+            return refused(format!(
+                "without {member} only {answering} of {} members would answer; add a member first",
+                next.voters.len()
+            ));
+        }
+        self.change(change);
+        self.waiting(format!("{member} is being removed"))
+    }
+
+    /// Orders a change of the members unless one is under way.
+    fn change(&mut self, change: Change) {
+        if self.duties.begin(Duty::Members) {
+            let request = self.wait(Waiting::Duty(Duty::Members));
+            self.group.change(self.clock.now(), change, request);
+        }
+    }
+
+    /// Returns that the change is done, once a quorum of the members holds the whole log.
+    fn changed(&self) -> MembersChanged {
+        if self.group.is_settled() {
+            return MembersChanged::Done { members: self.member_statuses() };
+        }
+        self.waiting("a quorum of the members does not hold the whole log yet".to_owned())
+    }
+
+    fn waiting(&self, reason: String) -> MembersChanged {
+        MembersChanged::Waiting { reason, members: self.member_statuses() }
+    }
+}
+
+fn refused(message: String) -> MembersChanged {
+    MembersChanged::Refused(Fault::new(Kind::BadRequest, message))
+}
--- a/crates/wasabi-control/src/record.rs
+++ b/crates/wasabi-control/src/record.rs
@@ -1,7 +1,11 @@
-//! What the replicated log holds.
+//! What the replicated log and its snapshots hold.
+
+use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
-use wasabi_protocol::{clock::Millis, command::Command};
+use snafu::{ResultExt as _, Snafu};
+use wasabi_protocol::{clock::Millis, command::Command, id};
+use wasabi_state::Machine;
 
 /// One item of the log, with the time at which the leader proposed it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -17,4 +21,74 @@
 pub(crate) enum Item {
     /// A command of the state machine.
     Command(Command),
+    /// The address of a control member.
+    Address {
+        /// The member.
+        member: id::Member,
+        /// The IP address and port that it listens on.
+        address: String,
+    },
+}
+
+/// The addresses of the control members, by name.
+pub(crate) type Addresses = BTreeMap<id::Member, String>;
+
+/// Why stored bytes cannot be read or written.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The bytes do not hold what is expected.
+    #[snafu(display("a stored record cannot be encoded or decoded: {source}"))]
+    Codec {
+        /// The codec's error.
+        source: postcard::Error,
+    },
+    /// The state machine's part does not hold what is expected.
+    #[snafu(display("{source}"))]
+    State {
+        /// The state machine's error.
+        source: wasabi_state::Error,
+    },
+}
+
+/// Returns a record as it stands in the log.
+///
+/// # Errors
+///
+/// Returns an error when the record cannot be encoded.
+pub(crate) fn encode(record: &Record) -> Result<Vec<u8>, Error> {
+    postcard::to_stdvec(record).context(CodecSnafu)
+}
+
+/// Returns the record that stands in the log.
+///
+/// # Errors
+///
+/// Returns an error when the bytes are not a record, as after a change of the format.
+pub(crate) fn decode(bytes: &[u8]) -> Result<Record, Error> {
+    postcard::from_bytes(bytes).context(CodecSnafu)
+}
+
+/// Returns the bytes of a snapshot.
+///
+/// # Errors
+///
+/// Returns an error when the state cannot be encoded.
+pub(crate) fn snapshot(addresses: &Addresses, machine: &Machine) -> Result<Vec<u8>, Error> {
+    let state = machine.snapshot().context(StateSnafu)?;
+    let mut bytes = postcard::to_stdvec(addresses).context(CodecSnafu)?;
+    bytes.extend_from_slice(&state);
+    Ok(bytes)
+}
+
+/// Returns what a snapshot holds; an empty one is the start of a group.
+///
+/// # Errors
+///
+/// Returns an error when the bytes are not a snapshot of this version.
+pub(crate) fn restore(bytes: &[u8]) -> Result<(Addresses, Machine), Error> {
+    if bytes.is_empty() {
+        return Ok((Addresses::new(), Machine::new()));
+    }
+    let (addresses, state) = postcard::take_from_bytes(bytes).context(CodecSnafu)?;
+    Ok((addresses, Machine::restore(state).context(StateSnafu)?))
 }
--- /dev/null
+++ b/crates/wasabi-control/src/serve.rs
@@ -0,0 +1,273 @@
+//! Inputs of connections and their answers.
+
+use tokio::sync::oneshot::Sender;
+use wasabi_consensus::Part;
+use wasabi_protocol::clock::Millis;
+use wasabi_protocol::{
+    command::{Command, Outcome},
+    contract::Problem,
+    fault::{Fault, Kind},
+    fingerprint,
+    rpc::{
+        Checked, Checkin, Drain, Drained, Force, Inquire, Inquired, MemberStatus, Operate,
+        Operated, Proposed, Role, Source, Status,
+    },
+};
+
+use crate::{
+    input::Input,
+    lead::ForceWait,
+    member::{Duty, Lost, Member, Waiting},
+    record::Item,
+};
+
+/// Longest time that an operator's command waits to be in force everywhere, in milliseconds.
+const FORCE_WAIT_MAX: Millis = Millis::from_secs(60);
+
+impl Member {
+    /// Handles an input of a connection.
+    pub(crate) fn handle(&mut self, input: Input) {
+        // A connection that is gone needs no answer, so that failures to send one are ignored.
+        match input {
+            Input::Checkin(checkin, reply) => {
+                let _ = reply.send(self.check_in(*checkin));
+            }
+            Input::Propose(propose, reply) => match propose.command {
+                command @ (Command::RecordDispatch { .. }
+                | Command::ReleaseDispatch { .. }
+                | Command::FinishDispatch { .. }
+                | Command::GrantOrderLease { .. }) => {
+                    self.propose(Item::Command(command), Waiting::Propose(reply));
+                }
+                _ => {
+                    let problems = vec![Problem {
+                        field: "command".to_owned(),
+                        message: "is not taken without an operator's credential".to_owned(),
+                    }];
+                    let _ = reply.send(Proposed::Committed(Outcome::Refused { problems }));
+                }
+            },
+            Input::Operate(operate, reply) => self.operate(*operate, reply),
+            Input::Inquire(inquire, reply) => {
+                let _ = reply.send(self.inquire(&inquire));
+            }
+            Input::Drain(drain, reply) => self.drain(&drain, reply),
+            Input::ChangeMembers(change, reply) => {
+                let _ = reply.send(self.change_members(&change));
+            }
+            Input::Config(reply) => {
+                let _ = reply.send(self.machine.config());
+            }
+            Input::Step(_) | Input::Stop => {}
+        }
+    }
+
+    /// Returns an error unless the credential is an operator's.
+    pub(crate) fn authorize(&self, credential: &str) -> Result<(), Fault> {
+        if self.options.operator_digests.contains(&fingerprint::token(credential)) {
+            return Ok(());
+        }
+        let message = "the operator's credential is missing or wrong";
+        Err(Fault::new(Kind::OperatorUnauthorized, message))
+    }
+
+    /// Returns whether this member leads and may answer from its state.
+    pub(crate) fn leads(&self) -> bool {
+        self.group.can_read(self.clock.now())
+    }
+
+    /// Returns the address of another member that leads, when it is known.
+    pub(crate) fn leader_address(&self) -> Option<String> {
+        let leader = self.group.leader().filter(|leader| **leader != self.name)?;
+        self.addresses.get(leader).or_else(|| self.learned.get(leader)).cloned()
+    }
+
+    fn check_in(&mut self, checkin: Checkin) -> Checked {
+        if !self.leads() {
+            return Checked::NotLeader { leader: self.leader_address() };
+        }
+        let held = checkin.revision;
+        self.add_evidence(&checkin);
+        self.liveness.check_in(self.clock.now(), checkin);
+        let revision = self.machine.revision();
+        let config = (held < revision).then(|| Box::new(self.machine.config()));
+        Checked::Heard { revision, config }
+    }
+
+    fn operate(&mut self, operate: Operate, reply: Sender<Operated>) {
+        let is_order = matches!(
+            operate.command,
+            Command::ApplyContract { .. }
+                | Command::RemoveContract { .. }
+                | Command::StartMove { .. }
+                | Command::TakeBackMove { .. }
+        );
+        let refusal = match self.authorize(&operate.credential) {
+            Err(fault) => fault,
+            Ok(()) if !is_order => {
+                Fault::new(Kind::BadRequest, "only commands with an order are taken")
+            }
+            Ok(()) => {
+                let deadline = self.clock.now() + operate.wait.min(FORCE_WAIT_MAX);
+                let waiting = Waiting::Operate(reply, deadline);
+                self.propose(Item::Command(operate.command), waiting);
+                return;
+            }
+        };
+        let _ = reply.send(Operated::Refused(refusal));
+    }
+
+    fn inquire(&self, inquire: &Inquire) -> Inquired {
+        match self.authorize(&inquire.credential) {
+            Err(fault) => Inquired::Refused(fault),
+            Ok(()) if inquire.source == Source::Leader && !self.leads() => {
+                Inquired::NotLeader { leader: self.leader_address() }
+            }
+            Ok(()) => Inquired::Status(Box::new(self.status())),
+        }
+    }
+
+    fn drain(&mut self, drain: &Drain, reply: Sender<Drained>) {
+        let answer = match self.authorize(&drain.credential) {
+            Err(fault) => Drained::Refused(fault),
+            Ok(()) if !self.leads() => Drained::NotLeader { leader: self.leader_address() },
+            Ok(()) => {
+                let view = self.machine.view();
+                if view.entries.iter().any(|entry| entry.name == drain.entry) {
+                    let now = self.clock.now();
+                    self.liveness.drain(now, &drain.entry);
+                    let base = view.number;
+                    let next = self.liveness.next_view(now, view);
+                    let entries = next.unwrap_or_else(|| view.entries.clone());
+                    let command = Command::SetView { base, entries };
+                    self.propose(Item::Command(command), Waiting::Drain(reply));
+                    return;
+                }
+                let message = format!("no entry {} is in the view", drain.entry);
+                Drained::Refused(Fault::new(Kind::BadRequest, message))
+            }
+        };
+        let _ = reply.send(answer);
+    }
+
+    /// Answers what waited for a proposal that is committed.
+    pub(crate) fn answer_committed(&mut self, waiting: Waiting, outcome: Outcome) {
+        match waiting {
+            Waiting::Propose(reply) => {
+                let _ = reply.send(Proposed::Committed(outcome));
+            }
+            Waiting::Operate(reply, deadline) => {
+                if let Outcome::Accepted { revision } = outcome {
+                    let wait = ForceWait { revision, deadline, outcome, reply: Some(reply) };
+                    self.duties.forces.push(wait);
+                    return;
+                }
+                let force = Force::default();
+                let _ = reply.send(Operated::Committed { outcome, force });
+            }
+            Waiting::Drain(reply) => {
+                let answer = match outcome {
+                    Outcome::Accepted { revision } => Drained::Ordered { revision },
+                    _ => Drained::Unknown,
+                };
+                let _ = reply.send(answer);
+            }
+            Waiting::Duty(duty) => self.duties.end(duty),
+        }
+    }
+
+    /// Answers what waited for a proposal that has no outcome here.
+    pub(crate) fn answer_lost(&mut self, waiting: Option<Waiting>, lost: Lost) {
+        let leader = self.leader_address();
+        match (waiting, lost) {
+            (Some(Waiting::Propose(reply)), Lost::NotProposed) => {
+                let _ = reply.send(Proposed::NotLeader { leader });
+            }
+            (Some(Waiting::Propose(reply)), Lost::Unknown) => {
+                let _ = reply.send(Proposed::Unknown);
+            }
+            (Some(Waiting::Operate(reply, _)), Lost::NotProposed) => {
+                let _ = reply.send(Operated::NotLeader { leader });
+            }
+            (Some(Waiting::Operate(reply, _)), Lost::Unknown) => {
+                let _ = reply.send(Operated::Unknown);
+            }
+            (Some(Waiting::Drain(reply)), Lost::NotProposed) => {
+                let _ = reply.send(Drained::NotLeader { leader });
+            }
+            (Some(Waiting::Drain(reply)), Lost::Unknown) => {
+                let _ = reply.send(Drained::Unknown);
+            }
+            (Some(Waiting::Duty(duty)), _) => self.duties.end(duty),
+            (None, _) => {}
+        }
+    }
+
+    fn status(&self) -> Status {
+        let now = self.clock.now();
+        let mut degraded = self.liveness.degraded(now);
+        if !self.leads() {
+            degraded.insert(
+                0,
+                match self.leader_address() {
+                    Some(leader) => format!("{} follows {leader}; its state may be old", self.name),
+                    None => format!("{} knows no leader: no change can be made", self.name),
+                },
+            );
+        }
+        for member in self.group.members(now) {
+            if member.silent.is_some_and(|silent| crate::SILENT_AFTER <= silent) {
+                degraded.push(format!("control member {} does not answer", member.member));
+            }
+        }
+        let entries = self.liveness.status(now, self.machine.view(), self.machine.revision());
+        for entry in entries.iter().filter(|entry| crate::SILENT_AFTER <= entry.silent) {
+            degraded.push(format!("entry {} does not answer", entry.entry.name));
+        }
+        Status {
+            config: self.machine.config(),
+            entries,
+            endpoints: self.liveness.endpoints(now),
+            suspects: self.liveness.suspects(now),
+            members: self.member_statuses(),
+            degraded,
+        }
+    }
+
+    /// Returns the members in force, or this one alone while it is in no group.
+    pub(crate) fn member_statuses(&self) -> Vec<MemberStatus> {
+        let own = self.options.listen.to_string();
+        let leader = self.group.leader();
+        let address = |name: &wasabi_protocol::id::Member| {
+            let known = self.addresses.get(name).or_else(|| self.learned.get(name)).cloned();
+            known.unwrap_or_else(|| if *name == self.name { own.clone() } else { String::new() })
+        };
+        let members = self.group.members(self.clock.now());
+        if members.is_empty() {
+            return vec![MemberStatus {
+                member: self.name.clone(),
+                address: own,
+                role: Role::Learner,
+                matched: 0,
+            }];
+        }
+        let status = |status: wasabi_consensus::Status| MemberStatus {
+            address: address(&status.member),
+            role: match status.part {
+                _ if leader == Some(&status.member) => Role::Leader,
+                Part::Voter => Role::Voter,
+                Part::Learner => Role::Learner,
+            },
+            matched: status.matched.unwrap_or(0),
+            member: status.member,
+        };
+        members.into_iter().map(status).collect()
+    }
+
+    /// Starts a duty unless it is under way.
+    pub(crate) fn propose_duty(&mut self, duty: Duty, item: Item) {
+        if self.duties.begin(duty) {
+            self.propose(item, Waiting::Duty(duty));
+        }
+    }
+}
--- a/crates/wasabi-control/src/server.rs
+++ b/crates/wasabi-control/src/server.rs
@@ -1,18 +1,35 @@
 //! The connections of entries, operators and other members.
 
-use std::{net::SocketAddr, sync::mpsc, thread};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError, mpsc},
+    thread,
+};
 
 use jsonrpsee::{
     RpcModule,
     server::{PingConfig, RegisterMethodError, Server, ServerConfig, ServerHandle},
-    types::{ErrorObjectOwned, Params, error::ErrorCode},
+    types::{
+        ErrorObjectOwned, Params,
+        error::{ErrorCode, INVALID_PARAMS_CODE},
+    },
 };
 use serde::{Serialize, de::DeserializeOwned};
 use snafu::{ResultExt as _, Snafu};
-use tokio::sync::oneshot;
-use wasabi_protocol::rpc::method;
+use tokio::sync::{oneshot, watch};
+use wasabi_protocol::{
+    id,
+    rpc::{Hello, Met, Step, method},
+};
 
-use crate::{input::Input, member::Member, options::Options};
+use crate::{
+    founding,
+    heard::Heard,
+    input::{self, Input},
+    link,
+    member::{self, Member},
+    options::Options,
+};
 
 /// Most connections at one time: entries, members and operators.
 const CONNECTIONS_MAX: u32 = 4_096;
@@ -37,6 +54,21 @@
         /// The cause.
         source: RegisterMethodError,
     },
+    /// The data folder cannot be used.
+    #[snafu(display("{source}"))]
+    Folder {
+        /// The cause.
+        source: founding::Error,
+    },
+    /// The member had to end.
+    #[snafu(display("{source}"))]
+    Member {
+        /// The cause.
+        source: member::Error,
+    },
+    /// The control thread ended by a fault of its own.
+    #[snafu(display("the control thread panicked"))]
+    Panicked,
     /// The control thread cannot be started.
     #[snafu(display("cannot start the control thread: {source}"))]
     Thread {
@@ -51,7 +83,7 @@
     address: SocketAddr,
     server: ServerHandle,
     inputs: mpsc::Sender<Input>,
-    ended: oneshot::Receiver<()>,
+    ended: oneshot::Receiver<Result<(), member::Error>>,
 }
 
 impl Running {
@@ -75,16 +107,28 @@
             .context(ListenSnafu { address: listen })?;
         let address = server.local_addr().context(ListenSnafu { address: listen })?;
         let (inputs, receiver) = mpsc::channel();
-        let module = methods(inputs.clone()).context(MethodsSnafu)?;
+        let heard = Heard::open(&options.data)
+            .context(founding::FileSnafu { folder: &options.data })
+            .context(FolderSnafu)?;
+        let heard = Arc::new(Mutex::new(heard));
+        let (known, identity) = watch::channel(None);
+        let shared = Shared { inputs: inputs.clone(), heard: Arc::clone(&heard), name: identity };
+        let server = server.start(methods(shared).context(MethodsSnafu)?);
+        // Founders answer each other's questions while each of them waits here.
+        let start = founding::start(&options, &heard).await.context(FolderSnafu)?;
+        let _ = known.send(Some(start.name.clone()));
+        let (parcels, outgoing) = tokio::sync::mpsc::unbounded_channel();
+        let own = options.members.iter().find(|(name, _)| *name == start.name);
+        let own = own.map_or_else(|| address.to_string(), |(_, address)| address.clone());
+        actix_rt::spawn(link::run(start.name.clone(), own, outgoing));
         let (end, ended) = oneshot::channel();
         thread::Builder::new()
             .name("control".to_owned())
             .spawn(move || {
-                Member::new(options).run(&receiver);
-                let _ = end.send(());
+                let _ = end.send(Member::new(options, start, heard, parcels).run(&receiver));
             })
             .context(ThreadSnafu)?;
-        Ok(Self { address, server: server.start(module), inputs, ended })
+        Ok(Self { address, server, inputs, ended })
     }
 
     /// Returns the address that is listened on.
@@ -98,31 +142,64 @@
     }
 
     /// Waits until the control thread has ended.
-    pub async fn ended(&mut self) {
-        let _ = (&mut self.ended).await;
+    ///
+    /// # Errors
+    ///
+    /// Returns why the process must end, unless a stop was asked for.
+    pub async fn ended(&mut self) -> Result<(), Error> {
+        let end = (&mut self.ended).await;
         let _ = self.server.stop();
+        match end {
+            Ok(end) => end.context(MemberSnafu),
+            Err(_) => PanickedSnafu.fail(),
+        }
     }
 }
 
-type Inputs = mpsc::Sender<Input>;
+/// What connections need.
+#[derive(Debug, Clone)]
+struct Shared {
+    inputs: mpsc::Sender<Input>,
+    heard: Arc<Mutex<Heard>>,
+    /// This member's name, once it is known.
+    name: watch::Receiver<Option<id::Member>>,
+}
 
-fn methods(inputs: Inputs) -> Result<RpcModule<Inputs>, RegisterMethodError> {
-    let mut module = RpcModule::new(inputs);
+fn methods(shared: Shared) -> Result<RpcModule<Shared>, RegisterMethodError> {
+    let mut module = RpcModule::new(shared);
     serve(&mut module, method::CONTROL_HEARTBEAT, Input::Checkin)?;
     serve(&mut module, method::PROPOSE, Input::Propose)?;
     serve(&mut module, method::OPERATE, Input::Operate)?;
     serve(&mut module, method::STATUS, Input::Inquire)?;
     serve(&mut module, method::MEMBERS, Input::ChangeMembers)?;
     serve(&mut module, method::DRAIN, Input::Drain)?;
-    module.register_async_method(method::CONFIG, |_, inputs, _| async move {
-        ask(&inputs, Input::Config).await
+    module.register_async_method(method::CONFIG, |_, shared, _| async move {
+        ask(&shared.inputs, Input::Config).await
+    })?;
+    module.register_method(method::CONSENSUS, |params, shared, _| step(&read(&params)?, shared))?;
+    module.register_method(method::HELLO, |params, shared, _| {
+        let hello: Hello = read(&params)?;
+        let heard = shared.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        let met = if heard.contains(&hello.from) { Met::Before } else { Met::Never };
+        Ok::<_, ErrorObjectOwned>(met)
     })?;
     Ok(module)
 }
 
+/// Passes messages of another member on, if they are meant for this one.
+fn step(step: &Step, shared: &Shared) -> Result<(), ErrorObjectOwned> {
+    let refused = |message: &str| ErrorObjectOwned::owned(INVALID_PARAMS_CODE, message, None::<()>);
+    if shared.name.borrow().as_ref() != Some(&step.to) {
+        return Err(refused("the message is for another member"));
+    }
+    let messages = link::messages(step).ok_or_else(|| refused("the messages cannot be read"))?;
+    let input = input::Step { from: step.from.clone(), address: step.address.clone(), messages };
+    shared.inputs.send(Input::Step(input)).map_err(|_| refused("the control thread has ended"))
+}
+
 /// Registers a method with one parameter that the control thread answers.
 fn serve<Q, A>(
-    module: &mut RpcModule<Inputs>,
+    module: &mut RpcModule<Shared>,
     name: &'static str,
     input: fn(Q, oneshot::Sender<A>) -> Input,
 ) -> Result<(), RegisterMethodError>
@@ -130,9 +207,9 @@
     Q: DeserializeOwned + Send + 'static,
     A: Serialize + Clone + Send + 'static,
 {
-    module.register_async_method(name, move |params, inputs, _| async move {
+    module.register_async_method(name, move |params, shared, _| async move {
         let question: Q = read(&params)?;
-        ask(&inputs, |reply| input(question, reply)).await
+        ask(&shared.inputs, |reply| input(question, reply)).await
     })?;
     Ok(())
 }
@@ -143,7 +220,7 @@
 }
 
 async fn ask<A>(
-    inputs: &Inputs,
+    inputs: &mpsc::Sender<Input>,
     input: impl FnOnce(oneshot::Sender<A>) -> Input,
 ) -> Result<A, ErrorObjectOwned> {
     let ended = |_| {
--- a/crates/wasabi-protocol/src/rpc.rs
+++ b/crates/wasabi-protocol/src/rpc.rs
@@ -34,6 +34,8 @@
     pub const PROPOSE: &str = "control.propose";
     /// Carries a message of the agreement between control members.
     pub const CONSENSUS: &str = "consensus.step";
+    /// Asks a member whether it ever heard the asker, before the asker founds a group.
+    pub const HELLO: &str = "consensus.hello";
     /// Gives an operator's command.
     pub const OPERATE: &str = "operator.command";
     /// Returns contracts, moves, entries, endpoints and degraded parts.
@@ -492,8 +494,27 @@
 pub struct Step {
     /// The sender.
     pub from: id::Member,
+    /// The IP address and port that the sender listens on.
+    pub address: String,
     /// The member that the sender means.
     pub to: id::Member,
     /// The messages, encoded with postcard and then base64.
     pub messages: String,
 }
+
+/// Asks a member whether it ever got a message from the asker.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hello {
+    /// The asker.
+    pub from: id::Member,
+}
+
+/// The answer to [`Hello`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Met {
+    /// No message of the asker ever came.
+    Never,
+    /// The asker took part before, so an empty folder means that it lost its disk.
+    Before,
+}
