--- a/crates/wasabi-entry/src/callers/answer.rs
+++ b/crates/wasabi-entry/src/callers/answer.rs
@@ -7,6 +7,7 @@
 };
 use bytes::Bytes;
 use serde::Serialize;
+use wasabi_border::{ErrorAnswer, ErrorDetail, ErrorDetailRan, ErrorDetailRetry};
 use wasabi_protocol::{
     command::Kept,
     fault::{Fault, Kind, Ran, Retry},
@@ -21,20 +22,6 @@
 /// Seconds after which a refused request may be sent again.
 const RETRY_AFTER_S: &str = "1";
 
-/// The body of an error answer.
-#[derive(Debug, Serialize)]
-struct ErrorBody<'a> {
-    error: ErrorDetail<'a>,
-}
-
-#[derive(Debug, Serialize)]
-struct ErrorDetail<'a> {
-    kind: Kind,
-    message: &'a str,
-    ran: Ran,
-    retry: Retry,
-}
-
 /// The body of an answer whose first outcome is known but not kept whole.
 #[derive(Debug, Serialize)]
 struct OutcomeBody {
@@ -51,14 +38,18 @@
 /// Returns the JSON text of a fault.
 pub(crate) fn fault_json(fault: &Fault) -> String {
     let answer = fault.kind.answer();
-    let body = ErrorBody {
-        error: ErrorDetail {
-            kind: fault.kind,
-            message: &fault.message,
-            ran: answer.ran,
-            retry: answer.retry,
-        },
+    let ran = match answer.ran {
+        Ran::NotRun => ErrorDetailRan::NotRun,
+        Ran::MayHaveRun => ErrorDetailRan::MayHaveRun,
+        Ran::Ran => ErrorDetailRan::Ran,
+    };
+    let retry = match answer.retry {
+        Retry::Safe => ErrorDetailRetry::Safe,
+        Retry::WithKey => ErrorDetailRetry::WithKey,
+        Retry::Useless => ErrorDetailRetry::Useless,
     };
+    let (kind, message) = (fault.kind.to_string(), fault.message.clone());
+    let body = ErrorAnswer { error: ErrorDetail { kind, message, ran, retry } };
     serde_json::to_string(&body).unwrap_or_default()
 }
 
@@ -118,10 +109,16 @@
             response.headers_mut().append(name.clone(), value.clone());
         }
     }
-    set_ran(&mut response, Ran::Ran);
+    set_ran(&mut response, ran(status));
     response
 }
 
+/// Returns what an endpoint's status says about running. A server error does not say how much of
+/// the request took effect.
+pub(crate) fn ran(status: StatusCode) -> Ran {
+    if status.is_server_error() { Ran::MayHaveRun } else { Ran::Ran }
+}
+
 /// Returns a JSON answer.
 pub(crate) fn json(status: StatusCode, text: String) -> Response<BoxBody> {
     Response::build(status).content_type("application/json").body(text).map_into_boxed_body()
--- a/crates/wasabi-entry/src/callers/call.rs
+++ b/crates/wasabi-entry/src/callers/call.rs
@@ -1,11 +1,13 @@
 //! What a call asks for: its contract, route, key, deadline and body.
 
+use std::num::NonZeroU32;
+
 use actix_http::{
     HttpMessage as _, Method, Request,
     header::{self, HeaderMap},
 };
 use bytes::Bytes;
-use serde::Deserialize;
+use wasabi_border::ChatRequest;
 use wasabi_protocol::{
     clock::{Millis, unix_now},
     command::KEY_CLOCK_ERROR,
@@ -50,24 +52,11 @@
 #[derive(Debug)]
 pub(crate) enum Work {
     /// A chat completion.
-    Chat(Chat),
+    Chat(ChatRequest),
     /// A call of a plain service, with its path and query.
     Service { path: String },
 }
 
-/// The parts of a chat completion that concern scheduling.
-#[derive(Debug, Deserialize)]
-pub(crate) struct Chat {
-    pub(crate) model: String,
-    #[serde(default)]
-    pub(crate) stream: bool,
-    #[serde(default)]
-    max_tokens: Option<u32>,
-    #[serde(default)]
-    max_completion_tokens: Option<u32>,
-    messages: Vec<serde::de::IgnoredAny>,
-}
-
 impl Call {
     /// Reads a call.
     ///
@@ -119,7 +108,7 @@
                 let output = chat.max_completion_tokens.or(chat.max_tokens);
                 let prompt = u32::try_from(self.body.len() / BYTES_PER_TOKEN).unwrap_or(u32::MAX);
                 let prefix = fingerprint::prefix_blocks(&self.body);
-                (prompt, output.unwrap_or(DEFAULT_OUTPUT_TOKENS), prefix)
+                (prompt, output.map_or(DEFAULT_OUTPUT_TOKENS, NonZeroU32::get), prefix)
             }
             Work::Service { .. } => (1, 1, Vec::new()),
         };
@@ -175,7 +164,7 @@
         if request.method() != Method::POST {
             return Err(Fault::new(Kind::BadRequest, "use POST for chat completions"));
         }
-        let chat = serde_json::from_slice::<Chat>(body).map_err(|error| {
+        let chat = serde_json::from_slice::<ChatRequest>(body).map_err(|error| {
             Fault::new(Kind::BadRequest, format!("the body is not a chat completion: {error}"))
         })?;
         if chat.messages.is_empty() {
--- a/crates/wasabi-entry/src/callers/list.rs
+++ b/crates/wasabi-entry/src/callers/list.rs
@@ -1,7 +1,7 @@
 //! `GET /v1/entries`: which entries an organisation's callers use.
 
 use actix_http::{HttpMessage as _, Request, Response, StatusCode, body::BoxBody};
-use serde::Serialize;
+use wasabi_border::{EntryAddress, EntryList};
 use wasabi_protocol::{
     command::{Duty, View},
     fault::Fault,
@@ -14,20 +14,6 @@
     shared::Shared,
 };
 
-/// The answer to `GET /v1/entries`.
-#[derive(Debug, Serialize)]
-struct List {
-    entries: Vec<Item>,
-    lifetime_s: f64,
-    revision: id::Revision,
-}
-
-#[derive(Debug, Serialize)]
-struct Item {
-    address: String,
-    weight: u32,
-}
-
 /// Answers with the entries of the caller's organisation.
 ///
 /// # Errors
@@ -48,15 +34,16 @@
     }
     let entries = assigned
         .iter()
-        .map(|assigned| Item {
+        .map(|assigned| EntryAddress {
             address: assigned.entry.caller_address.clone(),
             weight: assigned.weight,
         })
         .collect();
-    let list = List {
+    let list = EntryList {
         entries,
-        lifetime_s: shared.settings.callers.list_lifetime.seconds(),
-        revision: in_force.config.revision,
+        // Rounded down, so that no caller keeps the list longer than this entry serves it.
+        lifetime_s: shared.settings.callers.list_lifetime.0 / 1_000,
+        revision: in_force.config.revision.0,
     };
     let text = serde_json::to_string(&list).unwrap_or_default();
     Ok(answer::json(StatusCode::OK, text))
--- a/crates/wasabi-entry/src/dispatch/open.rs
+++ b/crates/wasabi-entry/src/dispatch/open.rs
@@ -105,7 +105,7 @@
         let chunk = send::next_chunk(worker, call, &mut opened, bound.duration()).await?;
         let Some(chunk) = chunk else {
             let message = "the stream stopped before its first token";
-            return Err(Failure::new(End::Broken, Kind::EndpointFailed, message));
+            return Err(Failure::new(End::Failed, Kind::EndpointFailed, message));
         };
         let chunk = reader.read(chunk).map_err(|malformed| {
             Failure::new(End::Failed, Kind::EndpointFailed, relay::describe(malformed))
--- a/crates/wasabi-entry/src/dispatch/relay.rs
+++ b/crates/wasabi-entry/src/dispatch/relay.rs
@@ -6,7 +6,10 @@
     task::{Context, Poll},
 };
 
-use actix_http::body::{BodySize, MessageBody};
+use actix_http::{
+    StatusCode,
+    body::{BodySize, MessageBody},
+};
 use bytes::{Bytes, BytesMut};
 use futures_util::{FutureExt as _, future::LocalBoxFuture};
 use tokio::time::{Instant, Sleep, sleep_until};
@@ -120,7 +123,7 @@
         last.extend_from_slice(DONE);
         if let Some(record) = self.record.take() {
             self.kept.extend_from_slice(DONE);
-            record.finish(gate::answered(200, "text/event-stream", &self.kept));
+            record.finish(gate::answered(StatusCode::OK, "text/event-stream", &self.kept));
         }
         if let Some(held) = self.held.take() {
             let metrics = &self.worker.shared.metrics;
@@ -217,9 +220,10 @@
                 return Poll::Ready(self.recover(End::Broken, &fault));
             }
             Poll::Ready(None) => {
+                // The connection was closed in order, so the endpoint did not crash.
                 let message = "the stream stopped without its end event";
                 let fault = Fault::new(Kind::StreamBroken, message);
-                return Poll::Ready(self.recover(End::Broken, &fault));
+                return Poll::Ready(self.recover(End::Failed, &fault));
             }
             Poll::Pending => return self.poll_timer(cx),
         };
@@ -272,9 +276,8 @@
                 State::Resuming(_) => this.poll_resume(cx),
                 State::Streaming => this.poll_stream(cx),
             };
-            match std::task::ready!(polled) {
-                Some(bytes) => return Poll::Ready(Some(Ok(bytes))),
-                None => {}
+            if let Some(bytes) = std::task::ready!(polled) {
+                return Poll::Ready(Some(Ok(bytes)));
             }
         }
     }
--- a/crates/wasabi-entry/src/dispatch/whole.rs
+++ b/crates/wasabi-entry/src/dispatch/whole.rs
@@ -51,7 +51,7 @@
         .get(header::CONTENT_TYPE)
         .and_then(|value| value.to_str().ok())
         .unwrap_or_default();
-    let kept = gate::answered(opened.status.as_u16(), content_type, &body);
+    let kept = gate::answered(opened.status, content_type, &body);
     let response = answer::passed(opened.status, &opened.headers, body);
     Ok(Whole { response, kept, is_server_error: opened.status.is_server_error() })
 }
--- a/crates/wasabi-entry/src/gate.rs
+++ b/crates/wasabi-entry/src/gate.rs
@@ -5,6 +5,7 @@
 
 use std::{rc::Rc, time::Duration};
 
+use actix_http::StatusCode;
 use wasabi_protocol::{
     clock::Millis,
     command::{Command, KEPT_BODY_BYTES_MAX, Kept, Key, Outcome},
@@ -14,7 +15,7 @@
 };
 
 use crate::{
-    callers::{call::Call, server::Worker},
+    callers::{answer, call::Call, server::Worker},
     dispatch::connect::Flight,
     message::Handle,
     shared::Mode,
@@ -120,12 +121,13 @@
 }
 
 /// Returns the outcome of an attempt with its answer, which is kept when it is short text.
-pub(crate) fn answered(status: u16, content_type: &str, body: &[u8]) -> Kept {
+pub(crate) fn answered(status: StatusCode, content_type: &str, body: &[u8]) -> Kept {
     let text = (body.len() <= KEPT_BODY_BYTES_MAX)
         .then(|| std::str::from_utf8(body).ok())
         .flatten()
         .map(str::to_owned);
-    Kept { ran: Ran::Ran, status: Some(status), content_type: content_type.to_owned(), body: text }
+    let content_type = content_type.to_owned();
+    Kept { ran: answer::ran(status), status: Some(status.as_u16()), content_type, body: text }
 }
 
 /// Records an attempt.
--- a/crates/wasabi-entry/src/peers/server.rs
+++ b/crates/wasabi-entry/src/peers/server.rs
@@ -74,7 +74,8 @@
         Answer::Ok(())
     })?;
     module.register_async_method(method::ANNOUNCE, |params, handle, _| async move {
-        handle.send(Message::Peer(Peer::Announce(Box::new(one(&params)?))));
+        let announcement = Box::new(one(&params)?);
+        handle.send(Message::Peer(Peer::Announce(announcement)));
         Answer::Ok(())
     })?;
     module.register_async_method(method::LEAVE, |params, handle, _| async move {
@@ -93,10 +94,6 @@
         let lend: Lend = one(&params)?;
         told(handle.ask(|reply| Peer::Lend(lend, reply)).await)
     })?;
-    module.register_async_method(method::DRAIN, |_, handle, _| async move {
-        handle.send(Message::Drain);
-        Answer::Ok(())
-    })?;
     Ok(module)
 }
 
--- a/crates/wasabi-entry/src/pools/acquire.rs
+++ b/crates/wasabi-entry/src/pools/acquire.rs
@@ -71,7 +71,7 @@
 
 /// What one owner answered.
 enum Answer {
-    Granted(Unclaimed),
+    Granted(Box<Unclaimed>),
     Refused(Fault),
     /// Ask again after a pause: the owner is changing.
     Again,
@@ -100,7 +100,7 @@
 
 /// Asks the owners of the model's pools, the first one first. Before a refusal of one is passed
 /// on, the others are asked, since one of them may have less urgent work to shed.
-async fn from_pools(shell: &Rc<Shell>, request: Request) -> Result<Unclaimed, Fault> {
+async fn from_pools(shell: &Rc<Shell>, request: Request) -> Result<Box<Unclaimed>, Fault> {
     let started = shell.now();
     let mut refusal = None;
     for pool in shell.pools_of(&request.backend) {
@@ -121,7 +121,7 @@
     shell: &Rc<Shell>,
     pool: &id::Pool,
     request: Request,
-) -> Result<Unclaimed, Fault> {
+) -> Result<Box<Unclaimed>, Fault> {
     let started = shell.now();
     loop {
         let age = shell.now().since(started);
@@ -187,7 +187,7 @@
     match acquired {
         Some(Acquired::Granted(grant)) => {
             let grant = Some(grant);
-            Answer::Granted(Unclaimed { shell: Rc::clone(shell), grant, request })
+            Answer::Granted(Box::new(Unclaimed { shell: Rc::clone(shell), grant, request }))
         }
         Some(Acquired::Refused(fault)) => Answer::Refused(fault),
         Some(Acquired::NotOwner { .. }) | None => Answer::Again,
--- /dev/null
+++ b/crates/wasabi-entry/src/pools/budget.rs
@@ -0,0 +1,54 @@
+//! Slices of an organisation's limits, lent by the organisation's owner to pool owners.
+
+use std::{rc::Rc, time::Duration};
+
+use jsonrpsee::{core::client::ClientT as _, rpc_params};
+use wasabi_protocol::rpc::{Lend, Slice, method};
+use wasabi_routing::rendezvous;
+use wasabi_scheduler::pool::Event;
+
+use crate::shell::Shell;
+
+/// Longest time for the answer of a remote owner. The pool asks again after it.
+const LEND_TIME: Duration = Duration::from_millis(200);
+
+impl Shell {
+    /// Gets a slice from the organisation's owner and hands it to the pool.
+    pub(crate) fn ask_for_slice(self: &Rc<Self>, lend: Lend) {
+        let in_force = self.shared.in_force();
+        let owner = rendezvous::budget_owner(&lend.organisation, &in_force.config.view);
+        let Some(owner) = owner else { return };
+        if owner.name == self.shared.entry.name {
+            if let Some(slice) = self.lend(&lend) {
+                self.hand_out(&lend, slice);
+            }
+            return;
+        }
+        let (shell, owner) = (Rc::clone(self), owner.name.clone());
+        actix_rt::spawn(async move {
+            let Some(client) = shell.link(&owner).await else { return };
+            let call = client.request::<Slice, _>(method::LEND, rpc_params![&lend]);
+            match tokio::time::timeout(LEND_TIME, call).await {
+                Ok(Ok(slice)) => shell.hand_out(&lend, slice),
+                Ok(Err(error)) => tracing::debug!(peer = %owner, %error, "no slice"),
+                Err(_) => tracing::debug!(peer = %owner, "no slice in time"),
+            }
+        });
+    }
+
+    /// Returns the next slice of a budget that this entry owns.
+    pub(crate) fn lend(&self, lend: &Lend) -> Option<Slice> {
+        let in_force = self.shared.in_force();
+        let mut contracts = in_force.config.contracts.iter();
+        let contract = contracts.find(|contract| contract.organisation == lend.organisation)?;
+        let (now, limits) = (self.now(), &contract.limits);
+        let mut lender = self.lender.borrow_mut();
+        Some(lender.lend(now, &lend.organisation, limits, &lend.pool, &lend.used))
+    }
+
+    fn hand_out(self: &Rc<Self>, lend: &Lend, slice: Slice) {
+        let event = Event::Budget { organisation: lend.organisation.clone(), slice };
+        let effects = self.pools.borrow_mut().step(self.now(), &lend.pool, event);
+        self.perform(effects);
+    }
+}
--- a/crates/wasabi-entry/src/shell.rs
+++ b/crates/wasabi-entry/src/shell.rs
@@ -10,11 +10,12 @@
 
 use jsonrpsee::rpc_params;
 use tokio::sync::mpsc;
+use wasabi_admission::lender::Lender;
 use wasabi_protocol::{
     clock::Millis,
     command::{Config, Duty, Entry},
     id,
-    rpc::{Acquired, Evidence, Heartbeat, Preempt, Release, method},
+    rpc::{Acquired, Evidence, Heartbeat, Lend, Preempt, Release, method},
 };
 use wasabi_routing::rendezvous;
 use wasabi_scheduler::pool::Event;
@@ -44,6 +45,8 @@
     pub(crate) pools: RefCell<owner::Table>,
     pub(crate) holder: RefCell<Holder>,
     pub(crate) peers: RefCell<table::Table>,
+    /// The budgets of the organisations that this entry owns.
+    pub(crate) lender: RefCell<Lender>,
     pub(crate) control: Link,
     /// When the control leader was last heard.
     pub(crate) control_heard: Cell<Option<Millis>>,
@@ -62,6 +65,7 @@
             pools: RefCell::default(),
             holder: RefCell::default(),
             peers: RefCell::default(),
+            lender: RefCell::default(),
             control,
             control_heard: Cell::new(None),
             unsent: RefCell::default(),
@@ -127,7 +131,7 @@
                     self.tell(holder, method::PREEMPT, rpc_params![preempt]);
                 }
                 Effect::Lend { pool, organisation, used } => {
-                    tracing::trace!(%pool, %organisation, ?used, "no budget owner yet");
+                    self.ask_for_slice(Lend { organisation, pool, used });
                 }
             }
         }
@@ -291,7 +295,11 @@
                 drop(reply.send(self.heartbeat()));
             }
             Peer::Config(reply) => drop(reply.send(self.shared.in_force().config.clone())),
-            Peer::Lend(_, reply) => drop(reply),
+            Peer::Lend(lend, reply) => {
+                if let Some(slice) = self.lend(&lend) {
+                    let _ = reply.send(slice);
+                }
+            }
         }
     }
 
@@ -300,6 +308,7 @@
         let effects = self.pools.borrow_mut().step_all(now, || Event::Tick);
         self.perform(effects);
         self.peers.borrow().wake_lost(now);
+        self.lender.borrow_mut().sweep(now);
         self.settle_owners();
         if self.shared.mode == Mode::StandAlone {
             self.shared.extend_serving(now);
--- /dev/null
+++ b/crates/wasabi-entry/tests/streams.rs
@@ -0,0 +1,100 @@
+//! Streams that break, stay silent, cross or lie: the caller gets the whole answer or an error.
+
+mod support;
+
+use std::time::Duration;
+
+use awc::http::StatusCode;
+use rstest::rstest;
+use support::{Answer, Entry, engine, expected, standin};
+use wasabi_protocol::endpoint::{Abilities, Kind};
+use wasabi_standin::{Faults, Standin};
+
+/// Sends one chat to an engine with these faults.
+async fn faulty(faults: Faults) -> (Answer, Standin, Entry) {
+    let entry = Entry::stand_alone("");
+    let engine = engine("m1", &[&entry]);
+    entry.caller().until_served().await;
+    engine.set_faults(faults);
+    (entry.caller().chat("stock", 20).await, engine, entry)
+}
+
+/// Guards against an answer of another request that reaches the caller.
+#[rstest]
+#[case::wrong_attempt(Faults { wrong_attempt: true, ..Faults::default() })]
+#[case::no_attempt(Faults { no_attempt: true, ..Faults::default() })]
+#[actix_rt::test]
+async fn a_crossed_answer_is_dropped(#[case] faults: Faults) {
+    let (answer, _engine, _entry) = faulty(faults).await;
+    assert_eq!(answer.kind(), "endpoint_failed", "{}", answer.body);
+    assert_eq!(answer.ran, "may_have_run");
+    assert_eq!(answer.text(), "");
+}
+
+/// Guards against a part of an answer that looks whole.
+#[rstest]
+#[case::cut(Faults { cut_after: Some(7), ..Faults::default() })]
+#[case::stopped(Faults { stop_after: Some(7), ..Faults::default() })]
+#[case::repeated(Faults { repeat_token: Some(7), ..Faults::default() })]
+#[case::miscounted(Faults { wrong_count: true, ..Faults::default() })]
+#[actix_rt::test]
+async fn a_broken_stream_ends_with_an_error(#[case] faults: Faults) {
+    let (answer, _engine, _entry) = faulty(faults).await;
+    assert!(!answer.is_done(), "{}", answer.body);
+    let is_told = answer.status != StatusCode::OK || answer.body.contains("event: error\n");
+    assert!(is_told, "{}", answer.body);
+    assert!(answer.body.contains("may_have_run"), "{}", answer.body);
+}
+
+/// Guards against a caller that waits for ever on an engine that went silent.
+#[actix_rt::test]
+async fn a_silent_stream_ends_with_an_error() {
+    let entry = Entry::stand_alone("");
+    let engine = engine("m1", &[&entry]);
+    entry.caller().until_served().await;
+    engine.set_faults(Faults { silent_after: Some(3), ..Faults::default() });
+    let caller = entry.caller();
+    let answer = tokio::time::timeout(Duration::from_secs(15), caller.chat("stock", 20)).await;
+    let answer = answer.expect("the stream ends");
+    assert!(!answer.is_done() && answer.body.contains("event: error\n"), "{}", answer.body);
+}
+
+/// Guards against a lost, repeated or restarted token when a stream is resumed.
+#[rstest]
+#[case::cut(Faults { cut_after: Some(7), requests: 1, ..Faults::default() })]
+#[case::stopped(Faults { stop_after: Some(7), requests: 1, ..Faults::default() })]
+#[case::silent(Faults { silent_after: Some(7), requests: 1, ..Faults::default() })]
+#[actix_rt::test]
+async fn a_broken_stream_is_resumed(#[case] faults: Faults) {
+    let entry = Entry::stand_alone("");
+    let engine = standin("m1", Kind::Model, "coal", &[&entry], |settings| {
+        settings.abilities = Abilities { resume: true, ..Abilities::default() };
+        settings.between_tokens_ms = wasabi_protocol::clock::Millis(2);
+    });
+    entry.caller().until_served().await;
+    engine.set_faults(faults);
+    let answer = entry.caller().chat("stock", 20).await;
+    assert!(answer.is_done(), "{}", answer.body);
+    assert_eq!(answer.text(), expected("stock", 20));
+    assert_eq!(engine.counts().resumed, 1);
+}
+
+/// Guards against a failure that reaches the caller although another engine could answer.
+#[actix_rt::test]
+async fn a_repeatable_request_is_sent_to_another_engine() {
+    let entry = Entry::stand_alone("");
+    let bad = engine("m1", &[&entry]);
+    let caller = entry.caller();
+    // The retry budget is a share of successes.
+    for _ in 0..40 {
+        caller.until_served().await;
+    }
+    let _good = engine("m2", &[&entry]);
+    bad.set_faults(Faults { fail_permille: 1000, ..Faults::default() });
+    let mut retried = 0;
+    for _ in 0..20 {
+        let answer = caller.chat("stock", 5).await;
+        retried += u32::from(answer.is_done());
+    }
+    assert!(0 < retried, "no request was answered by the good engine");
+}
