--- a/crates/wasabi-rollout/src/credit.rs
+++ b/crates/wasabi-rollout/src/credit.rs
@@ -31,6 +31,15 @@
 /// version that fails at once meets few requests.
 pub const GROUP_FIRST: u32 = 2;
 
+/// Requests that a route may get ahead of its credit while a group is sent.
+///
+/// Without it a group waits for requests of the routes that saved the credit, and by then its
+/// first requests have ended. It raises a route's part by at most this many requests in all.
+const AHEAD_MAX: f64 = 3.0;
+
+/// Share from which on the new version's requests are spread over its replicas, in thousandths.
+const SPREAD_FROM_PERMILLE: u32 = 320;
+
 /// Unused credit that a route keeps, in requests.
 const CREDIT_MAX: f64 = 64.0;
 
@@ -108,18 +117,19 @@
         }
         let credit = self.routes.entry(route.clone()).or_default();
         *credit = (*credit + f64::from(permille) / 1_000.0).min(CREDIT_MAX);
-        let has_credit = 1.0 <= *credit;
+        let credit = *credit;
         if GROUPED_BELOW_PERMILLE <= self.permille {
             self.phase = Phase::Spending(u32::MAX);
         } else if self.phase == Phase::Saving {
-            let saved = self.routes.values().map(|credit| credit.floor()).sum::<f64>();
+            let saved = self.routes.values().sum::<f64>();
             if f64::from(self.group) <= saved {
                 self.phase = Phase::Spending(self.group);
                 self.group = (self.group * 2).min(self.group_max);
             }
         }
         let Phase::Spending(left) = self.phase else { return Side::Old };
-        if !has_credit {
+        let ahead = if self.permille < GROUPED_BELOW_PERMILLE { AHEAD_MAX } else { 0.0 };
+        if credit + ahead < 1.0 {
             return Side::Old;
         }
         if let Some(credit) = self.routes.get_mut(route) {
@@ -157,6 +167,21 @@
     }
 }
 
+/// How the new version's requests are placed on its replicas.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Placement {
+    /// On the one with the most in flight that still has room, so that faults under load show
+    /// while the share is small.
+    Pack,
+    /// On the one that the usual choice prefers.
+    Spread,
+}
+
+/// Returns how the new version's requests are placed at this stage.
+pub fn placement(stage: Stage) -> Placement {
+    if share(stage) < SPREAD_FROM_PERMILLE { Placement::Pack } else { Placement::Spread }
+}
+
 /// Returns how many replicas the new version may use at this stage.
 ///
 /// Up to a tenth of the traffic it is one replica, or two so that one that is lost does not stop
--- a/crates/wasabi-rollout/src/decision.rs
+++ b/crates/wasabi-rollout/src/decision.rs
@@ -1,14 +1,12 @@
 //! The stage of a version move as a pure function of time and evidence.
 
-use std::collections::BTreeMap;
-
 use wasabi_protocol::{
     clock::Millis,
     command::{Move, Plan, Stage},
     id, rpc,
 };
 
-use crate::{credit, evidence::Count, sequential::Verdict, trial::Trial};
+use crate::{credit, evidence::Count, trial};
 
 /// Part of the time until `finish_by` that is spent at the start share.
 ///
@@ -27,8 +25,7 @@
 /// Evidence of one move, collected by the control leader from check-ins.
 #[derive(Debug, Clone)]
 pub struct Ledger {
-    trials: BTreeMap<id::Route, Trial>,
-    routes: usize,
+    trials: trial::Set,
     stopped: Option<id::Route>,
 }
 
@@ -52,8 +49,8 @@
 
 impl Ledger {
     /// Returns a ledger for a move that concerns `routes` routes.
-    pub const fn new(routes: usize) -> Self {
-        Self { trials: BTreeMap::new(), routes, stopped: None }
+    pub fn new(routes: usize) -> Self {
+        Self { trials: trial::Set::new(routes), stopped: None }
     }
 
     /// Takes the evidence of one check-in into account. Evidence of other moves is ignored.
@@ -68,49 +65,31 @@
         }
     }
 
-    /// Returns the trials by route.
-    pub fn trials(&self) -> impl Iterator<Item = (&id::Route, &Trial)> {
-        self.trials.iter()
+    /// Returns the trials of the routes.
+    pub const fn trials(&self) -> &trial::Set {
+        &self.trials
     }
 
     fn add_one(&mut self, now: Millis, plan: &Plan, item: &rpc::Evidence) {
         let count = Count { requests: item.requests, errors: item.errors, slow: item.slow };
-        let routes = self.routes;
-        let trial = self.trials.entry(item.route.clone()).or_insert_with(|| Trial::new(routes));
-        if item.version == plan.from {
-            trial.add_old(now, count);
+        let counts = if item.version == plan.from {
+            [count, Count::default()]
         } else {
-            trial.add_new(now, count);
-            if item.stopped && self.stopped.is_none() {
-                self.stopped = Some(item.route.clone());
-            }
+            [Count::default(), count]
+        };
+        self.trials.add(now, &item.route, counts);
+        if item.stopped && item.version == plan.to && self.stopped.is_none() {
+            self.stopped = Some(item.route.clone());
         }
     }
 
     /// Returns why the version is bad, if it is.
     fn rejected(&self) -> Option<String> {
-        let reasons =
-            |route: &id::Route, trial: &Trial| format!("route {route}: {}", trial.reason());
-        let by_test = self
-            .trials
-            .iter()
-            .find(|(_, trial)| trial.verdict() == Verdict::Rejected)
-            .map(|(route, trial)| reasons(route, trial));
-        by_test.or_else(|| {
+        self.trials.rejected().or_else(|| {
             let route = self.stopped.as_ref()?;
-            let seen = self.trials.get(route).map(|trial| reasons(route, trial));
-            Some(format!("stopped by a pool owner; {}", seen.unwrap_or_default()))
+            Some(format!("stopped by the owner of a pool with route {route}"))
         })
     }
-
-    /// Returns the routes without an acceptance since `since`.
-    fn unproven(&self, since: Millis) -> Vec<&id::Route> {
-        self.trials
-            .iter()
-            .filter(|(_, trial)| !trial.accepted_since(since))
-            .map(|(route, _)| route)
-            .collect()
-    }
 }
 
 /// Returns the next stage of a move, or `None` while it stays where it is.
@@ -126,7 +105,13 @@
     match order.stage {
         Stage::Share(permille) => widen(now, order, permille, ledger, supply),
         Stage::Watching { until } if until <= now => {
-            let unproven = ledger.unproven(order.started);
+            let until = until + Millis(order.plan.watch.0 / 4);
+            let longest = order.plan.finish_by + order.plan.watch + order.plan.watch;
+            if ledger.trials.is_doubtful() && until <= longest {
+                let reason = "watched longer: the evidence leans towards a fault".to_owned();
+                return Some(Next { stage: Stage::Watching { until }, reason });
+            }
+            let unproven = ledger.trials.unproven(order.started);
             Some(Next { stage: Stage::Done, reason: summary("watched without fault", &unproven) })
         }
         Stage::Watching { .. } | Stage::Done | Stage::TakenBack => None,
@@ -160,8 +145,8 @@
     if supply.new < credit::replicas(stage, supply.full).min(supply.full).max(1) {
         return None;
     }
-    let unproven = ledger.unproven(order.changed);
-    let has_evidence = ledger.trials.values().any(|trial| 0 < trial.new_counts().requests);
+    let unproven = ledger.trials.unproven(order.changed);
+    let has_evidence = ledger.trials.iter().any(|(_, trial)| 0 < trial.new_counts().requests);
     if (!unproven.is_empty() || !has_evidence) && now < latest {
         return None;
     }
--- a/crates/wasabi-rollout/src/evidence.rs
+++ b/crates/wasabi-rollout/src/evidence.rs
@@ -29,16 +29,25 @@
 /// Classes of load: quarters of the concurrency.
 const LOAD_CLASSES: usize = 4;
 
-/// Time within which lost connections to one endpoint count as one event.
+/// Time within which lost connections to one endpoint count as one loss.
 ///
-/// A dead endpoint or link breaks all its requests; they say no more than one of them.
-pub const SAME_EVENT_WITHIN: Millis = Millis(2_000);
+/// A dead endpoint or link breaks all its requests; they say no more than one of them. Streams on
+/// a silent link end one after the other, each by its own progress bound.
+pub const SAME_LOSS_WITHIN: Millis = Millis::from_secs(10);
 
 /// Time in which the requests of a crash are run alone and one of them may prove to be its cause.
 pub const EXPLAINED_WITHIN: Millis = Millis::from_secs(30);
 
-/// Most unexplained events that are held at one time.
-const EVENTS_MAX: usize = 64;
+/// Time after its last ended request for which an endpoint counts as serving.
+///
+/// At a start share of 1% a replica may get its groups minutes apart.
+pub const SERVES_FOR: Millis = Millis::from_secs(300);
+
+/// Load from which on requests are counted as under high load too, as a part of the concurrency.
+pub const HIGH_LOAD: f64 = 0.75;
+
+/// Most unsettled losses that are held at one time.
+const LOSSES_MAX: usize = 64;
 
 /// How one request ended on an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -79,139 +88,152 @@
     }
 }
 
+/// Counts of both versions on one route.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Counts {
+    /// The old version.
+    pub old: Count,
+    /// The new version.
+    pub new: Count,
+    /// The part of the new version's that met a load of [`HIGH_LOAD`] or more.
+    pub new_high_load: Count,
+}
+
 /// The evidence of one move in one pool.
 #[derive(Debug, Clone, Default)]
 pub struct Book {
-    counts: BTreeMap<id::Route, [Count; 2]>,
+    counts: BTreeMap<id::Route, Counts>,
     references: BTreeMap<String, Reference>,
-    events: Vec<Event>,
+    served: BTreeMap<id::Endpoint, (Side, Millis)>,
+    losses: Vec<Loss>,
+    overflow: [u64; 2],
 }
 
 /// Requests of one endpoint that ended without an answer at about the same time.
 #[derive(Debug, Clone)]
-struct Event {
+struct Loss {
     endpoint: id::Endpoint,
     side: Side,
     first: Millis,
-    requests: Vec<(id::Route, Body)>,
+    requests: Vec<Body>,
 }
 
 impl Book {
-    /// Takes an ended request into account.
-    pub fn observe(&mut self, now: Millis, seen: Observation<'_>) {
+    /// Takes an ended request into account, of whose prompt the endpoint had `cached` tokens in its
+    /// prefix cache, by the owner's own knowledge.
+    ///
+    /// The new version's caches are colder than the old one's; without the correction a good
+    /// version would look slow.
+    pub fn observe(&mut self, now: Millis, seen: Observation<'_>, cached: u32) {
+        self.served.insert(seen.endpoint.clone(), (seen.side, now));
         match seen.report.end {
             End::Abandoned => {}
             End::Finished => {
-                let slow = self.is_slow(&seen);
+                let slow = self.is_slow(&seen, cached);
                 if seen.side == Side::Old {
-                    self.learn(&seen);
+                    self.learn(&seen, cached);
                 }
-                self.count(
-                    seen.route,
-                    seen.side,
-                    Count { requests: 1, errors: 0, slow: u64::from(slow) },
-                );
-            }
-            End::Failed => {
-                self.count(seen.route, seen.side, Count { requests: 1, errors: 1, slow: 0 });
+                self.count(&seen, Count { requests: 1, errors: 0, slow: u64::from(slow) });
             }
+            End::Failed => self.count(&seen, Count { requests: 1, errors: 1, slow: 0 }),
             End::Unreachable | End::Broken | End::Silent => self.lost(now, &seen),
         }
     }
 
-    /// Counts the lost connections whose cause is settled. Call it at least once a second.
+    /// Returns how many losses of the old and the new version are settled since the last call.
+    /// Call it at least once a second.
     ///
-    /// `is_quarantined` tells whether a request is known to crash endpoints. An event with such a
-    /// request does not count. Two events without a common request cannot have a request as their
-    /// cause and count at once. The others count when [`EXPLAINED_WITHIN`] has passed. An event
-    /// counts as one error on each of its routes.
-    pub fn settle(&mut self, now: Millis, is_quarantined: impl Fn(Body) -> bool) {
-        self.events.retain(|event| {
-            !event.requests.iter().any(|(_, fingerprint)| is_quarantined(*fingerprint))
-        });
-        let is_settled = |event: &Event| {
-            EXPLAINED_WITHIN <= now.since(event.first)
-                || self.events.iter().any(|other| {
-                    other.side == event.side
-                        && other.endpoint != event.endpoint
-                        && !event.shares_request(other)
-                })
+    /// `is_quarantined` tells whether a request is known to crash endpoints. A loss with such a
+    /// request does not count. Two losses without a common request cannot have a request as their
+    /// cause and count at once. The others count when [`EXPLAINED_WITHIN`] has passed.
+    pub fn settle(&mut self, now: Millis, is_quarantined: impl Fn(Body) -> bool) -> [u64; 2] {
+        self.losses.retain(|loss| !loss.requests.iter().any(|request| is_quarantined(*request)));
+        let is_settled = |loss: &Loss| {
+            EXPLAINED_WITHIN <= now.since(loss.first)
+                || self
+                    .losses
+                    .iter()
+                    .any(|other| other.side == loss.side && !loss.shares_request(other))
         };
-        let settled = self.events.iter().map(is_settled).collect::<Vec<_>>();
+        let settled = self.losses.iter().map(is_settled).collect::<Vec<_>>();
+        let mut counts = std::mem::take(&mut self.overflow);
         let mut settled = settled.into_iter();
-        let (counted, held) =
-            self.events.drain(..).partition::<Vec<_>, _>(|_| settled.next().unwrap_or(true));
-        self.events = held;
-        for event in counted {
-            self.count_event(&event);
-        }
+        self.losses.retain(|loss| {
+            let is_settled = settled.next().unwrap_or(false);
+            counts[loss.side as usize] += u64::from(is_settled);
+            !is_settled
+        });
+        counts
     }
 
-    /// Returns the counts since the last call, of the old and the new version.
-    pub fn take(&mut self) -> BTreeMap<id::Route, [Count; 2]> {
-        std::mem::take(&mut self.counts)
+    /// Returns how many endpoints of the old and the new version served of late.
+    pub fn serving(&mut self, now: Millis) -> [usize; 2] {
+        self.served.retain(|_, (_, last)| now.since(*last) < SERVES_FOR);
+        let new = self.served.values().filter(|(side, _)| *side == Side::New).count();
+        [self.served.len() - new, new]
     }
 
-    fn count(&mut self, route: &id::Route, side: Side, count: Count) {
-        self.counts.entry(route.clone()).or_default()[side as usize].add(count);
+    /// Returns the counts of requests since the last call.
+    pub fn take(&mut self) -> BTreeMap<id::Route, Counts> {
+        std::mem::take(&mut self.counts)
     }
 
-    fn count_event(&mut self, event: &Event) {
-        let mut routes = event.requests.iter().map(|(route, _)| route).collect::<Vec<_>>();
-        routes.sort_unstable();
-        routes.dedup();
-        for route in routes {
-            self.count(route, event.side, Count { requests: 1, errors: 1, slow: 0 });
+    fn count(&mut self, seen: &Observation<'_>, count: Count) {
+        let counts = self.counts.entry(seen.route.clone()).or_default();
+        if seen.side == Side::Old {
+            counts.old.add(count);
+            return;
+        }
+        counts.new.add(count);
+        if HIGH_LOAD <= seen.load {
+            counts.new_high_load.add(count);
         }
     }
 
     fn lost(&mut self, now: Millis, seen: &Observation<'_>) {
-        let request = (seen.route.clone(), seen.fingerprint);
-        let same = self.events.iter_mut().find(|event| {
-            event.endpoint == *seen.endpoint && now.since(event.first) < SAME_EVENT_WITHIN
+        let same = self.losses.iter_mut().find(|loss| {
+            loss.endpoint == *seen.endpoint && now.since(loss.first) < SAME_LOSS_WITHIN
         });
-        if let Some(event) = same {
-            event.requests.push(request);
+        if let Some(loss) = same {
+            loss.requests.push(seen.fingerprint);
             return;
         }
-        if EVENTS_MAX <= self.events.len() {
-            let oldest = self.events.remove(0);
-            self.count_event(&oldest);
+        if LOSSES_MAX <= self.losses.len() {
+            let oldest = self.losses.remove(0);
+            self.overflow[oldest.side as usize] += 1;
         }
-        self.events.push(Event {
+        self.losses.push(Loss {
             endpoint: seen.endpoint.clone(),
             side: seen.side,
             first: now,
-            requests: vec![request],
+            requests: vec![seen.fingerprint],
         });
     }
 
-    fn learn(&mut self, seen: &Observation<'_>) {
+    fn learn(&mut self, seen: &Observation<'_>, cached: u32) {
         if !self.references.contains_key(seen.hardware) {
             self.references.insert(seen.hardware.to_owned(), Reference::default());
         }
         if let Some(reference) = self.references.get_mut(seen.hardware) {
-            reference.learn(seen.load, seen.report);
+            reference.learn(seen, cached);
         }
     }
 
-    fn is_slow(&self, seen: &Observation<'_>) -> bool {
+    fn is_slow(&self, seen: &Observation<'_>, cached: u32) -> bool {
         self.references
             .get(seen.hardware)
-            .and_then(|reference| reference.ratio(seen.load, seen.report))
+            .and_then(|reference| reference.ratio(seen, cached))
             .is_some_and(|ratio| SLOW_RATIO < ratio)
     }
 }
 
-impl Event {
+impl Loss {
     fn shares_request(&self, other: &Self) -> bool {
-        self.requests
-            .iter()
-            .any(|(_, mine)| other.requests.iter().any(|(_, theirs)| mine == theirs))
+        self.requests.iter().any(|request| other.requests.contains(request))
     }
 }
 
-/// The old version's pace on one hardware generation, by prompt length and load.
+/// The old version's pace on one hardware generation, by prompt tokens to read and by load.
 #[derive(Debug, Clone, Default)]
 struct Reference {
     cells: [[Cell; LOAD_CLASSES]; PROMPT_CLASSES],
@@ -230,8 +252,9 @@
 }
 
 impl Reference {
-    fn learn(&mut self, load: f64, report: &Report) {
-        let cell = &mut self.cells[prompt_class(report)][load_class(load)];
+    fn learn(&mut self, seen: &Observation<'_>, cached: u32) {
+        let report = seen.report;
+        let cell = &mut self.cells[prompt_class(report, cached)][load_class(seen.load)];
         if let Some(first) = report.first_token {
             cell.first_token.add(first.0 as f64);
         }
@@ -242,8 +265,9 @@
 
     /// Returns the request's time relative to the reference for its length and load, or `None`
     /// when the old version did not show enough of them.
-    fn ratio(&self, load: f64, report: &Report) -> Option<f64> {
-        let cell = &self.cells[prompt_class(report)][load_class(load)];
+    fn ratio(&self, seen: &Observation<'_>, cached: u32) -> Option<f64> {
+        let report = seen.report;
+        let cell = &self.cells[prompt_class(report, cached)][load_class(seen.load)];
         let first = cell
             .first_token
             .known()
@@ -277,8 +301,9 @@
         .then(|| report.stream.0 as f64 / f64::from(report.output_tokens - 1))
 }
 
-fn prompt_class(report: &Report) -> usize {
-    let class = u32::BITS - report.prompt_tokens.leading_zeros();
+fn prompt_class(report: &Report, cached: u32) -> usize {
+    let read = report.prompt_tokens.saturating_sub(cached);
+    let class = u32::BITS - read.leading_zeros();
     (class as usize).min(PROMPT_CLASSES - 1)
 }
 
--- a/crates/wasabi-rollout/src/lib.rs
+++ b/crates/wasabi-rollout/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod credit;
 pub mod decision;
 pub mod evidence;
+pub mod loss;
 pub mod sequential;
 pub mod stop;
 pub mod trial;
--- a/crates/wasabi-rollout/src/sequential.rs
+++ b/crates/wasabi-rollout/src/sequential.rs
@@ -56,14 +56,27 @@
     /// The rates may change from call to call, as the rate of the old version becomes better
     /// known.
     pub fn add(&mut self, requests: u64, failures: u64, rates: Rates) -> Verdict {
-        if self.verdict == Verdict::Rejected {
-            return self.verdict;
-        }
         let failures = failures.min(requests);
         let good = rates.good.clamp(1e-9, 1.0 - 1e-9);
         let bad = rates.bad.clamp(good, 1.0 - 1e-9);
-        self.ratio += failures as f64 * (bad / good).ln()
-            + (requests - failures) as f64 * ((1.0 - bad) / (1.0 - good)).ln();
+        self.step(
+            failures as f64 * (bad / good).ln()
+                + (requests - failures) as f64 * ((1.0 - bad) / (1.0 - good)).ln(),
+        )
+    }
+
+    /// Takes `events` events in `time` into account; the rates are events per unit of time.
+    pub fn add_events(&mut self, events: u64, time: f64, rates: Rates) -> Verdict {
+        let good = rates.good.max(1e-12);
+        let bad = rates.bad.max(good);
+        self.step(events as f64 * (bad / good).ln() - (bad - good) * time)
+    }
+
+    fn step(&mut self, step: f64) -> Verdict {
+        if self.verdict == Verdict::Rejected {
+            return self.verdict;
+        }
+        self.ratio += step;
         if self.reject_at() <= self.ratio {
             self.verdict = Verdict::Rejected;
         } else if self.ratio <= self.bounds.miss.ln() {
@@ -90,7 +103,7 @@
     }
 
     /// Returns the ratio from which on this round rejects.
-    fn reject_at(&self) -> f64 {
+    pub fn reject_at(&self) -> f64 {
         let round = f64::from(self.round);
         let part = 6.0 / (PI * PI * round * round);
         -(self.bounds.false_alarm * part).ln()
--- a/crates/wasabi-rollout/src/stop.rs
+++ b/crates/wasabi-rollout/src/stop.rs
@@ -5,9 +5,11 @@
 use wasabi_protocol::{clock::Millis, fingerprint::Body, id, rpc};
 
 use crate::{
+    credit::Side,
     evidence::{Book, Count, Observation},
+    loss,
     sequential::Verdict,
-    trial::Trial,
+    trial,
 };
 
 /// One move as the owner of one pool sees it.
@@ -17,10 +19,11 @@
 #[derive(Debug, Clone)]
 pub struct Watch {
     book: Book,
-    trials: BTreeMap<id::Route, Trial>,
+    trials: trial::Set,
+    losses: loss::Trial,
+    settled: Option<Millis>,
     unreported: BTreeMap<id::Route, [Count; 2]>,
-    routes: usize,
-    stopped: Option<id::Route>,
+    stopped: Option<String>,
 }
 
 impl Watch {
@@ -28,38 +31,50 @@
     pub fn new(routes: usize) -> Self {
         Self {
             book: Book::default(),
-            trials: BTreeMap::new(),
+            trials: trial::Set::new(routes),
+            losses: loss::Trial::new(routes),
+            settled: None,
             unreported: BTreeMap::new(),
-            routes,
             stopped: None,
         }
     }
 
     /// Takes an ended request into account.
     pub fn observe(&mut self, now: Millis, seen: Observation<'_>) {
-        self.book.observe(now, seen);
+        self.observe_cached(now, seen, 0);
+    }
+
+    /// Takes an ended request into account, of whose prompt `cached` tokens were in the endpoint's
+    /// prefix cache; see [`Book::observe`].
+    pub fn observe_cached(&mut self, now: Millis, seen: Observation<'_>, cached: u32) {
+        self.book.observe(now, seen, cached);
         self.judge(now);
     }
 
-    /// Counts lost connections whose cause is settled; see [`Book::settle`].
+    /// Counts lost endpoints and links whose cause is settled; see [`Book::settle`].
     pub fn settle(&mut self, now: Millis, is_quarantined: impl Fn(Body) -> bool) {
-        self.book.settle(now, is_quarantined);
+        let endpoints = self.book.serving(now);
+        let events = self.book.settle(now, is_quarantined);
+        let span = self.settled.map_or(Millis::ZERO, |settled| now.since(settled));
+        self.settled = Some(now);
+        self.losses.add(Side::Old, events[0], endpoints[0], span);
+        self.losses.add(Side::New, events[1], endpoints[1], span);
         self.judge(now);
     }
 
-    /// Returns the route whose evidence stopped the new version.
-    pub const fn stopped(&self) -> Option<&id::Route> {
-        self.stopped.as_ref()
+    /// Returns why the new version was stopped, if it was.
+    pub fn stopped(&self) -> Option<&str> {
+        self.stopped.as_deref()
     }
 
     /// Returns what a route shows so far.
     pub fn verdict(&self, route: &id::Route) -> Verdict {
-        self.trials.get(route).map_or(Verdict::Open, Trial::verdict)
+        self.trials.verdict(route)
     }
 
-    /// Returns the trial of a route, for reports.
-    pub fn trial(&self, route: &id::Route) -> Option<&Trial> {
-        self.trials.get(route)
+    /// Returns the trials of the routes.
+    pub const fn trials(&self) -> &trial::Set {
+        &self.trials
     }
 
     /// Returns the evidence since the last call, for the check-in with control.
@@ -69,10 +84,10 @@
         old: &id::Version,
         new: &id::Version,
     ) -> Vec<rpc::Evidence> {
-        if let Some(route) = &self.stopped {
+        let stopped = self.stopped.is_some();
+        if stopped && let Some((route, _)) = self.trials.iter().next() {
             self.unreported.entry(route.clone()).or_default();
         }
-        let stopped = self.stopped.is_some();
         std::mem::take(&mut self.unreported)
             .into_iter()
             .flat_map(|(route, counts)| {
@@ -92,15 +107,14 @@
 
     fn judge(&mut self, now: Millis) {
         for (route, counts) in self.book.take() {
-            let trial = self.trials.entry(route.clone()).or_insert_with(|| Trial::new(self.routes));
-            trial.add_old(now, counts[0]);
-            trial.add_new(now, counts[1]);
-            if self.stopped.is_none() && trial.verdict() == Verdict::Rejected {
-                self.stopped = Some(route.clone());
-            }
+            self.trials.add(now, &route, [counts.old, counts.new]);
+            self.trials.add_high_load(now, &route, counts.new_high_load);
             let unreported = self.unreported.entry(route).or_default();
-            unreported[0].add(counts[0]);
-            unreported[1].add(counts[1]);
+            unreported[0].add(counts.old);
+            unreported[1].add(counts.new);
+        }
+        if self.stopped.is_none() {
+            self.stopped = self.trials.rejected().or_else(|| self.losses.rejected());
         }
     }
 }
--- a/crates/wasabi-routing/src/choice.rs
+++ b/crates/wasabi-routing/src/choice.rs
@@ -58,3 +58,14 @@
         .filter(|&index| candidates[index].has_room())
         .min_by_key(|&index| candidates[index].rank(prompt_tokens))
 }
+
+/// Returns the position of the endpoint with the most in flight that still has room, or `None`
+/// when none has.
+///
+/// It loads one endpoint before it uses the next, so that faults under load show on an unproven
+/// version while its share is small.
+pub fn pack(candidates: &[Candidate]) -> Option<usize> {
+    (0..candidates.len())
+        .filter(|&index| candidates[index].has_room())
+        .max_by_key(|&index| candidates[index].in_flight)
+}
