--- /dev/null
+++ b/crates/wasabi-routing/tests/pace.rs
@@ -0,0 +1,138 @@
+//! Tests of stragglers and progress bounds.
+
+use wasabi_protocol::{
+    clock::Millis,
+    endpoint::{self, Announcement},
+    id,
+};
+use wasabi_routing::pace::{
+    BAD_IN_A_ROW, Board, GOOD_IN_A_ROW, Kind, PROBE_EVERY, Sample, Standing,
+};
+
+fn kind(hardware: &str) -> Kind {
+    Kind { backend: "m".into(), version: "v1".into(), hardware: hardware.to_owned() }
+}
+
+fn at(per_token_ms: f64) -> Sample {
+    Sample { per_token_ms: Some(per_token_ms), per_prompt_token_ms: Some(1.0), silent: false }
+}
+
+/// Returns a board of four endpoints of one kind, at 10 ms a token, and the name of the first.
+fn board() -> (Board, id::Endpoint) {
+    let mut board = Board::default();
+    for name in ["a", "b", "c", "d"] {
+        board.join(&name.into(), kind("h1"));
+        for _ in 0..10 {
+            board.sample(Millis(0), &name.into(), at(10.0));
+        }
+    }
+    (board, "a".into())
+}
+
+/// Guards against an endpoint that goes on probation for a single slow stream, and against a
+/// straggler that stays in full use.
+#[test]
+fn three_bad_samples_in_a_row_make_a_straggler() {
+    let (mut board, name) = board();
+    for _ in 0..BAD_IN_A_ROW - 1 {
+        assert_eq!(board.sample(Millis(1), &name, at(30.0)), Standing::Normal);
+    }
+    assert_eq!(board.sample(Millis(1), &name, at(10.0)), Standing::Normal);
+    let standings = [(); BAD_IN_A_ROW as usize].map(|()| board.sample(Millis(1), &name, at(30.0)));
+    assert_eq!(standings, [Standing::Normal, Standing::Normal, Standing::Probation]);
+}
+
+/// Guards against a slow generation that is judged by a fast one.
+#[test]
+fn an_endpoint_is_compared_with_its_own_kind() {
+    let (mut board, _) = board();
+    for name in ["s", "t"] {
+        board.join(&name.into(), kind("h0"));
+    }
+    for _ in 0..20 {
+        assert_eq!(board.sample(Millis(1), &"s".into(), at(40.0)), Standing::Normal);
+        assert_eq!(board.sample(Millis(1), &"t".into(), at(40.0)), Standing::Normal);
+    }
+    let announcement = Announcement {
+        name: "s".into(),
+        incarnation: 1,
+        address: String::new(),
+        data_centre: "dc".into(),
+        kind: endpoint::Kind::Model,
+        backend: "m".into(),
+        version: "v1".into(),
+        adapters: Vec::new(),
+        hardware: "h0".to_owned(),
+        concurrency: 1,
+        abilities: endpoint::Abilities::default(),
+        load: endpoint::Load::default(),
+    };
+    assert_eq!(Kind::from(&announcement), kind("h0"));
+}
+
+/// Guards against a lone endpoint, or the slower one of two, that is its own reference.
+#[test]
+fn a_lone_endpoint_is_compared_with_its_past() {
+    for peers in [1, 2] {
+        let mut board = Board::default();
+        for name in &["a", "b"][..peers] {
+            board.join(&(*name).into(), kind("h1"));
+            for _ in 0..10 {
+                board.sample(Millis(0), &(*name).into(), at(10.0));
+            }
+        }
+        for _ in 0..BAD_IN_A_ROW {
+            board.sample(Millis(1), &"a".into(), at(30.0));
+        }
+        assert_eq!(board.standing(&"a".into()), Standing::Probation, "{peers} endpoints");
+    }
+}
+
+/// Guards against an endpoint on probation that never gets the request by which it could recover,
+/// and against one that flaps at the same pace as at first.
+#[test]
+fn probation_ends_by_progress_and_a_relapse_asks_for_more() {
+    let (mut board, name) = board();
+    let mut needed = Vec::new();
+    for round in 0..2 {
+        let now = Millis(round * 10_000);
+        for _ in 0..BAD_IN_A_ROW {
+            board.sample(now, &name, at(30.0));
+        }
+        assert!(board.probe_due(now, &name));
+        board.probed(now, &name);
+        assert!(!board.probe_due(now, &name));
+        assert!(board.probe_due(now + PROBE_EVERY, &name));
+        let good = (1..).find(|_| board.sample(now, &name, at(10.0)) == Standing::Normal);
+        needed.push(good.unwrap());
+    }
+    assert_eq!(needed, [GOOD_IN_A_ROW, 2 * GOOD_IN_A_ROW]);
+}
+
+/// Guards against silence that does not count as missing progress.
+#[test]
+fn silent_streams_are_bad_samples() {
+    let (mut board, name) = board();
+    for _ in 0..BAD_IN_A_ROW {
+        board.sample(Millis(1), &name, Sample { silent: true, ..Sample::default() });
+    }
+    assert_eq!(board.standing(&name), Standing::Probation);
+}
+
+/// Guards against one bound for all: a slow endpoint would be cut while it works, and a fast one
+/// would hang for long.
+#[test]
+fn bounds_scale_with_the_own_pace() {
+    let (mut board, _) = board();
+    board.join(&"s".into(), kind("h0"));
+    for _ in 0..40 {
+        let slow =
+            Sample { per_token_ms: Some(400.0), per_prompt_token_ms: Some(8.0), silent: false };
+        board.sample(Millis(1), &"s".into(), slow);
+    }
+    let between = |name: &str| board.between_tokens_bound(&name.into());
+    let first = |name: &str| board.first_token_bound(&name.into(), 4_000);
+    assert!(between("a") < Millis(1_000) && Millis(4_000) < between("s"));
+    assert!(first("a") < first("s"));
+    assert!(Millis(32_000) < first("s"));
+}
--- /dev/null
+++ b/crates/wasabi-routing/tests/quarantine.rs
@@ -0,0 +1,154 @@
+//! Tests of suspects and quarantine.
+
+use proptest::{prelude::*, test_runner::RngSeed};
+use wasabi_protocol::{clock::Millis, fingerprint::Body, id, rpc::Suspect};
+use wasabi_routing::quarantine::{KEPT_FOR, Permit, REPORTED_FOR, SUSPECTS_MAX, Table};
+
+fn crash(table: &mut Table, now: Millis, batch: &[u64]) {
+    let organisation = id::Organisation::from("o");
+    let batch = batch.iter().map(|body| (Body(*body), &organisation)).collect::<Vec<_>>();
+    table.crashed(now, &batch);
+}
+
+fn is_refused(table: &Table, now: Millis, body: u64) -> bool {
+    matches!(table.permit(now, Body(body)), Permit::Refused { .. })
+}
+
+/// Guards against a request that walks through the fleet: its caller sends it again and again,
+/// through two pools whose owners tell each other only every 500 ms.
+#[test]
+fn a_crashing_request_kills_few_endpoints() {
+    let mut owners = [Table::default(), Table::default()];
+    let mut crashes = 0;
+    for step in 0..200_u64 {
+        let now = Millis(step * 100);
+        if step % 5 == 0 {
+            let reports = owners.each_ref().map(|owner| owner.report(now));
+            owners[0].merge(now, &reports[1]);
+            owners[1].merge(now, &reports[0]);
+        }
+        let owner = &mut owners[step as usize % 2];
+        match owner.permit(now, Body(7)) {
+            Permit::Free => crash(owner, now, &[7, 1_000 + step, 2_000 + step, 3_000 + step]),
+            Permit::Alone => crash(owner, now, &[7]),
+            Permit::Wait | Permit::Refused { .. } => continue,
+        }
+        crashes += 1;
+    }
+    assert!(crashes <= 4, "{crashes} endpoints died");
+    assert!(owners.iter().all(|owner| is_refused(owner, Millis(20_000), 7)));
+}
+
+/// Guards against an innocent request of the same batch that stays blamed, at its own pool or
+/// through an echo of the old report from a peer.
+#[test]
+fn a_finished_request_is_cleared_for_good() {
+    let (mut own, mut peer) = (Table::default(), Table::default());
+    crash(&mut own, Millis(0), &[1, 2]);
+    peer.merge(Millis(400), &own.report(Millis(0)));
+    assert_eq!(own.permit(Millis(500), Body(1)), Permit::Alone);
+    own.finished(Millis(600), Body(1));
+    own.merge(Millis(1_000), &peer.report(Millis(1_000)));
+    assert_eq!(own.permit(Millis(1_000), Body(1)), Permit::Free);
+    assert_eq!(own.permit(Millis(1_000), Body(2)), Permit::Alone);
+    // A crash that the peer saw later is no echo.
+    crash(&mut peer, Millis(9_000), &[1]);
+    own.merge(Millis(9_100), &peer.report(Millis(9_100)));
+    assert!(is_refused(&own, Millis(9_100), 1));
+}
+
+/// Guards against quarantine by one crash, by two crashes in large batches, and against one that
+/// never ends.
+#[test]
+fn quarantine_takes_two_crashes_and_a_full_weight() {
+    let mut table = Table::default();
+    crash(&mut table, Millis(0), &[1]);
+    crash(&mut table, Millis(0), &[2, 3, 4]);
+    crash(&mut table, Millis(0), &[2, 3, 4]);
+    assert_eq!([1, 2].map(|body| is_refused(&table, Millis(1), body)), [false, false]);
+    crash(&mut table, Millis(0), &[2, 3, 4]);
+    crash(&mut table, Millis(0), &[1]);
+    assert_eq!([1, 2].map(|body| is_refused(&table, Millis(1), body)), [true, true]);
+    table.finished(Millis(2), Body(1));
+    assert!(is_refused(&table, Millis(2), 1));
+    assert_eq!(table.permit(KEPT_FOR, Body(1)), Permit::Free);
+}
+
+/// Guards against two suspects of a pool that run beside each other.
+#[test]
+fn suspects_run_one_at_a_time() {
+    let mut table = Table::default();
+    crash(&mut table, Millis(0), &[1, 2]);
+    table.started_alone(Body(1), id::Attempt(10));
+    assert_eq!(table.permit(Millis(1), Body(2)), Permit::Wait);
+    table.ended(id::Attempt(99));
+    assert_eq!(table.permit(Millis(1), Body(2)), Permit::Wait);
+    table.ended(id::Attempt(10));
+    assert_eq!(table.permit(Millis(1), Body(2)), Permit::Alone);
+}
+
+/// Guards against peers that keep a suspect alive for each other without end, and against a
+/// process with a young clock that extends it.
+#[test]
+fn reports_do_not_renew_each_other() {
+    let mut tables = [Table::default(), Table::default(), Table::default()];
+    crash(&mut tables[0], Millis(0), &[1]);
+    let mut now = Millis(0);
+    while now < KEPT_FOR + KEPT_FOR {
+        now = now + Millis(500);
+        for from in 0..3 {
+            let report = tables[from].report(now);
+            // Each report is 300 ms on its way.
+            tables[(from + 1) % 3].merge(now + Millis(300), &report);
+        }
+    }
+    assert!(tables.iter().all(|table| table.permit(now, Body(1)) == Permit::Free));
+    let mut young = Table::default();
+    let age = REPORTED_FOR - Millis(1);
+    let suspect =
+        Suspect { fingerprint: Body(1), organisation: "o".into(), crashes: 2, weight: 2.0, age };
+    young.merge(Millis(10), &[suspect]);
+    assert!(is_refused(&young, Millis(10), 1));
+    assert!(!is_refused(&young, Millis(10) + (KEPT_FOR - age), 1));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(4), cases: 64, ..ProptestConfig::default() })]
+
+    /// Guards against a table without bound, and against a flood of suspects that pushes out a
+    /// quarantined request.
+    #[test]
+    fn table_is_bounded(batches in prop::collection::vec(1_u64..64, 40..80)) {
+        let mut table = Table::default();
+        crash(&mut table, Millis(0), &[1]);
+        crash(&mut table, Millis(0), &[1]);
+        for (index, size) in batches.iter().enumerate() {
+            let first = 1_000 + index as u64 * 100;
+            let batch = (first..first + size).collect::<Vec<_>>();
+            crash(&mut table, Millis(index as u64 + 1), &batch);
+        }
+        prop_assert!(table.len() <= SUSPECTS_MAX);
+        prop_assert!(is_refused(&table, Millis(100), 1));
+    }
+
+    /// Guards against a merge whose result depends on order or repetition.
+    #[test]
+    fn merge_is_idempotent_and_commutative(
+        reports in prop::collection::vec((0_u64..4, 1_u32..4, 0.0_f64..4.0, 0_u64..500_000), 1..12)
+    ) {
+        let suspects = reports.iter().map(|&(body, crashes, weight, age)| Suspect {
+            fingerprint: Body(body), organisation: "o".into(), crashes, weight, age: Millis(age),
+        }).collect::<Vec<_>>();
+        let now = Millis(1_000_000);
+        let (mut one, mut other) = (Table::default(), Table::default());
+        one.merge(now, &suspects);
+        for suspect in suspects.iter().rev().chain(&suspects) {
+            other.merge(now, std::slice::from_ref(suspect));
+        }
+        let counts = |table: &Table| {
+            let report = table.report(now);
+            report.iter().map(|s| (s.fingerprint, s.crashes, s.weight.to_bits())).collect::<Vec<_>>()
+        };
+        prop_assert_eq!(counts(&one), counts(&other));
+    }
+}
