--- a/crates/wasabi-protocol/src/rpc.rs
+++ b/crates/wasabi-protocol/src/rpc.rs
@@ -18,12 +18,16 @@
     pub const ACQUIRE: &str = "pool.acquire";
     /// Gives a grant back with its report.
     pub const RELEASE: &str = "pool.release";
+    /// Takes a grant back from its holder before the first token.
+    pub const PREEMPT: &str = "pool.preempt";
     /// Tells a new pool owner the grants that a holder still uses.
     pub const REPORT: &str = "pool.report";
     /// Relays an endpoint's announcement to the pool owner.
     pub const ANNOUNCE: &str = "endpoint.announce";
     /// Relays that an endpoint leaves.
     pub const LEAVE: &str = "endpoint.leave";
+    /// Asks the owner of an organisation's budget for a slice.
+    pub const LEND: &str = "budget.lend";
     /// Exchanges liveness and summaries between entries.
     pub const PEER_HEARTBEAT: &str = "peer.heartbeat";
     /// Returns the configuration in force at a peer or at control.
@@ -34,6 +38,8 @@
     pub const PROPOSE: &str = "control.propose";
     /// Carries a message of the agreement between control members.
     pub const CONSENSUS: &str = "consensus.step";
+    /// Asks a member whether it ever heard the asker, before the asker founds a group.
+    pub const HELLO: &str = "consensus.hello";
     /// Gives an operator's command.
     pub const OPERATE: &str = "operator.command";
     /// Returns contracts, moves, entries, endpoints and degraded parts.
@@ -113,6 +119,15 @@
     pub report: Report,
 }
 
+/// Takes a grant back from its holder, unless a token of the answer came already.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Preempt {
+    /// The pool.
+    pub pool: id::Pool,
+    /// The attempt that the grant started.
+    pub attempt: id::Attempt,
+}
+
 /// A grant that a holder still uses, told to a new owner.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Running {
@@ -331,3 +346,227 @@
     /// The move, with its final stage.
     pub ended: Move,
 }
+
+/// Part of an organisation's budget, lent to one pool owner for a short time.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Slice {
+    /// Requests that may be started while the slice lasts.
+    pub requests: f64,
+    /// Estimated tokens that may be started while the slice lasts.
+    pub tokens: f64,
+    /// Requests that may run at one time while the slice lasts.
+    pub concurrency: u32,
+    /// How long the slice lasts, in milliseconds.
+    pub span: Millis,
+}
+
+/// What a pool owner used of an organisation's budget since it last asked, and what it wants.
+#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
+pub struct Usage {
+    /// Requests started.
+    pub requests: u64,
+    /// Estimated tokens started.
+    pub tokens: u64,
+    /// Requests running now.
+    pub running: u32,
+    /// Requests that wait for budget.
+    pub waiting: u32,
+    /// Estimated tokens of the requests that wait for budget.
+    pub waiting_tokens: u64,
+}
+
+/// Asks the owner of an organisation's budget for the next slice.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Lend {
+    /// The organisation.
+    pub organisation: id::Organisation,
+    /// The pool that asks.
+    pub pool: id::Pool,
+    /// What the pool used and wants.
+    pub used: Usage,
+}
+
+/// An operator's command with the credential.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Operate {
+    /// The credential; control holds only its digest.
+    pub credential: String,
+    /// The command; only commands with an order are taken.
+    pub command: Command,
+    /// Longest time to wait until the change is in force at every entry, in milliseconds.
+    pub wait: Millis,
+}
+
+/// The answer to [`Operate`].
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Operated {
+    /// The command is committed.
+    Committed {
+        /// What it did.
+        outcome: Outcome,
+        /// Where an accepted change is in force.
+        force: Force,
+    },
+    /// The asked member is not the leader; the command was not proposed.
+    NotLeader {
+        /// The leader's address, when it is known.
+        leader: Option<String>,
+    },
+    /// Leadership was lost after the command was proposed; resend it to learn its outcome.
+    Unknown,
+    /// The command was not proposed.
+    Refused(Fault),
+}
+
+/// Where a revision is in force.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Force {
+    /// Entries that confirmed it.
+    pub confirmed: Vec<id::Entry>,
+    /// Entries that are known not to serve.
+    pub stopped: Vec<id::Entry>,
+    /// Entries that may still serve an older revision.
+    pub behind: Vec<id::Entry>,
+}
+
+/// An operator's question for the status.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Inquire {
+    /// The credential.
+    pub credential: String,
+    /// Whose knowledge is asked for.
+    pub source: Source,
+}
+
+/// Whose knowledge an operator asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Source {
+    /// The leader's, which is up to date.
+    Leader,
+    /// That of the asked member, which may be old; for use without a quorum.
+    Member,
+}
+
+/// The answer to [`Inquire`].
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Inquired {
+    /// The status.
+    Status(Box<Status>),
+    /// The asked member is not the leader.
+    NotLeader {
+        /// The leader's address, when it is known.
+        leader: Option<String>,
+    },
+    /// The question is refused.
+    Refused(Fault),
+}
+
+/// An operator's change of the control group.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ChangeMembers {
+    /// The credential.
+    pub credential: String,
+    /// The change.
+    pub change: MemberChange,
+}
+
+/// A change of one member of the control group.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum MemberChange {
+    /// Adds a member: it catches up without a vote and then gets one.
+    Add {
+        /// The member, under a name that was never used before.
+        member: id::Member,
+        /// The IP address and port that it listens on.
+        address: String,
+    },
+    /// Removes a member.
+    Remove {
+        /// The member.
+        member: id::Member,
+    },
+}
+
+/// The answer to [`ChangeMembers`]. The call is repeated until it is done.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum MembersChanged {
+    /// The change is committed, and a quorum of the members holds the whole log.
+    Done {
+        /// The members.
+        members: Vec<MemberStatus>,
+    },
+    /// The change is under way.
+    Waiting {
+        /// What it waits for.
+        reason: String,
+        /// The members.
+        members: Vec<MemberStatus>,
+    },
+    /// The asked member is not the leader.
+    NotLeader {
+        /// The leader's address, when it is known.
+        leader: Option<String>,
+    },
+    /// The change does not apply.
+    Refused(Fault),
+}
+
+/// An operator's order to drain an entry.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Drain {
+    /// The credential.
+    pub credential: String,
+    /// The entry. It drains once it sees itself as draining in the view.
+    pub entry: id::Entry,
+}
+
+/// The answer to [`Drain`].
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Drained {
+    /// The entry is on no list any more, from this revision on.
+    Ordered {
+        /// The revision.
+        revision: id::Revision,
+    },
+    /// The asked member is not the leader.
+    NotLeader {
+        /// The leader's address, when it is known.
+        leader: Option<String>,
+    },
+    /// Leadership was lost before the order was committed; give it again.
+    Unknown,
+    /// The order does not apply.
+    Refused(Fault),
+}
+
+/// Messages of the agreement between two control members.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Step {
+    /// The sender.
+    pub from: id::Member,
+    /// The IP address and port that the sender listens on.
+    pub address: String,
+    /// The member that the sender means.
+    pub to: id::Member,
+    /// The messages, encoded with postcard and then base64.
+    pub messages: String,
+}
+
+/// Asks a member whether it ever got a message from the asker.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hello {
+    /// The asker.
+    pub from: id::Member,
+}
+
+/// The answer to [`Hello`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Met {
+    /// No message of the asker ever came.
+    Never,
+    /// The asker took part before, so an empty folder means that it lost its disk.
+    Before,
+}
