--- a/crates/wasabi-rollout/src/credit.rs
+++ b/crates/wasabi-rollout/src/credit.rs
@@ -58,6 +58,7 @@
 /// The credit of the routes of one pool for the new version.
 #[derive(Debug, Clone)]
 pub struct Ledger {
+    stage: Stage,
     permille: u32,
     routes: BTreeMap<id::Route, f64>,
     group: u32,
@@ -78,6 +79,7 @@
     /// concurrency of the replicas that [`replicas`] allows.
     pub fn new(stage: Stage, group_max: u32) -> Self {
         Self {
+            stage,
             permille: share(stage),
             routes: BTreeMap::new(),
             group: GROUP_FIRST.min(group_max.max(1)),
@@ -88,6 +90,7 @@
 
     /// Takes a new stage or concurrency into account.
     pub fn restage(&mut self, stage: Stage, group_max: u32) {
+        self.stage = stage;
         self.permille = share(stage);
         self.group_max = group_max.max(1);
         self.group = self.group.min(self.group_max);
@@ -108,7 +111,7 @@
     /// once for each dispatch, when its endpoint is about to be chosen. When the returned
     /// side has no room, the other one may be used; [`Self::refund`] gives the credit back then.
     pub fn side(&mut self, route: &id::Route, tier: Tier, verdict: Verdict) -> Side {
-        let permille = self.route_permille(tier, verdict);
+        let permille = route_share(self.stage, tier, verdict);
         if 1_000 <= permille {
             return Side::New;
         }
@@ -145,26 +148,26 @@
             *credit = (*credit + 1.0).min(CREDIT_MAX);
         }
     }
+}
 
-    /// Returns the share of a route, in thousandths.
-    fn route_permille(&self, tier: Tier, verdict: Verdict) -> u32 {
-        if verdict == Verdict::Rejected {
-            return 0;
-        }
-        if 1_000 < self.permille {
-            return 1_000;
-        }
-        if tier == Tier::TOP {
-            if self.permille < TOP_TIER_FROM_PERMILLE {
-                return 0;
-            }
-            return self.permille / TOP_TIER_DIVISOR;
-        }
-        if verdict == Verdict::Accepted {
-            return self.permille;
-        }
-        self.permille.min(UNPROVEN_WHOLE_PERMILLE.max(self.permille / UNPROVEN_DIVISOR))
+/// Returns the share of a route's dispatches that the new version gets, in thousandths.
+///
+/// `verdict` is what the route shows so far.
+pub fn route_share(stage: Stage, tier: Tier, verdict: Verdict) -> u32 {
+    let share = share(stage);
+    if verdict == Verdict::Rejected {
+        return 0;
+    }
+    if 1_000 < share {
+        return 1_000;
+    }
+    if tier == Tier::TOP {
+        return if share < TOP_TIER_FROM_PERMILLE { 0 } else { share / TOP_TIER_DIVISOR };
+    }
+    if verdict == Verdict::Accepted {
+        return share;
     }
+    share.min(UNPROVEN_WHOLE_PERMILLE.max(share / UNPROVEN_DIVISOR))
 }
 
 /// How the new version's requests are placed on its replicas.
--- a/crates/wasabi-rollout/src/stop.rs
+++ b/crates/wasabi-rollout/src/stop.rs
@@ -59,7 +59,9 @@
         self.settled = Some(now);
         self.losses.add(Side::Old, events[0], endpoints[0], span);
         self.losses.add(Side::New, events[1], endpoints[1], span);
-        self.judge(now);
+        if self.stopped.is_none() {
+            self.stopped = self.losses.rejected();
+        }
     }
 
     /// Returns why the new version was stopped, if it was.
@@ -107,14 +109,15 @@
 
     fn judge(&mut self, now: Millis) {
         for (route, counts) in self.book.take() {
-            self.trials.add(now, &route, [counts.old, counts.new]);
-            self.trials.add_high_load(now, &route, counts.new_high_load);
+            let verdict = self.trials.add(now, &route, [counts.old, counts.new]);
+            let under_load = self.trials.add_high_load(now, &route, counts.new_high_load);
+            let is_rejected = [verdict, under_load].contains(&Verdict::Rejected);
+            if is_rejected && self.stopped.is_none() {
+                self.stopped = self.trials.rejected();
+            }
             let unreported = self.unreported.entry(route).or_default();
             unreported[0].add(counts.old);
             unreported[1].add(counts.new);
         }
-        if self.stopped.is_none() {
-            self.stopped = self.trials.rejected().or_else(|| self.losses.rejected());
-        }
     }
 }
--- a/crates/wasabi-rollout/src/trial.rs
+++ b/crates/wasabi-rollout/src/trial.rs
@@ -97,16 +97,18 @@
         Self { trials: BTreeMap::new(), all: Tests::new(routes), high: Tests::new(routes), routes }
     }
 
-    /// Takes requests of the old and the new version on one route into account.
-    pub fn add(&mut self, now: Millis, route: &id::Route, [old, new]: [Count; 2]) {
+    /// Takes requests of the old and the new version on one route into account, and returns what
+    /// the route and all routes together show after it.
+    pub fn add(&mut self, now: Millis, route: &id::Route, [old, new]: [Count; 2]) -> Verdict {
         if !self.trials.contains_key(route) {
             self.trials.insert(route.clone(), Trial::new(self.routes));
         }
-        let Some(trial) = self.trials.get_mut(route) else { return };
+        let Some(trial) = self.trials.get_mut(route) else { return Verdict::Open };
         trial.old.add(now, old);
         if 0 < new.requests {
             trial.add_new(now, new, &mut self.all);
         }
+        if self.all.verdict() == Verdict::Rejected { Verdict::Rejected } else { trial.verdict() }
     }
 
     /// Takes errors of the new version under high load into account, after [`Self::add`] took the
@@ -114,14 +116,15 @@
     ///
     /// They are compared with the old version's rate at any load: an endpoint has to serve as many
     /// requests as it announces. Slowness is not, since load slows good versions too.
-    pub fn add_high_load(&mut self, now: Millis, route: &id::Route, new: Count) {
-        let Some(trial) = self.trials.get(route) else { return };
+    pub fn add_high_load(&mut self, now: Millis, route: &id::Route, new: Count) -> Verdict {
+        let Some(trial) = self.trials.get(route) else { return Verdict::Open };
         if !trial.old.is_sure() || new.requests == 0 {
-            return;
+            return Verdict::Open;
         }
         let rates = trial.old.errors(now);
         self.high.errors.add(new.requests, new.errors, rates);
         self.high.gross.add(new.requests, new.errors, gross(rates));
+        self.high.verdict()
     }
 
     /// Returns what a route shows so far.
--- /dev/null
+++ b/crates/wasabi-rollout/tests/credit.rs
@@ -0,0 +1,106 @@
+//! Tests of the share of an unproven version.
+
+use proptest::{prelude::*, test_runner::RngSeed};
+use wasabi_protocol::{clock::Millis, command::Stage, contract::Tier, id};
+use wasabi_rollout::{
+    credit::{self, Ledger, Side, TOP_TIER_FROM_PERMILLE},
+    sequential::Verdict,
+};
+
+const WATCHING: Stage = Stage::Watching { until: Millis(1) };
+
+fn count(ledger: &mut Ledger, route: &id::Route, tier: u8, verdict: Verdict, of: u32) -> u32 {
+    let sides = (0..of).filter(|_| ledger.side(route, Tier(tier), verdict) == Side::New);
+    sides.count() as u32
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(5), ..ProptestConfig::default() })]
+
+    /// Guards against a route that gets more of the new version than its share, whatever the
+    /// order and mix of the routes and the size of the groups.
+    #[test]
+    fn no_route_exceeds_its_share(
+        permille in 1_u32..1_000, group in 1_u32..40,
+        dispatches in prop::collection::vec(0_usize..4, 1..3_000),
+    ) {
+        let mut ledger = Ledger::new(Stage::Share(permille), group);
+        let routes = ["a", "b", "c", "d"].map(id::Route::from);
+        let mut counts = [[0_u32; 2]; 4];
+        for route in dispatches {
+            let side = ledger.side(&routes[route], Tier(1), Verdict::Accepted);
+            counts[route][side as usize] += 1;
+            let all = f64::from(counts[route][0] + counts[route][1]);
+            // A group may be ahead of the credit by three requests.
+            let most = all * f64::from(permille) / 1_000.0 + 3.0;
+            prop_assert!(f64::from(counts[route][1]) <= most + 1e-6);
+        }
+    }
+}
+
+/// Guards against a share that is not used: over many dispatches a route gets what it should.
+#[test]
+fn a_route_gets_its_share() {
+    for permille in [10, 50, 320] {
+        let mut ledger = Ledger::new(Stage::Share(permille), 16);
+        let new = count(&mut ledger, &"a".into(), 1, Verdict::Accepted, 20_000);
+        let due = 20 * permille;
+        assert!(due - 17 <= new && new <= due + 3, "{new} instead of {due}");
+    }
+}
+
+/// Guards against tier 0 on a version that no other tier has proved, and against tier 0 that is
+/// left out when the move ends.
+#[test]
+fn tier_0_comes_last() {
+    let mut ledger = Ledger::new(Stage::Share(TOP_TIER_FROM_PERMILLE - 1), 16);
+    let route = id::Route::from("hospital");
+    assert_eq!(count(&mut ledger, &route, 0, Verdict::Accepted, 1_000), 0);
+    ledger.restage(Stage::Share(1_000), 16);
+    let new = count(&mut ledger, &route, 0, Verdict::Accepted, 1_000);
+    assert!((1..200).contains(&new), "{new}");
+    ledger.restage(WATCHING, 16);
+    assert_eq!(count(&mut ledger, &route, 0, Verdict::Accepted, 1_000), 1_000);
+}
+
+/// Guards against the full share on a route without a verdict, and any share on a rejected one or
+/// after the move was taken back.
+#[test]
+fn a_route_without_verdict_gets_less() {
+    let new = |stage, verdict| {
+        let mut ledger = Ledger::new(stage, 16);
+        count(&mut ledger, &"a".into(), 1, verdict, 10_000)
+    };
+    let [open, accepted] =
+        [Verdict::Open, Verdict::Accepted].map(|verdict| new(Stage::Share(320), verdict));
+    assert!(open * 3 < accepted && 0 < open);
+    assert_eq!(new(Stage::Share(320), Verdict::Rejected), 0);
+    assert_eq!(new(Stage::TakenBack, Verdict::Accepted), 0);
+    assert_eq!(new(WATCHING, Verdict::Open), 10_000);
+}
+
+/// Guards against a small share that is spread so thinly that no replica is ever loaded, and
+/// against a first group that is large already.
+#[test]
+fn small_shares_come_in_growing_groups() {
+    let mut ledger = Ledger::new(Stage::Share(10), 16);
+    let routes = ["a", "b", "c", "d", "e", "f"].map(id::Route::from);
+    let sides = (0..20_000)
+        .map(|index| ledger.side(&routes[index % 6], Tier(1), Verdict::Accepted))
+        .collect::<Vec<_>>();
+    let first = sides.iter().position(|side| *side == Side::New).unwrap();
+    assert_eq!(sides[first..first + 16].iter().filter(|side| **side == Side::New).count(), 2);
+    let dense = sides
+        .windows(20)
+        .any(|window| 16 <= window.iter().filter(|side| **side == Side::New).count());
+    assert!(dense, "no group of 16 within 20 dispatches");
+}
+
+/// Guards against an unproven version on many replicas, and against too few for the share.
+#[test]
+fn an_unproven_version_has_one_or_two_replicas() {
+    let replicas = |permille| credit::replicas(Stage::Share(permille), 20);
+    assert_eq!([10, 40, 80, 160, 640].map(replicas), [1, 1, 2, 4, 16]);
+    assert!(20 <= credit::replicas(WATCHING, 20));
+    assert_eq!(credit::replicas(Stage::TakenBack, 20), 0);
+}
--- /dev/null
+++ b/crates/wasabi-rollout/tests/evidence.rs
@@ -0,0 +1,162 @@
+//! Tests of what counts as evidence, and of the owner's stop.
+
+use wasabi_protocol::{
+    clock::Millis,
+    fingerprint::Body,
+    id,
+    request::{End, Report},
+};
+use wasabi_rollout::{
+    credit::Side,
+    evidence::{Book, Count, EXPLAINED_WITHIN, Observation, SAME_LOSS_WITHIN},
+    stop::Watch,
+};
+
+fn report(end: End, prompt: u32, output: u32, per_token: f64) -> Report {
+    Report {
+        end,
+        first_token: Some(Millis(20 + u64::from(prompt) / 4)),
+        stream: Millis((f64::from(output) * per_token) as u64),
+        output_tokens: output,
+        prompt_tokens: prompt,
+    }
+}
+
+/// Calls `act` with an observation of request `body` on an endpoint.
+fn seen(side: Side, endpoint: &str, body: u64, report: &Report, act: impl FnOnce(Observation<'_>)) {
+    act(Observation {
+        route: &"r".into(),
+        side,
+        endpoint: &endpoint.into(),
+        hardware: "h1",
+        fingerprint: Body(body),
+        load: 0.3,
+        report,
+    });
+}
+
+/// Returns a book in which the old version took 10 ms a token and read 4 tokens in 1 ms.
+fn book() -> Book {
+    let mut book = Book::default();
+    for index in 0..400_u32 {
+        // The lengths differ a hundredfold.
+        let report = report(End::Finished, 40 + index * 10, 10 + (index * 7) % 990, 10.0);
+        seen(Side::Old, "old", 1, &report, |seen| book.observe(Millis(0), seen, 0));
+    }
+    book.take();
+    book
+}
+
+fn new_counts(book: &mut Book) -> Count {
+    book.take().values().map(|counts| counts.new).next().unwrap_or_default()
+}
+
+/// Guards against long answers that look slow, short ones that hide a slow version, and answers
+/// that look slow because the new version's cache was cold.
+#[test]
+fn slowness_is_corrected_for_length_and_cache() {
+    let mut book = book();
+    for (prompt, output) in [(200, 980), (4_000, 12), (600, 100)] {
+        for (per_token, slow) in [(11.0, 0), (25.0, 1)] {
+            let report = report(End::Finished, prompt, output, per_token);
+            seen(Side::New, "new", 1, &report, |seen| book.observe(Millis(0), seen, 0));
+            // A prompt of 4,000 tokens with 12 of output is mostly reading, which is not slow.
+            let slow = if output == 12 { 0 } else { slow };
+            assert_eq!(new_counts(&mut book), Count { requests: 1, errors: 0, slow });
+        }
+    }
+    // The old version reads 200 of 4,000 tokens, the new one has to read them all.
+    let mut warm = Book::default();
+    for _ in 0..50 {
+        let from_cache = report(End::Finished, 200, 12, 10.0);
+        let from_cache = Report { prompt_tokens: 4_000, ..from_cache };
+        seen(Side::Old, "old", 1, &from_cache, |seen| warm.observe(Millis(0), seen, 3_800));
+    }
+    let cold = report(End::Finished, 4_000, 12, 10.0);
+    seen(Side::New, "new", 1, &cold, |seen| warm.observe(Millis(0), seen, 0));
+    assert_eq!(new_counts(&mut warm).slow, 0);
+}
+
+/// Guards against callers that go away and count as errors, and server errors that do not.
+#[test]
+fn only_the_endpoints_faults_count() {
+    let mut book = book();
+    for end in [End::Abandoned, End::Failed, End::Finished] {
+        let report = report(end, 50, 100, 10.0);
+        seen(Side::New, "new", 1, &report, |seen| book.observe(Millis(0), seen, 0));
+    }
+    assert_eq!(new_counts(&mut book), Count { requests: 2, errors: 1, slow: 0 });
+}
+
+/// Loses `batch` on an endpoint of the new version.
+fn lose(book: &mut Book, now: Millis, endpoint: &str, batch: &[u64]) {
+    for body in batch {
+        let report = report(End::Broken, 50, 0, 10.0);
+        seen(Side::New, endpoint, *body, &report, |seen| book.observe(now, seen, 0));
+    }
+}
+
+/// Guards against a dead endpoint that counts once for each request of its batch, a version
+/// condemned by a crashing request, and crashes that nothing explains but never count.
+#[test]
+fn crashes_count_unless_a_request_explains_them() {
+    let nothing = |_: Body| false;
+    let mut book = book();
+    lose(&mut book, Millis(0), "a", &[1, 2, 3, 4]);
+    lose(&mut book, SAME_LOSS_WITHIN - Millis(1), "a", &[5]);
+    assert_eq!(book.settle(Millis(1), nothing), [0, 0]);
+    assert_eq!(book.settle(EXPLAINED_WITHIN, nothing), [0, 1]);
+    // A request common to both crashes may be the cause, until it is known not to be.
+    lose(&mut book, Millis(50_000), "a", &[7, 8]);
+    lose(&mut book, Millis(51_000), "b", &[7, 9]);
+    assert_eq!(book.settle(Millis(51_000), nothing), [0, 0]);
+    assert_eq!(book.settle(Millis(52_000), |body| body == Body(7)), [0, 0]);
+    assert_eq!(book.settle(Millis(90_000), nothing), [0, 0]);
+    // No common request: the version is to blame at once.
+    lose(&mut book, Millis(100_000), "a", &[7, 8]);
+    lose(&mut book, Millis(101_000), "b", &[9, 10]);
+    assert_eq!(book.settle(Millis(101_000), nothing), [0, 2]);
+    assert_eq!(new_counts(&mut book), Count::default());
+}
+
+/// Serves 2,000 requests of the old version and then some of the new one, which end as `end`
+/// tells, and returns the watch with the number of new requests until the stop.
+fn watch(requests: u64, end: impl Fn(u64) -> (End, f64)) -> (Watch, Option<u64>) {
+    let mut watch = Watch::new(4);
+    let mut stopped = None;
+    for body in 0..2_000 + requests {
+        let now = Millis(body * 500);
+        let is_old = body < 2_000;
+        let (end, per_token) = if is_old { (End::Finished, 10.0) } else { end(body - 2_000) };
+        let (side, name) = if is_old { (Side::Old, "old") } else { (Side::New, "new") };
+        let report = report(end, 100, 100, per_token);
+        seen(side, name, body, &report, |seen| watch.observe(now, seen));
+        watch.settle(now, |_| false);
+        if watch.stopped().is_some() && stopped.is_none() {
+            stopped = Some(body - 2_000);
+        }
+    }
+    (watch, stopped)
+}
+
+/// Guards against an owner that waits for control with a version that fails, crashes or is slow
+/// by its own evidence, and against a stop without a cause.
+#[test]
+fn an_owner_stops_a_bad_version_itself() {
+    let (mut failing, stopped) = watch(10, |_| (End::Failed, 10.0));
+    assert!(stopped.is_some_and(|after| after <= 4), "{stopped:?}");
+    let evidence = failing.drain(&"m".into(), &"v1".into(), &"v2".into());
+    assert!(evidence.iter().any(|item| item.stopped && item.version == id::Version::from("v2")));
+    let again = failing.drain(&"m".into(), &"v1".into(), &"v2".into());
+    assert!(again.iter().any(|item| item.stopped && item.requests == 0), "{again:?}");
+    let (_, stopped) = watch(60, |_| (End::Finished, 20.0));
+    assert!(stopped.is_some_and(|after| after <= 25), "{stopped:?}");
+    let (_, stopped) =
+        watch(600, |body| (if body % 40 == 0 { End::Broken } else { End::Finished }, 10.0));
+    assert!(stopped.is_some_and(|after| after <= 400), "{stopped:?}");
+    let (_, stopped) = watch(2_000, |_| (End::Finished, 10.5));
+    assert_eq!(stopped, None);
+    let (_, stopped) =
+        watch(2_000, |body| (if body % 1_000 == 0 { End::Broken } else { End::Finished }, 10.5));
+    assert_eq!(stopped, None);
+}
