--- a/crates/wasabi-rollout/src/credit.rs
+++ b/crates/wasabi-rollout/src/credit.rs
@@ -31,6 +31,15 @@
 /// version that fails at once meets few requests.
 pub const GROUP_FIRST: u32 = 2;
 
+/// Requests that a route may get ahead of its credit while a group is sent.
+///
+/// Without it a group waits for requests of the routes that saved the credit, and by then its
+/// first requests have ended. It raises a route's part by at most this many requests in all.
+const AHEAD_MAX: f64 = 3.0;
+
+/// Share from which on the new version's requests are spread over its replicas, in thousandths.
+const SPREAD_FROM_PERMILLE: u32 = 320;
+
 /// Unused credit that a route keeps, in requests.
 const CREDIT_MAX: f64 = 64.0;
 
@@ -49,6 +58,7 @@
 /// The credit of the routes of one pool for the new version.
 #[derive(Debug, Clone)]
 pub struct Ledger {
+    stage: Stage,
     permille: u32,
     routes: BTreeMap<id::Route, f64>,
     group: u32,
@@ -69,6 +79,7 @@
     /// concurrency of the replicas that [`replicas`] allows.
     pub fn new(stage: Stage, group_max: u32) -> Self {
         Self {
+            stage,
             permille: share(stage),
             routes: BTreeMap::new(),
             group: GROUP_FIRST.min(group_max.max(1)),
@@ -79,6 +90,7 @@
 
     /// Takes a new stage or concurrency into account.
     pub fn restage(&mut self, stage: Stage, group_max: u32) {
+        self.stage = stage;
         self.permille = share(stage);
         self.group_max = group_max.max(1);
         self.group = self.group.min(self.group_max);
@@ -99,7 +111,7 @@
     /// once for each dispatch, when its endpoint is about to be chosen. When the returned
     /// side has no room, the other one may be used; [`Self::refund`] gives the credit back then.
     pub fn side(&mut self, route: &id::Route, tier: Tier, verdict: Verdict) -> Side {
-        let permille = self.route_permille(tier, verdict);
+        let permille = route_share(self.stage, tier, verdict);
         if 1_000 <= permille {
             return Side::New;
         }
@@ -108,18 +120,19 @@
         }
         let credit = self.routes.entry(route.clone()).or_default();
         *credit = (*credit + f64::from(permille) / 1_000.0).min(CREDIT_MAX);
-        let has_credit = 1.0 <= *credit;
+        let credit = *credit;
         if GROUPED_BELOW_PERMILLE <= self.permille {
             self.phase = Phase::Spending(u32::MAX);
         } else if self.phase == Phase::Saving {
-            let saved = self.routes.values().map(|credit| credit.floor()).sum::<f64>();
+            let saved = self.routes.values().sum::<f64>();
             if f64::from(self.group) <= saved {
                 self.phase = Phase::Spending(self.group);
                 self.group = (self.group * 2).min(self.group_max);
             }
         }
         let Phase::Spending(left) = self.phase else { return Side::Old };
-        if !has_credit {
+        let ahead = if self.permille < GROUPED_BELOW_PERMILLE { AHEAD_MAX } else { 0.0 };
+        if credit + ahead < 1.0 {
             return Side::Old;
         }
         if let Some(credit) = self.routes.get_mut(route) {
@@ -135,26 +148,41 @@
             *credit = (*credit + 1.0).min(CREDIT_MAX);
         }
     }
+}
 
-    /// Returns the share of a route, in thousandths.
-    fn route_permille(&self, tier: Tier, verdict: Verdict) -> u32 {
-        if verdict == Verdict::Rejected {
-            return 0;
-        }
-        if 1_000 < self.permille {
-            return 1_000;
-        }
-        if tier == Tier::TOP {
-            if self.permille < TOP_TIER_FROM_PERMILLE {
-                return 0;
-            }
-            return self.permille / TOP_TIER_DIVISOR;
-        }
-        if verdict == Verdict::Accepted {
-            return self.permille;
-        }
-        self.permille.min(UNPROVEN_WHOLE_PERMILLE.max(self.permille / UNPROVEN_DIVISOR))
+/// Returns the share of a route's dispatches that the new version gets, in thousandths.
+///
+/// `verdict` is what the route shows so far.
+pub fn route_share(stage: Stage, tier: Tier, verdict: Verdict) -> u32 {
+    let share = share(stage);
+    if verdict == Verdict::Rejected {
+        return 0;
+    }
+    if 1_000 < share {
+        return 1_000;
+    }
+    if tier == Tier::TOP {
+        return if share < TOP_TIER_FROM_PERMILLE { 0 } else { share / TOP_TIER_DIVISOR };
     }
+    if verdict == Verdict::Accepted {
+        return share;
+    }
+    share.min(UNPROVEN_WHOLE_PERMILLE.max(share / UNPROVEN_DIVISOR))
+}
+
+/// How the new version's requests are placed on its replicas.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Placement {
+    /// On the one with the most in flight that still has room, so that faults under load show
+    /// while the share is small.
+    Pack,
+    /// On the one that the usual choice prefers.
+    Spread,
+}
+
+/// Returns how the new version's requests are placed at this stage.
+pub fn placement(stage: Stage) -> Placement {
+    if share(stage) < SPREAD_FROM_PERMILLE { Placement::Pack } else { Placement::Spread }
 }
 
 /// Returns how many replicas the new version may use at this stage.
