scheduler: a new owner assumes a usual prefill rate before it measured one

Cause: without endpoints the forecast divided by a rate of 0.01 tokens per millisecond, so every request counted as late after a takeover. Ruled out: starting the run's clock at zero for the new owner, which made the fake refuse all waiting work as without endpoint.

--- a/crates/wasabi-bench/src/owner.rs
+++ b/crates/wasabi-bench/src/owner.rs
@@ -39,7 +39,7 @@
     pub fn new(seed: u64) -> Self {
         let limits = Limits { requests_per_s: 5_000, tokens_per_s: 10_000_000, concurrency: 4_000 };
         Self {
-            pool: pool(seed, &limits),
+            pool: pool(Millis::ZERO, seed, &limits),
             lender: Lender::new(),
             limits,
             down_until: None,
@@ -86,7 +86,7 @@
 
     fn take_over(&mut self, now: Millis) -> Vec<Command> {
         self.down_until = None;
-        self.pool = pool(now.0, &self.limits);
+        self.pool = pool(now, now.0, &self.limits);
         let running = self.held.values().map(|(request, grant, started)| {
             let mut request = request.clone();
             request.remaining = request.remaining - now.since(*started);
@@ -152,7 +152,7 @@
     "chat/north/0".into()
 }
 
-fn pool(seed: u64, limits: &Limits) -> Pool {
+fn pool(now: Millis, seed: u64, limits: &Limits) -> Pool {
     let mut pool = Pool::new(pool_name(), "chat".into(), "e1".into(), seed);
     let contracts = (0..5).map(|index| Contract {
         organisation: format!("org{index}").into(),
@@ -163,6 +163,6 @@
     });
     let config =
         Config { revision: id::Revision(1), contracts: contracts.collect(), ..Config::default() };
-    pool.step(Millis::ZERO, Event::Config(&config));
+    pool.step(now, Event::Config(&config));
     pool
 }
--- a/crates/wasabi-scheduler/src/pool/endpoint.rs
+++ b/crates/wasabi-scheduler/src/pool/endpoint.rs
@@ -33,7 +33,7 @@
 
 /// Prefill rate that is assumed before an endpoint or its kind has shown one, in tokens per
 /// millisecond.
-const PREFILL_RATE_UNKNOWN: f64 = 2.0;
+pub(super) const PREFILL_RATE_UNKNOWN: f64 = 4.0;
 
 /// Time per token of a short stream relative to the endpoint's mean, when the endpoint reads a long
 /// prompt beside it.
--- a/crates/wasabi-scheduler/src/pool/owner.rs
+++ b/crates/wasabi-scheduler/src/pool/owner.rs
@@ -23,7 +23,7 @@
 
 use super::{
     budget::Budgets,
-    endpoint::Table,
+    endpoint::{PREFILL_RATE_UNKNOWN, Table},
     event::{Action, Event},
     forecast::Forecast,
     reserve::Reserve,
@@ -35,9 +35,6 @@
 /// Most waiting requests of one pool.
 const WAITING_MAX: usize = 4_096;
 
-/// Lowest prefill rate that is believed, in tokens per millisecond.
-const PREFILL_RATE_MIN: f64 = 0.01;
-
 /// Time after which a new owner stops waiting for reports of running grants.
 const TAKEOVER: Millis = Millis(500);
 
@@ -230,7 +227,7 @@
     fn item(&self, now: Millis, ticket: u64, request: &Request) -> Item {
         let arrived = now - request.waited;
         let rates = self.endpoints.slots.iter().map(|slot| slot.prefill_rate);
-        let fastest = rates.fold(PREFILL_RATE_MIN, f64::max);
+        let fastest = rates.reduce(f64::max).unwrap_or(PREFILL_RATE_UNKNOWN);
         let prefill = Millis((f64::from(request.prompt_tokens) / fastest) as u64);
         let span = self.forecast.stream(request) + prefill;
         // A forecast may be wrong, so it never takes more than half of the time that is left.
