scheduler: a stray announcement of an earlier process is ignored

Cause: the random test showed that an endpoint which fell silent could come back under the number of an earlier process that its owner had seen replaced. Conclusion: process numbers of an endpoint only grow.

--- a/crates/wasabi-admission/src/queue.rs
+++ b/crates/wasabi-admission/src/queue.rs
@@ -183,11 +183,17 @@
 
     /// Moves the requests that can no longer meet their first-token target behind the others, and
     /// returns their tickets.
-    pub fn age(&mut self, now: Millis) -> Vec<u64> {
+    ///
+    /// In a tier that has late requests already, those that would become late within `lead` count
+    /// as late too: the tier is overloaded, and each of its requests would otherwise start in the
+    /// last moment.
+    pub fn age(&mut self, now: Millis, lead: Millis) -> Vec<u64> {
         let mut late = Vec::new();
         for lane in &mut self.tiers {
+            let is_overloaded = lane.due.len() < lane.len;
+            let by = if is_overloaded { now + lead } else { now };
             while let Some((start_by, ticket)) = lane.due.first().copied()
-                && start_by < now
+                && start_by < by
             {
                 lane.due.pop_first();
                 late.push(ticket);
--- a/crates/wasabi-scheduler/src/pool/endpoint.rs
+++ b/crates/wasabi-scheduler/src/pool/endpoint.rs
@@ -216,7 +216,18 @@
     /// Takes the endpoints that were silent for too long out of the table.
     pub(super) fn expire(&mut self, now: Millis) -> Vec<Slot> {
         self.left.retain(|_, left| now.since(left.at) < LEFT_KEPT);
-        self.slots.extract_if(.., |slot| SILENT_AFTER <= now.since(slot.heard)).collect()
+        let gone: Vec<_> =
+            self.slots.extract_if(.., |slot| SILENT_AFTER <= now.since(slot.heard)).collect();
+        for slot in &gone {
+            // The same process may come back; an announcement of an earlier one is a stray.
+            let earlier = slot.announcement.incarnation.saturating_sub(1);
+            let known = self.left.get(slot.name()).and_then(|left| left.incarnation);
+            let incarnation = Some(known.map_or(earlier, |known| known.max(earlier)));
+            if self.left.len() < LEFT_MAX {
+                self.left.insert(slot.name().clone(), Left { incarnation, at: now });
+            }
+        }
+        gone
     }
 
     /// Returns how many requests all endpoints may run at one time.
--- a/crates/wasabi-scheduler/src/pool/tick.rs
+++ b/crates/wasabi-scheduler/src/pool/tick.rs
@@ -75,7 +75,8 @@
             let message = "the request waited until too little time was left to run; nothing ran";
             refuse(actions, item.ticket, Kind::DeadlineInQueue, message);
         }
-        for ticket in self.queue.age(now) {
+        let lead = self.forecast.patience() + self.forecast.patience();
+        for ticket in self.queue.age(now, lead) {
             let Some(request) = self.requests.get(&ticket) else { continue };
             if self.budgets.may_start(now, &request.organisation) {
                 continue;
