--- /dev/null
+++ b/crates/wasabi-rollout/src/stop.rs
@@ -0,0 +1,120 @@
+//! The pool owner's watch over a move: its own evidence, and the stop of a bad version.
+
+use std::collections::BTreeMap;
+
+use wasabi_protocol::{clock::Millis, fingerprint::Body, id, rpc};
+
+use crate::{
+    credit::Side,
+    evidence::{Book, Count, Observation},
+    loss,
+    sequential::Verdict,
+    trial,
+};
+
+/// One move as the owner of one pool sees it.
+///
+/// The owner stops the new version as soon as its own evidence rejects it, before control knows.
+/// A stop is final: it is reported with every piece of evidence until control takes the move back.
+#[derive(Debug, Clone)]
+pub struct Watch {
+    book: Book,
+    trials: trial::Set,
+    losses: loss::Trial,
+    settled: Option<Millis>,
+    unreported: BTreeMap<id::Route, [Count; 2]>,
+    stopped: Option<String>,
+}
+
+impl Watch {
+    /// Returns a watch over a move that concerns `routes` routes.
+    pub fn new(routes: usize) -> Self {
+        Self {
+            book: Book::default(),
+            trials: trial::Set::new(routes),
+            losses: loss::Trial::new(routes),
+            settled: None,
+            unreported: BTreeMap::new(),
+            stopped: None,
+        }
+    }
+
+    /// Takes an ended request into account.
+    pub fn observe(&mut self, now: Millis, seen: Observation<'_>) {
+        self.observe_cached(now, seen, 0);
+    }
+
+    /// Takes an ended request into account, of whose prompt `cached` tokens were in the endpoint's
+    /// prefix cache; see [`Book::observe`].
+    pub fn observe_cached(&mut self, now: Millis, seen: Observation<'_>, cached: u32) {
+        self.book.observe(now, seen, cached);
+        self.judge(now);
+    }
+
+    /// Counts lost endpoints and links whose cause is settled; see [`Book::settle`].
+    pub fn settle(&mut self, now: Millis, is_quarantined: impl Fn(Body) -> bool) {
+        let endpoints = self.book.serving(now);
+        let events = self.book.settle(now, is_quarantined);
+        let span = self.settled.map_or(Millis::ZERO, |settled| now.since(settled));
+        self.settled = Some(now);
+        self.losses.add(Side::Old, events[0], endpoints[0], span);
+        self.losses.add(Side::New, events[1], endpoints[1], span);
+        self.judge(now);
+    }
+
+    /// Returns why the new version was stopped, if it was.
+    pub fn stopped(&self) -> Option<&str> {
+        self.stopped.as_deref()
+    }
+
+    /// Returns what a route shows so far.
+    pub fn verdict(&self, route: &id::Route) -> Verdict {
+        self.trials.verdict(route)
+    }
+
+    /// Returns the trials of the routes.
+    pub const fn trials(&self) -> &trial::Set {
+        &self.trials
+    }
+
+    /// Returns the evidence since the last call, for the check-in with control.
+    pub fn drain(
+        &mut self,
+        name: &id::Move,
+        old: &id::Version,
+        new: &id::Version,
+    ) -> Vec<rpc::Evidence> {
+        let stopped = self.stopped.is_some();
+        if stopped && let Some((route, _)) = self.trials.iter().next() {
+            self.unreported.entry(route.clone()).or_default();
+        }
+        std::mem::take(&mut self.unreported)
+            .into_iter()
+            .flat_map(|(route, counts)| {
+                let message = |version: &id::Version, count: Count, stopped| rpc::Evidence {
+                    name: name.clone(),
+                    route: route.clone(),
+                    version: version.clone(),
+                    requests: count.requests,
+                    errors: count.errors,
+                    slow: count.slow,
+                    stopped,
+                };
+                [message(old, counts[0], false), message(new, counts[1], stopped)]
+            })
+            .collect()
+    }
+
+    fn judge(&mut self, now: Millis) {
+        for (route, counts) in self.book.take() {
+            self.trials.add(now, &route, [counts.old, counts.new]);
+            self.trials.add_high_load(now, &route, counts.new_high_load);
+            let unreported = self.unreported.entry(route).or_default();
+            unreported[0].add(counts.old);
+            unreported[1].add(counts.new);
+        }
+        if self.stopped.is_none() {
+            self.stopped = self.trials.rejected().or_else(|| self.losses.rejected());
+        }
+    }
+}
