--- a/crates/wasabi-protocol/src/rpc.rs
+++ b/crates/wasabi-protocol/src/rpc.rs
@@ -18,12 +18,16 @@
     pub const ACQUIRE: &str = "pool.acquire";
     /// Gives a grant back with its report.
     pub const RELEASE: &str = "pool.release";
+    /// Takes a grant back from its holder before the first token.
+    pub const PREEMPT: &str = "pool.preempt";
     /// Tells a new pool owner the grants that a holder still uses.
     pub const REPORT: &str = "pool.report";
     /// Relays an endpoint's announcement to the pool owner.
     pub const ANNOUNCE: &str = "endpoint.announce";
     /// Relays that an endpoint leaves.
     pub const LEAVE: &str = "endpoint.leave";
+    /// Asks the owner of an organisation's budget for a slice.
+    pub const LEND: &str = "budget.lend";
     /// Exchanges liveness and summaries between entries.
     pub const PEER_HEARTBEAT: &str = "peer.heartbeat";
     /// Returns the configuration in force at a peer or at control.
@@ -115,6 +119,15 @@
     pub report: Report,
 }
 
+/// Takes a grant back from its holder, unless a token of the answer came already.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Preempt {
+    /// The pool.
+    pub pool: id::Pool,
+    /// The attempt that the grant started.
+    pub attempt: id::Attempt,
+}
+
 /// A grant that a holder still uses, told to a new owner.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Running {
@@ -334,6 +347,45 @@
     pub ended: Move,
 }
 
+/// Part of an organisation's budget, lent to one pool owner for a short time.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Slice {
+    /// Requests that may be started while the slice lasts.
+    pub requests: f64,
+    /// Estimated tokens that may be started while the slice lasts.
+    pub tokens: f64,
+    /// Requests that may run at one time while the slice lasts.
+    pub concurrency: u32,
+    /// How long the slice lasts, in milliseconds.
+    pub span: Millis,
+}
+
+/// What a pool owner used of an organisation's budget since it last asked, and what it wants.
+#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
+pub struct Usage {
+    /// Requests started.
+    pub requests: u64,
+    /// Estimated tokens started.
+    pub tokens: u64,
+    /// Requests running now.
+    pub running: u32,
+    /// Requests that wait for budget.
+    pub waiting: u32,
+    /// Estimated tokens of the requests that wait for budget.
+    pub waiting_tokens: u64,
+}
+
+/// Asks the owner of an organisation's budget for the next slice.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Lend {
+    /// The organisation.
+    pub organisation: id::Organisation,
+    /// The pool that asks.
+    pub pool: id::Pool,
+    /// What the pool used and wants.
+    pub used: Usage,
+}
+
 /// An operator's command with the credential.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Operate {
