cli: operators change contracts, moves, entries and members from the command line

Cause: operators need files checked before they are sent, documented exit codes, and commands that are safe to give again. Ruled out: the base revision as a part of what makes a resent command the same; a command given again after its first effect is made on a later revision and was refused as another command.

--- /dev/null
+++ b/crates/wasabi-cli/src/command/contract_diff.rs
@@ -0,0 +1,97 @@
+//! `wasabi contract diff`
+
+use std::{collections::BTreeMap, path::PathBuf};
+
+use argh::FromArgs;
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::{client::Control, exit::Failure, output, yaml};
+
+/// Shows what applying a file would change.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "diff")]
+pub(crate) struct Arguments {
+    /// the contract (YAML)
+    #[argh(positional)]
+    file: PathBuf,
+}
+
+/// A field that differs.
+#[derive(Debug, Serialize)]
+struct Difference {
+    field: String,
+    in_force: Option<Value>,
+    in_file: Option<Value>,
+}
+
+impl Arguments {
+    /// Runs the command.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the two cannot be compared.
+    pub(crate) async fn run(self, control: &Control, json: bool) -> Result<(), Failure> {
+        let contract = yaml::contract(&self.file)?;
+        let config = control.status().await?.config;
+        let held = config.contracts.iter().find(|held| held.organisation == contract.organisation);
+        let in_force = held.map(fields).transpose()?.unwrap_or_default();
+        let in_file = fields(&contract)?;
+        let names: std::collections::BTreeSet<_> = in_force.keys().chain(in_file.keys()).collect();
+        let differences: Vec<_> = names
+            .into_iter()
+            .filter(|name| in_force.get(*name) != in_file.get(*name))
+            .map(|name| Difference {
+                field: name.clone(),
+                in_force: in_force.get(name).cloned(),
+                in_file: in_file.get(name).cloned(),
+            })
+            .collect();
+        if json {
+            return output::json(&serde_json::json!({
+                "revision": config.revision,
+                "differences": differences,
+            }));
+        }
+        println!("revision {} is in force", config.revision);
+        for difference in &differences {
+            let text = |value: &Option<Value>| {
+                value.as_ref().map_or_else(|| "absent".to_owned(), Value::to_string)
+            };
+            let (old, new) = (text(&difference.in_force), text(&difference.in_file));
+            println!("{}: {old} -> {new}", difference.field);
+        }
+        if differences.is_empty() {
+            println!("no difference");
+        }
+        Ok(())
+    }
+}
+
+/// Returns the values of a document by the names of their fields.
+fn fields(document: &impl Serialize) -> Result<BTreeMap<String, Value>, Failure> {
+    let value =
+        serde_json::to_value(document).map_err(|error| Failure::Internal(error.to_string()))?;
+    let mut fields = BTreeMap::new();
+    collect(String::new(), value, &mut fields);
+    Ok(fields)
+}
+
+fn collect(name: String, value: Value, fields: &mut BTreeMap<String, Value>) {
+    match value {
+        Value::Object(map) => {
+            for (part, value) in map {
+                let name = if name.is_empty() { part } else { format!("{name}.{part}") };
+                collect(name, value, fields);
+            }
+        }
+        Value::Array(items) => {
+            for (index, value) in items.into_iter().enumerate() {
+                collect(format!("{name}[{index}]"), value, fields);
+            }
+        }
+        value => {
+            fields.insert(name, value);
+        }
+    }
+}
--- /dev/null
+++ b/crates/wasabi-cli/src/main.rs
@@ -0,0 +1,22 @@
+//! The operator's command line.
+
+use std::process::ExitCode;
+
+mod client;
+mod command;
+mod exit;
+mod output;
+mod yaml;
+
+fn main() -> ExitCode {
+    let arguments: command::Arguments = argh::from_env();
+    let is_json = arguments.json;
+    let end = actix_rt::System::new().block_on(command::run(arguments));
+    match end {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            output::failure(&failure, is_json);
+            failure.code()
+        }
+    }
+}
--- a/crates/wasabi-state/src/results.rs
+++ b/crates/wasabi-state/src/results.rs
@@ -98,7 +98,18 @@
 }
 
 /// Returns the digest that tells a resent command from another one under the same id.
+///
+/// The base revision is left out: a command that is given again after its first effect is made on
+/// a later revision and still means that effect.
 pub(crate) fn digest(command: &Command) -> u128 {
+    let mut command = command.clone();
+    if let Command::ApplyContract { order, .. }
+    | Command::RemoveContract { order, .. }
+    | Command::StartMove { order, .. }
+    | Command::TakeBackMove { order, .. } = &mut command
+    {
+        order.base = id::Revision(0);
+    }
     // Encoding into a vector only fails for types that the command does not contain.
-    postcard::to_stdvec(command).map_or(0, |bytes| fingerprint::content(&bytes))
+    postcard::to_stdvec(&command).map_or(0, |bytes| fingerprint::content(&bytes))
 }
--- a/crates/wasabi-state/tests/rules.rs
+++ b/crates/wasabi-state/tests/rules.rs
@@ -46,6 +46,8 @@
     run(&mut machine, &[(1, apply("c1", "ada", 0, 5)), (2, apply("c2", "ada", 1, 6))]);
     let mut machine = Machine::restore(&machine.snapshot().unwrap()).unwrap();
     assert_eq!(run(&mut machine, &[(3, apply("c1", "ada", 0, 5))]), accepted(1));
+    let rebased = run(&mut machine, &[(3, apply("c1", "ada", 2, 5))]);
+    assert_eq!(rebased, accepted(1), "given again on a later revision");
     assert_eq!(machine.config().contracts, [contract("org", 6)]);
     let other = run(&mut machine, &[(4, apply("c1", "ada", 2, 7))]);
     assert!(matches!(other, Outcome::Refused { .. }), "another command under the id: {other:?}");
