--- /dev/null
+++ b/crates/wasabi-control/tests/liveness.rs
@@ -0,0 +1,144 @@
+//! Tests of what control may say about entries that it does not hear.
+
+use rstest::rstest;
+use wasabi_control::{Liveness, SILENT_AFTER};
+use wasabi_protocol::{
+    clock::Millis,
+    command::{Duty, Entry, View},
+    id,
+    rpc::Checkin,
+};
+
+fn entry(name: &str) -> Entry {
+    Entry {
+        name: name.into(),
+        caller_address: "127.0.0.1:1".to_owned(),
+        peer_address: "127.0.0.1:2".to_owned(),
+        data_centre: "a".into(),
+        region: "r".into(),
+        duty: Duty::Serving,
+    }
+}
+
+fn view(number: u64, names: &str) -> View {
+    let entries = names.chars().map(|name| entry(&name.to_string())).collect();
+    View { number: id::View(number), entries }
+}
+
+fn checkin(name: &str, revision: u64, known: &[(&str, u64)]) -> Checkin {
+    let known = known.iter().map(|(peer, held)| ((*peer).into(), id::Revision(*held)));
+    Checkin {
+        entry: entry(name),
+        revision: id::Revision(revision),
+        known: known.collect(),
+        evidence: Vec::new(),
+        endpoints: Vec::new(),
+        suspects: Vec::new(),
+        degraded: Vec::new(),
+    }
+}
+
+/// Returns the knowledge of a leader that heard all of `names` at time 0 with revision 1.
+fn heard(names: &str) -> Liveness {
+    let mut liveness = Liveness::new(Millis::ZERO, &view(1, names), id::Revision(1));
+    for name in names.chars() {
+        liveness.check_in(Millis::ZERO, checkin(&name.to_string(), 1, &[]));
+    }
+    liveness
+}
+
+fn hear(liveness: &mut Liveness, now: u64, names: &str, revision: u64) {
+    for name in names.chars() {
+        liveness.check_in(Millis(now), checkin(&name.to_string(), revision, &[]));
+    }
+}
+
+fn names(entries: Option<Vec<Entry>>) -> Option<String> {
+    entries.map(|entries| entries.iter().map(|entry| entry.name.as_str()).collect())
+}
+
+/// Guards against an entry that leaves the view while it may still serve, or never.
+#[rstest]
+#[case::still_serving(SILENT_AFTER.0 - 1, None)]
+#[case::stopped(SILENT_AFTER.0, Some("bc"))]
+fn silent_entry_leaves_the_view(#[case] now: u64, #[case] expected: Option<&str>) {
+    let mut liveness = heard("abc");
+    hear(&mut liveness, now, "bc", 1);
+    let next = liveness.next_view(Millis(now), &view(1, "abc"));
+    assert_eq!(names(next).as_deref(), expected);
+}
+
+/// Guards against an entry that counts as stopped although a peer hears it.
+#[test]
+fn entry_that_a_peer_hears_stays() {
+    let mut liveness = heard("abc");
+    let now = SILENT_AFTER + Millis(100);
+    hear(&mut liveness, now.0, "b", 1);
+    liveness.check_in(now, checkin("c", 1, &[("a", 1)]));
+    assert_eq!(names(liveness.next_view(now, &view(1, "abc"))), None);
+    let force = liveness.force(now, &view(1, "abc"), id::Revision(2));
+    assert_eq!(force.behind.len(), 3, "{force:?}");
+}
+
+/// Guards against a change that is reported as in force while a silent majority of the view may
+/// keep each other serving, and against a group that can never go on after an operator's word.
+#[test]
+fn silent_majority_is_not_known_to_have_stopped() {
+    let mut liveness = heard("abc");
+    hear(&mut liveness, 9_000, "c", 2);
+    let force = liveness.force(Millis(9_000), &view(1, "abc"), id::Revision(2));
+    assert_eq!((force.behind.len(), force.stopped.len()), (2, 0), "{force:?}");
+    assert_eq!(names(liveness.next_view(Millis(9_000), &view(1, "abc"))), None);
+    liveness.drain(Millis(9_000), &"a".into());
+    let force = liveness.force(Millis(9_000), &view(1, "abc"), id::Revision(2));
+    assert_eq!((force.behind.len(), force.stopped.len()), (0, 2), "one of three cannot serve");
+    hear(&mut liveness, 9_100, "a", 1);
+    let force = liveness.force(Millis(9_100), &view(1, "abc"), id::Revision(2));
+    assert_eq!(force.behind, ["a".into()], "an entry that is heard again is not ended");
+}
+
+/// Guards against entries that left one after the other and together are a majority of an earlier
+/// view that all of them may hold.
+#[rstest]
+#[case::confirmed_the_later_view(2, 0)]
+#[case::may_hold_the_earlier_view(1, 3)]
+fn entries_that_left_before_count(#[case] confirmed: u64, #[case] behind: usize) {
+    let mut liveness = heard("abcde");
+    hear(&mut liveness, 3_000, "cde", 1);
+    assert_eq!(names(liveness.next_view(Millis(3_000), &view(1, "abcde"))).as_deref(), Some("cde"));
+    liveness.set_view(&view(2, "cde"), id::Revision(2));
+    hear(&mut liveness, 3_000, "c", confirmed);
+    hear(&mut liveness, 6_000, "de", 3);
+    let force = liveness.force(Millis(6_000), &view(2, "cde"), id::Revision(3));
+    assert_eq!(force.behind.len(), behind, "{force:?}");
+}
+
+/// Guards against a new leader, or one that was frozen, that takes its own silence for the
+/// entries'.
+#[test]
+fn silence_before_the_leader_listened_says_nothing() {
+    let mut liveness = Liveness::new(Millis(50_000), &view(1, "abc"), id::Revision(1));
+    hear(&mut liveness, 52_499, "bc", 1);
+    assert!(!liveness.is_stopped(Millis(52_499), &"a".into()));
+    assert!(liveness.is_stopped(Millis(52_500), &"a".into()));
+    liveness.resume(Millis(60_000));
+    assert!(!liveness.is_stopped(Millis(60_000), &"a".into()));
+    assert_eq!(names(liveness.next_view(Millis(60_000), &view(1, "abc"))), None);
+}
+
+/// Guards against a draining entry that stays on the list, and against a restarted one that keeps
+/// draining for an order to its earlier process.
+#[test]
+fn drained_entry_leaves_the_list_until_it_starts_anew() {
+    let mut liveness = heard("ab");
+    liveness.drain(Millis(10), &"a".into());
+    let duty = |liveness: &Liveness| {
+        let next = liveness.next_view(Millis(20), &view(1, "ab"));
+        next.map(|entries| entries[0].duty)
+    };
+    assert_eq!(duty(&liveness), Some(Duty::Draining));
+    hear(&mut liveness, 15, "a", 1);
+    assert_eq!(duty(&liveness), Some(Duty::Draining), "before the entry has seen the order");
+    hear(&mut liveness, 16, "a", 0);
+    assert_eq!(duty(&liveness), None, "a new process serves");
+}
