--- a/crates/wasabi-entry/tests/input.rs
+++ b/crates/wasabi-entry/tests/input.rs
@@ -1,5 +1,7 @@
 //! Bad input from callers: a clear error, nothing run, and an entry that goes on serving.
 
+#![allow(clippy::unwrap_used, reason = "a fault here fails the test")]
+
 mod support;
 
 use std::{
--- a/crates/wasabi-entry/tests/peers.rs
+++ b/crates/wasabi-entry/tests/peers.rs
@@ -1,5 +1,7 @@
 //! Several entries: owners and holders, owner death, isolation, and the spread of configurations.
 
+#![allow(clippy::unwrap_used, reason = "a fault here fails the test")]
+
 mod support;
 
 use std::time::Duration;
--- a/crates/wasabi-entry/tests/process.rs
+++ b/crates/wasabi-entry/tests/process.rs
@@ -1,5 +1,7 @@
 //! The daemon as a process: signals, freezes, and the thin path between real processes.
 
+#![allow(clippy::unwrap_used, reason = "a fault here fails the test")]
+
 mod support;
 
 use std::{
