--- a/scripts/local.sh
+++ b/scripts/local.sh
@@ -110,8 +110,13 @@
 
 echo "started ${#pids[@]} processes; logs and settings are in $work"
 printf %s demo-operator >"$work/credential"
-"$bin/wasabi" --control "${control_list//, /,}" --credential-file "$work/credential" \
-    contract apply examples/contract.yaml
+operate() { "$bin/wasabi" --control "${control_list//, /,}" --credential-file "$work/credential" "$@"; }
+for _ in $(seq 300); do
+    joined=$(operate entries 2>/dev/null | grep -c '^entry-' || true)
+    [ "$joined" -ge "$entries" ] && break
+    sleep 0.1
+done
+operate contract apply examples/contract.yaml
 
 entry=127.0.0.1:$((caller_port + 3))
 authorization="Authorization: Bearer demo-caller"
