entry: a key stands for one call, and a coded path cannot change its route

Cause: three faults found in review. The digest of a key covered the body only, so one key and body could stand for calls of two paths. A path such as /repeatable/%6Fnce matched the idempotent route while an endpoint that decodes it would run a call that must not repeat. A record whose answer was lost was not released when no leader was found afterwards, and blocked its key for 24 h. Ruled out: decoding the path before it is sent, since the endpoint must get what the caller sent. Conclusion: a path that leads to another route once decoded is refused, and every record that may exist is released.

--- a/crates/wasabi-entry/src/callers/call.rs
+++ b/crates/wasabi-entry/src/callers/call.rs
@@ -7,6 +7,7 @@
     header::{self, HeaderMap},
 };
 use bytes::Bytes;
+use percent_encoding::percent_decode_str;
 use wasabi_border::ChatRequest;
 use wasabi_protocol::{
     clock::{Millis, unix_now},
@@ -196,15 +197,7 @@
             }
         }
         (Work::Service { .. }, Some((name, path))) => {
-            // A path with dot segments could name another route's prefix at the endpoint.
-            let has_dots = path.split('/').any(|part| {
-                let part = part.to_ascii_lowercase().replace("%2e", ".");
-                part == "." || part == ".."
-            });
-            if has_dots {
-                return Err(Fault::new(Kind::BadRequest, "the path must have no dot segments"));
-            }
-            contract.service_route(name, request.method().as_str(), path)
+            service_route(contract, request.method(), name, path)?
         }
         (Work::Service { .. }, None) => None,
     };
@@ -214,6 +207,35 @@
     })
 }
 
+/// Returns the route of a service call.
+///
+/// Endpoints may decode a path, resolve its dot segments and join its slashes. A path that would
+/// then lead to another route is refused, since that route may forbid a second run.
+///
+/// # Errors
+///
+/// Returns a refusal when the path is ambiguous.
+fn service_route<'a>(
+    contract: &'a Contract,
+    method: &Method,
+    service: &str,
+    path: &str,
+) -> Result<Option<&'a Route>, Fault> {
+    let decoded = percent_decode_str(path).decode_utf8_lossy();
+    let parts: Vec<_> = decoded.split('/').filter(|part| !part.is_empty()).collect();
+    if parts.iter().any(|part| matches!(*part, "." | "..")) {
+        return Err(Fault::new(Kind::BadRequest, "the path must have no dot segments"));
+    }
+    let plain = format!("/{}", parts.join("/"));
+    let route = contract.service_route(service, method.as_str(), path);
+    let plain_route = contract.service_route(service, method.as_str(), &plain);
+    if route.map(|route| &route.name) != plain_route.map(|route| &route.name) {
+        let message = "the path leads to another route once it is decoded; send it decoded";
+        return Err(Fault::new(Kind::BadRequest, message));
+    }
+    Ok(route)
+}
+
 fn leads_to_model(route: &Route, model: &str) -> bool {
     matches!(&route.target, Target::Model { name } if name.as_str() == model)
 }
--- a/crates/wasabi-entry/src/gate.rs
+++ b/crates/wasabi-entry/src/gate.rs
@@ -144,7 +144,7 @@
     let command = Command::RecordDispatch {
         key: key.clone(),
         created: call.key_created,
-        body: fingerprint::content(&call.body),
+        body: digest(call),
         attempt,
         entry: worker.shared.entry.name.clone(),
     };
@@ -155,17 +155,20 @@
         flight: Flight::new(clock, until),
         is_settled: false,
     };
+    let mut may_be_written = false;
     loop {
         match worker.handle.propose(command.clone()).await {
             Some(Proposed::Committed(outcome)) => return entered(record, outcome),
             Some(Proposed::Unknown) if clock.now() < until => {
+                may_be_written = true;
                 tokio::time::sleep(AGAIN_AFTER).await;
             }
-            Some(Proposed::Unknown) => {
+            // An earlier proposal may have written the record; dropping it here releases it.
+            result if may_be_written || result == Some(Proposed::Unknown) => {
                 let message = "it is not known whether the record was written; nothing ran";
                 return Entered::Refused(Fault::new(Kind::RecordUnknown, message));
             }
-            Some(Proposed::NotLeader { .. }) | None => {
+            _ => {
                 settle_nothing(record);
                 let message = "control has no leader now, so no record could be written";
                 return Entered::Refused(Fault::new(Kind::RecordUnavailable, message));
@@ -223,6 +226,12 @@
     }
 }
 
+/// Returns the digest of everything that makes a call the same one: method, path and body.
+fn digest(call: &Call) -> u128 {
+    let head = format!("{} {}\n", call.method, call.path());
+    fingerprint::content(&[head.as_bytes(), &call.body].concat())
+}
+
 fn key_of(call: &Call) -> Key {
     // A call without a key gets one that nobody else can name, so it is sent at most once.
     let key = call.key.clone().unwrap_or_else(|| format!("entry:{}", call.id).into());
--- a/crates/wasabi-entry/tests/at_most_once.rs
+++ b/crates/wasabi-entry/tests/at_most_once.rs
@@ -66,6 +66,42 @@
     assert_eq!(service.counts().requests, 1);
 }
 
+/// Guards against one key and body that stand for calls of two routes.
+#[actix_rt::test]
+async fn a_key_with_another_path_is_refused() {
+    let (_control, entry) = system().await;
+    let service = service("s1", &[&entry]);
+    let caller = entry.caller();
+    caller.order("k1", "one lorry").await;
+    let other = caller.request("POST", "/services/desk/orders/urgent");
+    let answer = caller.send(other.insert_header(("idempotency-key", "k1")), "one lorry").await;
+    assert_eq!((answer.kind().as_str(), answer.ran.as_str()), ("key_reused", "not_run"));
+    assert_eq!(service.counts().requests, 1);
+}
+
+/// Guards against a record that nobody releases: control commits it, its answer is lost, and then
+/// no leader can be found.
+#[actix_rt::test]
+async fn a_record_with_a_lost_answer_is_released() {
+    let (control, entry) = system().await;
+    let service = service("s1", &[&entry]);
+    let caller = entry.caller();
+    caller.order("warm", "up").await;
+    control.forget(true);
+    let order = caller.order("k1", "one lorry");
+    let lose = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        control.lose(true);
+    };
+    let (answer, ()) = futures_util::future::join(order, lose).await;
+    assert_eq!((answer.kind().as_str(), answer.ran.as_str()), ("record_unknown", "not_run"));
+    control.forget(false);
+    control.lose(false);
+    until("the key runs", async || caller.order("k1", "one lorry").await.status == StatusCode::OK)
+        .await;
+    assert_eq!(runs(&service.counts(), "k1"), 1);
+}
+
 /// Guards against a dispatch by a process that was held up past its window: the answer of control
 /// comes after 2 s, as it does for a frozen process.
 #[actix_rt::test]
--- a/crates/wasabi-entry/tests/input.rs
+++ b/crates/wasabi-entry/tests/input.rs
@@ -31,6 +31,9 @@
 #[case::unknown_service("/services/bank/orders", "", "unknown_route")]
 #[case::unknown_service_path("/services/desk/orders-archive", "", "unknown_route")]
 #[case::dot_segments("/services/desk/repeatable/../orders", "", "bad_request")]
+#[case::coded_route("/services/desk/repeatable/%6Fnce", "", "bad_request")]
+#[case::coded_slash("/services/desk/repeatable/x%2F..%2Fonce", "", "bad_request")]
+#[case::double_slash("/services/desk/repeatable//once", "", "bad_request")]
 #[case::coded_dot_segments("/services/desk/repeatable/%2e%2E/orders", "", "bad_request")]
 #[actix_rt::test]
 async fn a_bad_request_is_refused(#[case] path: &str, #[case] body: &str, #[case] kind: &str) {
--- a/crates/wasabi-entry/tests/support/mod.rs
+++ b/crates/wasabi-entry/tests/support/mod.rs
@@ -54,6 +54,7 @@
             route("draft", json!({"model": {"name": "once"}}), once.clone(), 1),
             route("status", service("GET", "/status"), json!("idempotent"), 2),
             route("repeatable", service("POST", "/repeatable"), json!("idempotent"), 2),
+            route("once", service("POST", "/repeatable/once"), once.clone(), 2),
             route("orders", service("POST", "/orders"), once, 1),
             route("pickups", service("POST", "/pickups"), strict, 1),
         ],
