--- a/crates/wasabi-routing/src/affinity.rs
+++ b/crates/wasabi-routing/src/affinity.rs
@@ -47,13 +47,15 @@
     generation_max: usize,
 }
 
-type Blocks = HashMap<u64, Mark, BuildHasherDefault<Identity>>;
+/// Blocks by half of their hash. A false match is rare (4,096 in 2^32) and costs only a wrong
+/// estimate, while a small table keeps the look-ups of a pool in the processor's cache.
+type Blocks = HashMap<u32, Mark, BuildHasherDefault<Identity>>;
 
+/// When a block was last used and how that is known, in four bytes.
+///
+/// Times are in milliseconds modulo 2^31 (24 days); blocks are forgotten long before that.
 #[derive(Debug, Clone, Copy)]
-struct Mark {
-    used: Millis,
-    source: Source,
-}
+struct Mark(u32);
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Source {
@@ -61,6 +63,28 @@
     Event,
 }
 
+impl Mark {
+    const EVENT: u32 = 1 << 31;
+
+    fn new(now: Millis, source: Source) -> Self {
+        let time = now.0 as u32 & !Self::EVENT;
+        Self(if source == Source::Event { time | Self::EVENT } else { time })
+    }
+
+    fn source(self) -> Source {
+        if self.0 & Self::EVENT == 0 { Source::Sent } else { Source::Event }
+    }
+
+    fn age(self, now: Millis) -> Millis {
+        Millis(u64::from((now.0 as u32).wrapping_sub(self.0) & !Self::EVENT))
+    }
+
+    fn is_after(self, time: Millis) -> bool {
+        let later = self.0.wrapping_sub(time.0 as u32) & !Self::EVENT;
+        0 < later && later < Self::EVENT / 2
+    }
+}
+
 impl Default for Cache {
     fn default() -> Self {
         Self::new(BLOCKS_DEFAULT)
@@ -82,6 +106,10 @@
     /// A send stores all blocks of a prefix together, so a known block implies that the ones
     /// before it are known, and the length is found by binary search.
     pub fn cached_blocks(&self, now: Millis, prefix: &[u64]) -> usize {
+        // Most endpoints hold no block of a prompt, and one look-up shows that.
+        if !prefix.first().is_some_and(|&block| self.holds(now, block)) {
+            return 0;
+        }
         prefix.partition_point(|&block| self.holds(now, block))
     }
 
@@ -97,7 +125,7 @@
 
     /// Notes that a prompt with this prefix was sent to the endpoint.
     pub fn sent(&mut self, now: Millis, prefix: &[u64]) {
-        self.store(prefix, Mark { used: now, source: Source::Sent });
+        self.store(prefix, Mark::new(now, Source::Sent));
     }
 
     /// Notes that a prompt sent at `sent_at` was never prefilled, because the endpoint was not
@@ -107,8 +135,8 @@
     pub fn unsent(&mut self, sent_at: Millis, prefix: &[u64]) {
         for block in prefix {
             for blocks in [&mut self.young, &mut self.old] {
-                if blocks.get(block).is_some_and(|mark| mark.used <= sent_at) {
-                    blocks.remove(block);
+                if blocks.get(&key(*block)).is_some_and(|mark| !mark.is_after(sent_at)) {
+                    blocks.remove(&key(*block));
                 }
             }
         }
@@ -123,7 +151,7 @@
                     .copied()
                     .filter(|&block| !self.holds(now, block))
                     .collect::<Vec<_>>();
-                self.store(&unknown, Mark { used: now, source: Source::Event });
+                self.store(&unknown, Mark::new(now, Source::Event));
             }
             Event::Evicted(blocks) => {
                 for block in blocks {
@@ -132,12 +160,12 @@
             }
             // The lost events may hold evictions of what is known by events alone.
             Event::Gap => {
-                self.young.retain(|_, mark| mark.source == Source::Sent);
-                self.old.retain(|_, mark| mark.source == Source::Sent);
+                self.young.retain(|_, mark| mark.source() == Source::Sent);
+                self.old.retain(|_, mark| mark.source() == Source::Sent);
             }
             Event::Cleared => {
-                self.young.retain(|_, mark| now.since(mark.used) < EVENT_LAG_MAX);
-                self.old.retain(|_, mark| now.since(mark.used) < EVENT_LAG_MAX);
+                self.young.retain(|_, mark| mark.age(now) < EVENT_LAG_MAX);
+                self.old.retain(|_, mark| mark.age(now) < EVENT_LAG_MAX);
             }
         }
     }
@@ -159,9 +187,9 @@
 
     fn holds(&self, now: Millis, block: u64) -> bool {
         self.young
-            .get(&block)
-            .or_else(|| self.old.get(&block))
-            .is_some_and(|mark| now.since(mark.used) < KEPT_FOR)
+            .get(&key(block))
+            .or_else(|| self.old.get(&key(block)))
+            .is_some_and(|mark| mark.age(now) < KEPT_FOR)
     }
 
     /// Stores blocks of one prefix in one generation, so that no prefix is cut by a rotation.
@@ -170,23 +198,27 @@
             self.old = std::mem::take(&mut self.young);
         }
         for block in prefix.iter().take(self.generation_max) {
-            self.old.remove(block);
-            self.young.insert(*block, mark);
+            self.old.remove(&key(*block));
+            self.young.insert(key(*block), mark);
         }
     }
 
     fn evict(&mut self, now: Millis, block: u64) {
         for blocks in [&mut self.young, &mut self.old] {
-            let is_older = blocks.get(&block).is_some_and(|mark| {
-                mark.source == Source::Event || EVENT_LAG_MAX <= now.since(mark.used)
+            let is_older = blocks.get(&key(block)).is_some_and(|mark| {
+                mark.source() == Source::Event || EVENT_LAG_MAX <= mark.age(now)
             });
             if is_older {
-                blocks.remove(&block);
+                blocks.remove(&key(block));
             }
         }
     }
 }
 
+fn key(block: u64) -> u32 {
+    block as u32
+}
+
 /// Uses a block's hash as its own hash; block hashes are already well mixed.
 #[derive(Debug, Clone, Copy, Default)]
 struct Identity(u64);
@@ -202,7 +234,8 @@
         }
     }
 
-    fn write_u64(&mut self, value: u64) {
-        self.0 = value;
+    fn write_u32(&mut self, value: u32) {
+        // The table uses both ends of the hash.
+        self.0 = u64::from(value) << 32 | u64::from(value);
     }
 }
