scheduler: tests of the endpoint choice and of the in-flight bound

Cause: holding tier 0, following a prefix, refusing work that cannot end, and granting an attempt once had no test. Ruled out: nothing. Conclusion: each rule of the choice is guarded.

--- a/crates/wasabi-bench/src/run.rs
+++ b/crates/wasabi-bench/src/run.rs
@@ -257,7 +257,8 @@
                 if self.now < self.down_until[engine].max(state.frozen_until) {
                     return;
                 }
-                let announcement = announcement(engine, state, self.reports[engine]);
+                let announcement =
+                    announcement(engine, state.incarnation, state.speed, self.reports[engine]);
                 let (running, waiting) = state.load();
                 self.reports[engine] = Load { running, waiting, kv_used: 0.0 };
                 let commands = self.policy.announce(now, announcement);
@@ -474,17 +475,18 @@
     format!("engine{engine:02}")
 }
 
-fn announcement(index: usize, engine: &Engine, load: Load) -> Announcement {
+/// Returns the announcement of an engine.
+pub fn announcement(index: usize, incarnation: u64, speed: f64, load: Load) -> Announcement {
     Announcement {
         name: name(index).as_str().into(),
-        incarnation: engine.incarnation,
+        incarnation,
         address: format!("10.0.0.{index}:8000"),
         data_centre: "dc1".into(),
         kind: Kind::Model,
         backend: "chat".into(),
         version: "v1".into(),
         adapters: Vec::new(),
-        hardware: format!("h{}", engine.speed),
+        hardware: format!("h{speed}"),
         concurrency: BATCH_MAX as u32,
         abilities: Default::default(),
         load,
--- a/crates/wasabi-scheduler/src/pool/announce.rs
+++ b/crates/wasabi-scheduler/src/pool/announce.rs
@@ -32,7 +32,7 @@
             Announced::Renewed => self.board.join(&name, kind),
             Announced::Ignored => return,
         }
-        self.versions.settle(&self.endpoints.slots);
+        self.settle_versions();
         if let Some(slot) = self.endpoints.get_mut(&name) {
             slot.refresh(now, &self.board);
         }
@@ -41,7 +41,7 @@
     pub(super) fn leave(&mut self, now: Millis, name: &id::Endpoint) {
         self.endpoints.leave(now, name);
         self.board.leave(name);
-        self.versions.settle(&self.endpoints.slots);
+        self.settle_versions();
     }
 
     /// Takes out the endpoints that fell silent; what ran on them is suspected.
@@ -50,7 +50,7 @@
             self.board.leave(slot.name());
             self.crashed(now, &slot, None);
         }
-        self.versions.settle(&self.endpoints.slots);
+        self.settle_versions();
     }
 
     /// Notes that a connection to an endpoint broke after bytes of a request left.
--- a/crates/wasabi-scheduler/src/pool/choice.rs
+++ b/crates/wasabi-scheduler/src/pool/choice.rs
@@ -29,7 +29,13 @@
 impl Pool {
     /// Returns whether an endpoint's version may get requests.
     pub(super) fn is_offered(&self, slot: &Slot) -> bool {
-        self.versions.offer(&slot.announcement.version) != Offer::Never
+        slot.offer != Offer::Never
+    }
+
+    /// Follows a change of the versions or of the endpoints.
+    pub(super) fn settle_versions(&mut self) {
+        self.versions.settle(&self.endpoints.slots);
+        self.versions.mark(&mut self.endpoints.slots);
     }
 
     /// Returns whether any endpoint has room, be it for a suspect only.
@@ -102,7 +108,7 @@
         let mut candidates = std::mem::take(&mut self.candidates);
         candidates.clear();
         let slots = &self.endpoints.slots;
-        let is_offered = |slot: &&Slot| self.versions.offer(&slot.announcement.version) == offer;
+        let is_offered = |slot: &&Slot| slot.offer == offer;
         best.offered = slots.iter().filter(is_offered).count();
         if best.offered == 0 {
             self.candidates = candidates;
@@ -179,11 +185,8 @@
     fn last_replica(&self) -> Option<&wasabi_protocol::id::Endpoint> {
         let slots = &self.endpoints.slots;
         let count = self.versions.replicas(slots.len());
-        let mut names: Vec<_> = slots
-            .iter()
-            .filter(|slot| self.versions.offer(&slot.announcement.version) == Offer::Unproven)
-            .map(Slot::name)
-            .collect();
+        let mut names: Vec<_> =
+            slots.iter().filter(|slot| slot.offer == Offer::Unproven).map(Slot::name).collect();
         names.sort_unstable();
         names.get(count.max(1) - 1).copied()
     }
--- a/crates/wasabi-scheduler/src/pool/dispatch.rs
+++ b/crates/wasabi-scheduler/src/pool/dispatch.rs
@@ -39,19 +39,31 @@
         self.dispatch_aged(now, half, actions);
         for tier in Tier::all() {
             while 0 < self.queue.waiting(tier) && self.has_room(half) {
-                let tickets: Vec<_> = self
-                    .queue
-                    .candidates(tier, DEPTH)
-                    .take(TRIED)
-                    .map(|item| item.ticket)
-                    .collect();
-                if !tickets.into_iter().any(|ticket| self.try_start(now, ticket, half, actions)) {
+                if !self.start_next(now, tier, half, actions) {
                     break;
                 }
             }
         }
     }
 
+    /// Starts or refuses one request of a tier; returns whether there was one.
+    fn start_next(
+        &mut self,
+        now: Millis,
+        tier: Tier,
+        half: bool,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let first = self.queue.candidates(tier, DEPTH).next().map(|item| item.ticket);
+        if first.is_some_and(|ticket| self.try_start(now, ticket, half, actions)) {
+            return true;
+        }
+        // Looking at more requests costs more than the first one, which can start as a rule.
+        let candidates = self.queue.candidates(tier, DEPTH).skip(1).take(TRIED);
+        let tickets: Vec<_> = candidates.map(|item| item.ticket).collect();
+        tickets.into_iter().any(|ticket| self.try_start(now, ticket, half, actions))
+    }
+
     /// Starts aged work of lower tiers within its reserved fraction, while more urgent work waits
     /// and none of that would miss its first-token target by it.
     fn dispatch_aged(&mut self, now: Millis, half: bool, actions: &mut Vec<Action>) {
--- a/crates/wasabi-scheduler/src/pool/endpoint.rs
+++ b/crates/wasabi-scheduler/src/pool/endpoint.rs
@@ -16,6 +16,8 @@
     pace::{Board, Standing},
 };
 
+use super::versions::Offer;
+
 /// Most endpoints of one pool.
 const ENDPOINTS_MAX: usize = wasabi_routing::rendezvous::POOL_ENDPOINTS_MAX;
 
@@ -56,6 +58,8 @@
     pub(super) crashed: Option<Millis>,
     /// When it should have read all prompts that it was given.
     pub(super) prefilled_at: Millis,
+    /// How its version may be used, copied so that a decision compares no names.
+    pub(super) offer: Offer,
     /// A copy of what the pace board says of it, so that a decision reads no map.
     pub(super) prefill_rate: f64,
     /// Mean time per output token in milliseconds; 0 when unknown.
@@ -77,6 +81,7 @@
             unreachable: false,
             crashed: None,
             prefilled_at: now,
+            offer: Offer::Never,
             prefill_rate: PREFILL_RATE_UNKNOWN,
             per_token_ms: 0.0,
             standing: Standing::Normal,
--- a/crates/wasabi-scheduler/src/pool/owner.rs
+++ b/crates/wasabi-scheduler/src/pool/owner.rs
@@ -196,7 +196,7 @@
         self.entries = config.view.entries.iter().map(|entry| entry.name.clone()).collect();
         self.budgets.configure(config);
         self.versions.configure(config, &self.backend, &self.endpoints.slots);
-        self.versions.settle(&self.endpoints.slots);
+        self.settle_versions();
     }
 
     fn acquire(&mut self, now: Millis, ticket: u64, request: Request, actions: &mut Vec<Action>) {
--- a/crates/wasabi-scheduler/src/pool/preempt.rs
+++ b/crates/wasabi-scheduler/src/pool/preempt.rs
@@ -33,7 +33,7 @@
                     && slot.standing == Standing::Normal
                     && slot.in_flight() <= slot.limit(false)
                     && !self.reserve.holds(slot.name())
-                    && self.versions.offer(&slot.announcement.version) == Offer::Proven
+                    && slot.offer == Offer::Proven
             })
         };
         let victim = self
--- a/crates/wasabi-scheduler/src/pool/release.rs
+++ b/crates/wasabi-scheduler/src/pool/release.rs
@@ -88,5 +88,7 @@
             report,
         };
         self.versions.observe(now, seen);
+        // The evidence may have stopped the new version.
+        self.versions.mark(&mut self.endpoints.slots);
     }
 }
--- a/crates/wasabi-scheduler/src/pool/tick.rs
+++ b/crates/wasabi-scheduler/src/pool/tick.rs
@@ -125,7 +125,10 @@
         self.suspects.expire(now);
         let suspects = &self.suspects;
         self.versions.settle_losses(now, |fingerprint| suspects.is_quarantined(now, fingerprint));
-        self.versions.regroup(&self.endpoints.slots);
+        if self.versions.is_moving() {
+            self.versions.regroup(&self.endpoints.slots);
+            self.versions.mark(&mut self.endpoints.slots);
+        }
         for slot in &mut self.endpoints.slots {
             if slot.standing == Standing::Probation {
                 slot.refresh(now, &self.board);
--- a/crates/wasabi-scheduler/src/pool/versions.rs
+++ b/crates/wasabi-scheduler/src/pool/versions.rs
@@ -118,8 +118,20 @@
             .cloned();
     }
 
+    /// Notes on each endpoint how its version may be used.
+    pub(super) fn mark(&self, slots: &mut [Slot]) {
+        for slot in slots {
+            slot.offer = self.offer(&slot.announcement.version);
+        }
+    }
+
+    /// Returns whether a move runs.
+    pub(super) fn is_moving(&self) -> bool {
+        self.active.is_some()
+    }
+
     /// Returns how endpoints of a version may be used.
-    pub(super) fn offer(&self, version: &id::Version) -> Offer {
+    fn offer(&self, version: &id::Version) -> Offer {
         if self.banned.contains(version) {
             return Offer::Never;
         }
--- /dev/null
+++ b/crates/wasabi-scheduler/tests/choice.rs
@@ -0,0 +1,115 @@
+//! Tests of the endpoint that a request gets, and of requests that wait although one has room.
+
+mod kit;
+
+use kit::{acquire, announce_all, grants, ready, refusals, release, request};
+use wasabi_protocol::{
+    clock::Millis,
+    fault::{Kind, Ran},
+    request::{End, Request},
+    rpc::Grant,
+};
+use wasabi_scheduler::pool::{Action, Event, Pool};
+
+fn step(pool: &mut Pool, now: u64, request: Request) -> Vec<Action> {
+    let ticket = request.attempt.0 as u64 - 1;
+    pool.step(Millis(now), Event::Acquire { ticket, request })
+}
+
+fn finish(pool: &mut Pool, now: u64, ticket: u64, grant: &Grant) -> Vec<Action> {
+    pool.step(Millis(now), release(grant, request(ticket, 0).attempt, End::Finished))
+}
+
+/// Guards against prefill that is done again on another endpoint although one holds the prefix,
+/// and against waiting in a long batch for the sake of a prefix.
+#[test]
+fn follows_the_prefix_until_that_endpoint_is_busy() {
+    let mut pool = ready(3, 8);
+    let long = |ticket: u64, start: u64| {
+        let mut long = request(ticket, 2);
+        long.prompt_tokens = 4_000;
+        long.prefix = (start..start + 60).collect();
+        long
+    };
+    let first = grants(&step(&mut pool, 1_000, long(0, 1_000)));
+    finish(&mut pool, 2_000, 0, &first[0].1);
+    for ticket in 1..4 {
+        let next = grants(&step(&mut pool, 2_000 + ticket, long(ticket, 1_000)));
+        assert_eq!(next[0].1.endpoint, first[0].1.endpoint, "the prefix is cached there");
+    }
+    // With the next announcement, the others take over the prefill rate that their kind showed.
+    announce_all(&mut pool, Millis(2_010), 3, 8);
+    let other = grants(&step(&mut pool, 2_010, long(9, 5_000)));
+    assert_ne!(other[0].1.endpoint, first[0].1.endpoint, "another prefix goes elsewhere");
+}
+
+/// Guards against tier 0 that starts behind a long prompt and misses its first token, although
+/// another endpoint has room a moment later; and against holding it until it is late.
+#[test]
+fn holds_tier_0_for_an_endpoint_that_keeps_its_target() {
+    for frees in [true, false] {
+        let mut pool = ready(2, 2);
+        let mut long = request(0, 2);
+        long.prompt_tokens = 60_000;
+        let busy = grants(&step(&mut pool, 1_000, long));
+        let short: Vec<_> = (1..3).flat_map(|n| grants(&acquire(&mut pool, 1_000, n, 2))).collect();
+        assert!(short.iter().all(|(_, grant)| grant.endpoint != busy[0].1.endpoint));
+        let mut urgent = request(10, 0);
+        urgent.first_token = Millis(1_000);
+        assert!(grants(&step(&mut pool, 1_001, urgent)).is_empty(), "it would be late there");
+        if frees {
+            let next = grants(&finish(&mut pool, 1_020, 1, &short[0].1));
+            assert_eq!((next[0].0, &next[0].1.endpoint), (10, &short[0].1.endpoint));
+        } else {
+            let started = (1_050..2_100)
+                .step_by(50)
+                .find(|now| !grants(&pool.step(Millis(*now), Event::Tick)).is_empty());
+            assert!(started.is_some_and(|now| now <= 2_000), "started at {started:?}");
+        }
+    }
+}
+
+/// Guards against prefill wasted on work that is cut by its deadline: once too little time is left
+/// for it, it is refused as not run.
+#[test]
+fn refuses_work_that_cannot_end_before_its_deadline() {
+    let mut pool = ready(1, 1);
+    // 50 ms a token for streams of 100 tokens, as asked for: about 5 s.
+    for ticket in 0..200 {
+        let now = 1_000 + ticket;
+        let granted = grants(&acquire(&mut pool, now, ticket, 2));
+        let mut release = release(&granted[0].1, request(ticket, 2).attempt, End::Finished);
+        if let Event::Release(release) = &mut release {
+            release.report.stream = Millis(50 * 99);
+        }
+        pool.step(Millis(now), release);
+    }
+    let mut held = request(300, 2);
+    held.prompt_tokens = 1;
+    assert_eq!(grants(&step(&mut pool, 1_500, held)).len(), 1);
+    let mut late = request(301, 3);
+    late.remaining = Millis(20_000);
+    step(&mut pool, 1_500, late);
+    let refused = (1_550..30_000).step_by(50).find_map(|now| {
+        announce_all(&mut pool, Millis(now), 1, 1);
+        let refused = refusals(&pool.step(Millis(now), Event::Tick));
+        (!refused.is_empty()).then_some((now, refused))
+    });
+    let Some((now, refused)) = refused else { panic!("it is refused") };
+    assert_eq!(refused, [(301, Kind::DeadlineInQueue)]);
+    assert_eq!(Kind::DeadlineInQueue.answer().ran, Ran::NotRun);
+    assert!((15_000..19_000).contains(&now), "4 to 5 s before its deadline at 21.5 s, not {now}");
+}
+
+/// Guards invariant 6 at the owner: an attempt that holds a grant gets no second one, also when
+/// its holder asks again under another ticket.
+#[test]
+fn grants_an_attempt_once() {
+    let mut pool = ready(2, 2);
+    assert_eq!(grants(&acquire(&mut pool, 1_000, 0, 0)).len(), 1);
+    let again = Event::Acquire { ticket: 77, request: request(0, 0) };
+    let actions = pool.step(Millis(1_001), again);
+    assert!(grants(&actions).is_empty());
+    assert_eq!(refusals(&actions), [(77, Kind::Internal)]);
+    assert_ne!(Kind::Internal.answer().ran, Ran::NotRun, "it may be running");
+}
