scheduler: the suspect test offers an endpoint that nothing else wants

Cause: an urgent request took the new endpoint first, so the test was still green with the rule removed. Ruled out: removing one of the two places that enforce the rule; each holds alone. Conclusion: suspects run one at a time by two independent checks.

--- a/crates/wasabi-scheduler/tests/suspects.rs
+++ b/crates/wasabi-scheduler/tests/suspects.rs
@@ -62,7 +62,8 @@
     assert_eq!(alone[0].1.endpoint.as_str(), apart);
     assert!(grants(&acquire(&mut pool, 1_201, 300, 0)).is_empty(), "nothing runs beside it");
     let mut beside = grants(&pool.step(Millis(1_202), Event::Announce(announcement("d", 4))));
-    beside.extend(grants(&acquire(&mut pool, 1_202, 301, 2)));
+    // The urgent request that waited takes `d`; the next endpoint stays empty.
+    beside.extend(grants(&pool.step(Millis(1_203), Event::Announce(announcement("e", 4)))));
     assert!(!beside.is_empty());
     assert!(beside.iter().all(|(ticket, _)| 200 <= *ticket), "no second suspect on a new one");
     let attempt = request(alone[0].0, 2).attempt;
