--- a/crates/wasabi-wal/src/frame.rs
+++ b/crates/wasabi-wal/src/frame.rs
@@ -23,6 +23,9 @@
     Vote(Vote),
     /// The records from the index on are void, and the next record has this index.
     TruncateFrom(u64),
+    /// All records before this one are void, also those that a snapshot covers but contradicts.
+    /// The next record has this index and follows the snapshot.
+    RestartAt(u64),
     /// A record of the log.
     Record(Record),
 }
--- a/crates/wasabi-wal/src/log.rs
+++ b/crates/wasabi-wal/src/log.rs
@@ -125,8 +125,9 @@
         // What was read may only be in the page cache after a crash of the process; this sync makes
         // it durable before anyone relies on it.
         log.frame.push(&Item::Opened)?;
-        if scan.restart {
-            log.frame.push(&Item::TruncateFrom(log.next))?;
+        if scan.entries.is_empty() {
+            // Records that the snapshot covers may contradict it; they must not be read again.
+            log.frame.push(&Item::RestartAt(log.next))?;
         }
         log.sync()?;
         file::sync_dir(&log.dir, options.sync)?;
@@ -164,7 +165,9 @@
         if most < index || index <= self.snapshot_index {
             return Err(Error::OutOfOrder { index, expected: most });
         }
-        self.frame.push(&Item::TruncateFrom(index))?;
+        let nothing_left = index == self.snapshot_index + 1;
+        let item = if nothing_left { Item::RestartAt(index) } else { Item::TruncateFrom(index) };
+        self.frame.push(&item)?;
         self.next = index;
         Ok(())
     }
--- a/crates/wasabi-wal/src/recover.rs
+++ b/crates/wasabi-wal/src/recover.rs
@@ -27,8 +27,6 @@
     pub(crate) sequence: u64,
     /// Index of the next record.
     pub(crate) next: u64,
-    /// Whether the log must state that the next record does not follow the last one stored.
-    pub(crate) restart: bool,
     pub(crate) vote: Vote,
     pub(crate) entries: Vec<Record>,
 }
@@ -71,7 +69,6 @@
             tail = Some(Tail { path, number, length, last_index });
         }
     }
-    let stored = replay.next.unwrap_or(1);
     let entries = after(dir, replay.entries, snapshot)?;
     let covered = snapshot.map_or(0, |snapshot| snapshot.index);
     let next = entries.last().map_or(covered, |entry| entry.index) + 1;
@@ -83,7 +80,6 @@
         number,
         sequence: replay.sequence + 1,
         next,
-        restart: stored != next,
         vote: replay.vote,
         entries,
     })
@@ -153,13 +149,15 @@
                 Some(0)
             }
             Item::TruncateFrom(index) => {
-                if self.next.is_some_and(|next| next < index) {
-                    self.entries.clear();
-                }
                 self.entries.retain(|entry| entry.index < index);
                 self.next = Some(index);
                 Some(0)
             }
+            Item::RestartAt(index) => {
+                self.entries.clear();
+                self.next = Some(index);
+                Some(0)
+            }
             Item::Record(record) => {
                 let index = record.index;
                 if self.next.is_some_and(|next| next != index) {
