--- a/crates/wasabi-testkit/src/process.rs
+++ b/crates/wasabi-testkit/src/process.rs
@@ -6,8 +6,10 @@
     fs::{self, File},
     io,
     net::{SocketAddr, TcpListener},
+    ops::Range,
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
     time::Duration,
 };
 
@@ -145,14 +147,28 @@
     }
 }
 
-/// Returns a loopback address whose port was free just now.
+/// Ports that the system does not hand out by itself, so that a connection of another test cannot
+/// take one between the choice and the listener's start.
+const PORTS: Range<u16> = 20_000..32_000;
+
+/// Ports that one test process tries first, so that processes started together rarely meet.
+const PORTS_PER_PROCESS: u32 = 97;
+
+/// Returns a loopback address with a free port, another one at each call.
 ///
 /// # Panics
 ///
-/// Panics when the machine has no free port.
+/// Panics when no port is free.
 pub fn free_address() -> SocketAddr {
-    match TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()) {
-        Ok(address) => address,
-        Err(error) => panic!("no free port: {error}"),
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let first = std::process::id().wrapping_mul(PORTS_PER_PROCESS);
+    for _ in PORTS {
+        let step = first.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        let port = PORTS.start + (step % u32::from(PORTS.end - PORTS.start)) as u16;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
     }
+    panic!("no port between {} and {} is free", PORTS.start, PORTS.end)
 }
