--- a/crates/wasabi-consensus/tests/node.rs
+++ b/crates/wasabi-consensus/tests/node.rs
@@ -2,7 +2,8 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 use wasabi_consensus::{
-    Action, Config, Event, Message, Node, Persist, Position, Restored, Role, Verdict,
+    Action, Change, Config, Event, Message, Node, Persist, Position, Reason, Restored, Role,
+    Verdict,
 };
 use wasabi_protocol::{clock::Millis, id};
 
@@ -114,3 +115,40 @@
     assert!(node.can_read(LATER) && node.settled());
     assert_eq!(node.commit_index(), 2);
 }
+
+fn change(node: &mut Node, change: Change) -> Vec<Action> {
+    node.step(LATER, Event::ChangeMembers { change, request: 9 })
+}
+
+fn answer(node: &mut Node, from: &str, index: u64) -> Vec<Action> {
+    let verdict = Verdict::Matched(index);
+    let message = Message::AppendReply { term: 1, verdict, sent: LATER };
+    node.step(LATER, Event::Receive(member(from), message))
+}
+
+/// Guards against changes whose quorums do not overlap, and against a voter that holds too little
+/// to form a quorum when another one is lost.
+#[test]
+fn a_membership_change_waits_for_what_it_rests_on() {
+    let mut node = leader();
+    let refused = |reason| vec![Action::Refuse { request: 9, reason }];
+    let add = |name| Change::AddLearner(member(name));
+    assert_eq!(change(&mut node, add("d")), refused(Reason::TermNotCommitted));
+    answer(&mut node, "b", 2);
+    assert_eq!(change(&mut node, Change::Promote(member("b"))), refused(Reason::NotApplicable));
+    let batch = persist(change(&mut node, add("d"))).unwrap();
+    assert_eq!(change(&mut node, add("e")), refused(Reason::ChangePending));
+    stored(&mut node, batch);
+    assert!(!node.settled());
+    answer(&mut node, "b", 3);
+    assert!(node.settled());
+    let promote = || Change::Promote(member("d"));
+    assert_eq!(change(&mut node, promote()), refused(Reason::NotCaughtUp));
+    answer(&mut node, "d", 3);
+    let batch = persist(change(&mut node, promote())).unwrap();
+    stored(&mut node, batch);
+    answer(&mut node, "b", 4);
+    assert!(!node.settled(), "two of four voters are no quorum");
+    answer(&mut node, "d", 4);
+    assert!(node.settled());
+}
