--- a/crates/wasabi-scheduler/src/pool/choice.rs
+++ b/crates/wasabi-scheduler/src/pool/choice.rs
@@ -4,7 +4,12 @@
 use wasabi_rollout::credit::Side;
 use wasabi_routing::{choice, pace::Standing, quarantine::Permit};
 
-use super::{endpoint::Slot, owner::Pool, running::Mark, versions::Offer};
+use super::{
+    endpoint::{Slot, is_careful},
+    owner::Pool,
+    running::Mark,
+    versions::Offer,
+};
 
 /// Stands for an endpoint that the request cannot use now.
 const FULL: choice::Candidate =
@@ -29,7 +34,13 @@
 impl Pool {
     /// Returns whether an endpoint's version may get requests.
     pub(super) fn is_offered(&self, slot: &Slot) -> bool {
-        self.versions.offer(&slot.announcement.version) != Offer::Never
+        slot.offer != Offer::Never
+    }
+
+    /// Follows a change of the versions or of the endpoints.
+    pub(super) fn settle_versions(&mut self) {
+        self.versions.settle(&self.endpoints.slots);
+        self.versions.mark(&mut self.endpoints.slots);
     }
 
     /// Returns whether any endpoint has room, be it for a suspect only.
@@ -102,7 +113,7 @@
         let mut candidates = std::mem::take(&mut self.candidates);
         candidates.clear();
         let slots = &self.endpoints.slots;
-        let is_offered = |slot: &&Slot| self.versions.offer(&slot.announcement.version) == offer;
+        let is_offered = |slot: &&Slot| slot.offer == offer;
         best.offered = slots.iter().filter(is_offered).count();
         if best.offered == 0 {
             self.candidates = candidates;
@@ -118,7 +129,7 @@
                 && last.is_none_or(|last| slot.name() <= last)
         };
         // Tier 0 and calls that run once meet no straggler, unless there is nothing else.
-        let is_careful = (request.tier == Tier::TOP || !request.idempotent)
+        let is_careful = is_careful(request)
             && slots.iter().any(|slot| is_usable(slot) && slot.standing == Standing::Normal);
         let mut probe = None;
         for (index, slot) in slots.iter().enumerate() {
@@ -139,7 +150,7 @@
             }
             let mut candidate = slot.candidate(now, request, half);
             if (demand.first_token.0 as f64) < candidate.first_token_ms(request.prompt_tokens)
-                || (demand.keeps_pace && !slot.keeps_pace(request))
+                || (demand.keeps_pace && !slot.keeps_pace(now, request))
             {
                 candidates.push(FULL);
                 continue;
@@ -166,7 +177,7 @@
     fn demand(&self, now: Millis, ticket: u64, request: &Request) -> Demand {
         let Some(item) = self.queue.item(ticket) else { return Demand::default() };
         if now + self.forecast.patience() < item.start_by {
-            let keeps_pace = self.endpoints.slots.iter().any(|slot| slot.keeps_pace(request));
+            let keeps_pace = self.endpoints.slots.iter().any(|slot| slot.keeps_pace(now, request));
             let first_token = (item.arrived + request.first_token).since(now);
             return Demand { first_token, keeps_pace };
         }
@@ -179,11 +190,8 @@
     fn last_replica(&self) -> Option<&wasabi_protocol::id::Endpoint> {
         let slots = &self.endpoints.slots;
         let count = self.versions.replicas(slots.len());
-        let mut names: Vec<_> = slots
-            .iter()
-            .filter(|slot| self.versions.offer(&slot.announcement.version) == Offer::Unproven)
-            .map(Slot::name)
-            .collect();
+        let mut names: Vec<_> =
+            slots.iter().filter(|slot| slot.offer == Offer::Unproven).map(Slot::name).collect();
         names.sort_unstable();
         names.get(count.max(1) - 1).copied()
     }
