consensus: the time without a leader is bounded by a test

Cause: the design states 2 s for the death of a control leader, and nothing measured it. Ruled out: a shorter election timeout, since the read lease is 90% of it.

--- a/crates/wasabi-consensus/tests/rules.rs
+++ b/crates/wasabi-consensus/tests/rules.rs
@@ -73,6 +73,28 @@
     assert!(sim.leader().is_some_and(|next| next != leader));
 }
 
+/// Guards against elections that tie again and again after a leader's death.
+#[test]
+fn a_dead_leader_is_replaced_within_seconds() {
+    let replaced = |seed| {
+        let mut sim = Sim::new(3, seed, Rules::ALL);
+        sim.run(5_000).unwrap();
+        let start = sim.now;
+        sim.crash(sim.leader().unwrap());
+        while !(0..3).any(|at| sim.replicas[at].can_read(sim.now)) {
+            sim.run(5).unwrap();
+        }
+        sim.now - start
+    };
+    let mut spans: Vec<_> = (0..200).map(replaced).collect();
+    spans.sort_unstable();
+    println!(
+        "without a leader: p50 {} ms, p99 {} ms, most {} ms",
+        spans[100], spans[197], spans[199]
+    );
+    assert!(spans[199] < 2_500);
+}
+
 /// Cuts the link between a leader and one follower while both reach the third member.
 fn partial_cut(seed: u64, rules: Rules) -> Result<(), Broken> {
     let mut sim = Sim::new(3, seed, rules);
