rollout: an outage that both versions share takes no good version back

Cause: at the start of a shared outage the new version's first errors were judged before the old version had shown five on the same route, so a good version was taken back 1 s after the outage began. Ruled out: a higher threshold for gross errors alone (versions that fail at once would meet more requests in every move). Conclusion: requests are judged after 3 s, and recent errors of the old version over all routes count. The evidence of `decision::Ledger` and `trial::Set` is given as `evidence::Counts`.

--- a/crates/wasabi-rollout/examples/moves.rs
+++ b/crates/wasabi-rollout/examples/moves.rs
@@ -1,7 +1,8 @@
 //! Measures version moves in virtual time: the policy of this crate against a fixed 10% canary
 //! with a plain error threshold, on the same seeds.
 //!
-//! Usage: `cargo run --release -p wasabi-rollout --example moves -- [bad runs] [good runs] [threads]`
+//! Usage: `cargo run --release -p wasabi-rollout --example moves -- [bad runs] [good runs] [threads]
+//! [version]`
 
 #[path = "moves/fleet.rs"]
 mod fleet;
@@ -21,6 +22,7 @@
     let number = |position: usize, default: u64| {
         env::args().nth(position).and_then(|text| text.parse().ok()).unwrap_or(default)
     };
+    let only = env::args().nth(4);
     let (bad, good, threads) = (number(1, 20), number(2, 20), number(3, 2));
     println!(
         "| fleet | version | rule | runs | done in time | taken back | met, median | met of planned, max | affected of planned, max | detection s, median | max |"
@@ -28,6 +30,9 @@
     println!("|---|---|---|---|---|---|---|---|---|---|---|");
     for fleet in [&KOZANI, &AMMAN] {
         for fault in GOOD.into_iter().chain(BAD) {
+            if only.as_ref().is_some_and(|only| *only != format!("{fault:?}")) {
+                continue;
+            }
             let runs = if GOOD.contains(&fault) { good } else { bad };
             for rule in [Rule::Policy, Rule::Baseline] {
                 let outcomes = run_all(fleet, fault, rule, runs, threads);
--- a/crates/wasabi-rollout/src/decision.rs
+++ b/crates/wasabi-rollout/src/decision.rs
@@ -6,7 +6,11 @@
     id, rpc,
 };
 
-use crate::{credit, evidence::Count, trial};
+use crate::{
+    credit,
+    evidence::{Count, Counts},
+    trial,
+};
 
 /// Part of the time until `finish_by` that is spent at the start share.
 ///
@@ -63,6 +67,7 @@
                 }
             }
         }
+        self.trials.judge(now);
     }
 
     /// Returns the trials of the routes.
@@ -73,9 +78,9 @@
     fn add_one(&mut self, now: Millis, plan: &Plan, item: &rpc::Evidence) {
         let count = Count { requests: item.requests, errors: item.errors, slow: item.slow };
         let counts = if item.version == plan.from {
-            [count, Count::default()]
+            Counts { old: count, ..Counts::default() }
         } else {
-            [Count::default(), count]
+            Counts { new: count, ..Counts::default() }
         };
         self.trials.add(now, &item.route, counts);
         if item.stopped && item.version == plan.to && self.stopped.is_none() {
--- a/crates/wasabi-rollout/src/lib.rs
+++ b/crates/wasabi-rollout/src/lib.rs
@@ -3,6 +3,7 @@
 //! The pool owner uses [`credit`], [`evidence`] and [`stop`]; the control leader uses
 //! [`decision`]; both judge a route by a [`trial`]. Nothing here reads a clock or opens a socket.
 
+mod baseline;
 pub mod credit;
 pub mod decision;
 pub mod evidence;
--- a/crates/wasabi-rollout/src/loss.rs
+++ b/crates/wasabi-rollout/src/loss.rs
@@ -7,6 +7,7 @@
 use wasabi_protocol::clock::Millis;
 
 use crate::{
+    baseline,
     credit::Side,
     sequential::{Rates, Test, Verdict},
     trial,
@@ -54,7 +55,7 @@
         if side == Side::Old {
             return;
         }
-        let good = (trial::upper(self.old.events) / (PRIOR_S + self.old.seconds)).max(GOOD_MIN);
+        let good = (baseline::upper(self.old.events) / (PRIOR_S + self.old.seconds)).max(GOOD_MIN);
         let rates = Rates { good, bad: BAD_MIN.max(FACTOR_MIN * good) };
         self.test.add_events(events, seconds, rates);
     }
--- a/crates/wasabi-rollout/src/stop.rs
+++ b/crates/wasabi-rollout/src/stop.rs
@@ -62,6 +62,7 @@
         if self.stopped.is_none() {
             self.stopped = self.losses.rejected();
         }
+        self.judge(now);
     }
 
     /// Returns why the new version was stopped, if it was.
@@ -109,16 +110,14 @@
 
     fn judge(&mut self, now: Millis) {
         for (route, counts) in self.book.take() {
-            let verdict = self.trials.add(now, &route, [counts.old, counts.new]);
-            let high_load = [counts.old_high_load, counts.new_high_load];
-            let under_load = self.trials.add_high_load(now, &route, high_load);
-            let is_rejected = [verdict, under_load].contains(&Verdict::Rejected);
-            if is_rejected && self.stopped.is_none() {
-                self.stopped = self.trials.rejected();
-            }
+            self.trials.add(now, &route, counts);
             let unreported = self.unreported.entry(route).or_default();
             unreported[0].add(counts.old);
             unreported[1].add(counts.new);
         }
+        self.trials.judge(now);
+        if self.stopped.is_none() && self.trials.is_rejected() {
+            self.stopped = self.trials.rejected();
+        }
     }
 }
