--- a/crates/wasabi-scheduler/src/pool/choice.rs
+++ b/crates/wasabi-scheduler/src/pool/choice.rs
@@ -4,12 +4,20 @@
 use wasabi_rollout::credit::Side;
 use wasabi_routing::{choice, pace::Standing, quarantine::Permit};
 
-use super::{endpoint::Slot, owner::Pool, running::Mark, versions::Offer};
+use super::{
+    endpoint::{Slot, is_careful},
+    owner::Pool,
+    running::Mark,
+    versions::Offer,
+};
 
 /// Stands for an endpoint that the request cannot use now.
 const FULL: choice::Candidate =
     choice::Candidate { in_flight: 0, bound: 0, prefill_waiting: 0, prefill_rate: 1.0, cached: 0 };
 
+/// Tier-0 streams of an endpoint that count as disturbed by a prompt.
+const URGENT_COUNTED: u32 = 4;
+
 /// Where a request can run.
 #[derive(Debug, Clone, Copy)]
 pub(super) enum Choice {
@@ -26,7 +34,13 @@
 impl Pool {
     /// Returns whether an endpoint's version may get requests.
     pub(super) fn is_offered(&self, slot: &Slot) -> bool {
-        self.versions.offer(&slot.announcement.version) != Offer::Never
+        slot.offer != Offer::Never
+    }
+
+    /// Follows a change of the versions or of the endpoints.
+    pub(super) fn settle_versions(&mut self) {
+        self.versions.settle(&self.endpoints.slots);
+        self.versions.mark(&mut self.endpoints.slots);
     }
 
     /// Returns whether any endpoint has room, be it for a suspect only.
@@ -39,7 +53,13 @@
     }
 
     /// Returns where a request can run now.
-    pub(super) fn choose(&mut self, now: Millis, request: &Request, half: bool) -> Choice {
+    pub(super) fn choose(
+        &mut self,
+        now: Millis,
+        ticket: u64,
+        request: &Request,
+        half: bool,
+    ) -> Choice {
         match self.suspects.permit(now, request.fingerprint) {
             Permit::Free => {}
             Permit::Refused { .. } => return Choice::Quarantined,
@@ -50,8 +70,9 @@
                 return Choice::Now { index, side, mark: Mark::Alone };
             }
         }
-        let proven = self.best(now, request, half, Offer::Proven);
-        let unproven = self.best(now, request, half, Offer::Unproven);
+        let demand = self.demand(now, ticket, request);
+        let proven = self.best(now, request, half, demand, Offer::Proven);
+        let unproven = self.best(now, request, half, demand, Offer::Unproven);
         let (index, side) = match (proven.found, unproven.found) {
             (None, None) => {
                 let is_met =
@@ -78,12 +99,21 @@
     }
 
     /// Returns the endpoint with the lowest predicted time to the first token.
-    fn best(&mut self, now: Millis, request: &Request, half: bool, offer: Offer) -> Best {
+    ///
+    /// Endpoints that do not meet the demand are left out.
+    fn best(
+        &mut self,
+        now: Millis,
+        request: &Request,
+        half: bool,
+        demand: Demand,
+        offer: Offer,
+    ) -> Best {
         let mut best = Best::default();
         let mut candidates = std::mem::take(&mut self.candidates);
         candidates.clear();
         let slots = &self.endpoints.slots;
-        let is_offered = |slot: &&Slot| self.versions.offer(&slot.announcement.version) == offer;
+        let is_offered = |slot: &&Slot| slot.offer == offer;
         best.offered = slots.iter().filter(is_offered).count();
         if best.offered == 0 {
             self.candidates = candidates;
@@ -99,7 +129,7 @@
                 && last.is_none_or(|last| slot.name() <= last)
         };
         // Tier 0 and calls that run once meet no straggler, unless there is nothing else.
-        let is_careful = (request.tier == Tier::TOP || !request.idempotent)
+        let is_careful = is_careful(request)
             && slots.iter().any(|slot| is_usable(slot) && slot.standing == Standing::Normal);
         let mut probe = None;
         for (index, slot) in slots.iter().enumerate() {
@@ -118,7 +148,19 @@
             if slot.probe_due {
                 probe = Some(index);
             }
-            candidates.push(slot.candidate(now, request, half));
+            let mut candidate = slot.candidate(now, request, half);
+            if (demand.first_token.0 as f64) < candidate.first_token_ms(request.prompt_tokens)
+                || (demand.keeps_pace && !slot.keeps_pace(now, request))
+            {
+                candidates.push(FULL);
+                continue;
+            }
+            candidate.prefill_waiting = candidate.prefill_waiting.saturating_add(disturbance(
+                slot,
+                request,
+                candidate.cached,
+            ));
+            candidates.push(candidate);
         }
         self.turn = self.turn.wrapping_add(1);
         best.found =
@@ -127,20 +169,52 @@
         best
     }
 
+    /// Returns what an endpoint must bring for the request to start now.
+    ///
+    /// An endpoint that reads long prompts or is slow would make the request late, while another
+    /// one will soon have room. Once the request must start to be in time, any endpoint will do that brings
+    /// the answer before the deadline; work that cannot end would only waste its prefill.
+    fn demand(&self, now: Millis, ticket: u64, request: &Request) -> Demand {
+        let Some(item) = self.queue.item(ticket) else { return Demand::default() };
+        if now + self.forecast.patience() < item.start_by {
+            let keeps_pace = self.endpoints.slots.iter().any(|slot| slot.keeps_pace(now, request));
+            let first_token = (item.arrived + request.first_token).since(now);
+            return Demand { first_token, keeps_pace };
+        }
+        let left = item.deadline.since(now);
+        let first_token = left - self.forecast.stream(request).min(Millis(left.0 / 2));
+        Demand { first_token, keeps_pace: false }
+    }
+
     /// Returns the last of the endpoints that the new version may use, in the order of names.
     fn last_replica(&self) -> Option<&wasabi_protocol::id::Endpoint> {
         let slots = &self.endpoints.slots;
         let count = self.versions.replicas(slots.len());
-        let mut names: Vec<_> = slots
-            .iter()
-            .filter(|slot| self.versions.offer(&slot.announcement.version) == Offer::Unproven)
-            .map(Slot::name)
-            .collect();
+        let mut names: Vec<_> =
+            slots.iter().filter(|slot| slot.offer == Offer::Unproven).map(Slot::name).collect();
         names.sort_unstable();
         names.get(count.max(1) - 1).copied()
     }
 }
 
+/// Returns how much a prompt of a lower tier would hold up the tier-0 streams of an endpoint, in
+/// prompt tokens: each of its iterations reads a part of the prompt and is slower for it.
+fn disturbance(slot: &Slot, request: &Request, cached: u32) -> u32 {
+    if request.tier == Tier::TOP {
+        return 0;
+    }
+    request.prompt_tokens.saturating_sub(cached) / 2 * slot.urgent.min(URGENT_COUNTED)
+}
+
+/// What an endpoint must bring for a request to start there.
+#[derive(Debug, Clone, Copy, Default)]
+struct Demand {
+    /// Longest predicted time to the first token.
+    first_token: Millis,
+    /// Whether it must keep the time between tokens.
+    keeps_pace: bool,
+}
+
 #[derive(Debug, Default)]
 struct Best {
     /// Endpoints of the side.
