rollout: a past outage excuses nothing, with a test for it

Ruled out: a second check of the age where the counts are read; the counts move on with each addition, so the check never decided anything and is removed.

--- a/crates/wasabi-rollout/src/baseline.rs
+++ b/crates/wasabi-rollout/src/baseline.rs
@@ -48,6 +48,7 @@
 }
 
 impl Baseline {
+    /// Adds counts, of none too, so that the recent past moves on without traffic.
     pub(crate) fn add(&mut self, now: Millis, count: Count) {
         if RECENT <= now.since(self.since) {
             self.previous = if now.since(self.since) < RECENT + RECENT {
@@ -66,8 +67,8 @@
     ///
     /// While the old version fails more than usual just now, for a cause that both versions may
     /// share, its recent rate counts.
-    pub(crate) fn errors(&self, now: Millis, outage: Option<Count>) -> Rates {
-        let recent = self.lately(now);
+    pub(crate) fn errors(&self, outage: Option<Count>) -> Rates {
+        let recent = self.lately();
         let all = rate(self.all.errors, self.all.requests);
         let mut good = upper_rate(self.all.errors, self.all.requests);
         let mut known = all;
@@ -80,8 +81,8 @@
     }
 
     /// Returns the recent counts while the old version fails much more than usual.
-    pub(crate) fn outage(&self, now: Millis) -> Option<Count> {
-        let recent = self.lately(now);
+    pub(crate) fn outage(&self) -> Option<Count> {
+        let recent = self.lately();
         let usual = rate(self.all.errors, self.all.requests);
         let is_outage = OUTAGE_ERRORS_MIN <= recent.errors
             && OUTAGE_FACTOR * usual <= rate(recent.errors, recent.requests);
@@ -89,10 +90,10 @@
     }
 
     /// Returns the counts of the recent past.
-    fn lately(&self, now: Millis) -> Count {
+    fn lately(&self) -> Count {
         let mut recent = self.recent;
         recent.add(self.previous);
-        if now.since(self.since) < RECENT + RECENT { recent } else { Count::default() }
+        recent
     }
 
     pub(crate) fn slow(&self) -> Rates {
--- a/crates/wasabi-rollout/src/trial.rs
+++ b/crates/wasabi-rollout/src/trial.rs
@@ -119,7 +119,7 @@
         while self.waiting.front().is_some_and(|first| JUDGED_AFTER <= now.since(first.since)) {
             let Some(seen) = self.waiting.pop_front() else { return };
             let Some(trial) = self.trials.get_mut(&seen.route) else { continue };
-            let errors = trial.old.errors(now, self.old.outage(now));
+            let errors = trial.old.errors(self.old.outage());
             trial.add_new(now, seen.all, errors, &mut self.all);
             if trial.old.is_sure() && 0 < seen.high_load.requests {
                 self.add_high_load(seen.high_load, errors);
--- a/crates/wasabi-rollout/tests/evidence.rs
+++ b/crates/wasabi-rollout/tests/evidence.rs
@@ -77,6 +77,10 @@
             assert_eq!(new_counts(&mut book), Count { requests: 1, errors: 0, slow });
         }
     }
+    // A prompt length that the old version never had still shows the time per token.
+    let short = report(End::Finished, 20, 500, 25.0);
+    seen(Side::New, "new", 1, &short, |seen| book.observe(Millis(0), seen, 0));
+    assert_eq!(new_counts(&mut book).slow, 1);
     // The old version reads 200 of 4,000 tokens, the new one has to read them all.
     let mut warm = Book::default();
     for _ in 0..50 {
--- a/crates/wasabi-rollout/tests/trial.rs
+++ b/crates/wasabi-rollout/tests/trial.rs
@@ -85,3 +85,16 @@
     assert!(!is_rejected(120, 12));
     assert!(is_rejected(10, 40));
 }
+
+/// Guards against an outage that excuses the new version for good, once the old one has no traffic.
+#[test]
+fn a_past_outage_is_no_excuse() {
+    let (mut set, route) = (Set::new(4), id::Route::from("r"));
+    for (at, requests, errors) in [(0, 50_000, 0), (30_000, 60, 20)] {
+        let old = count(requests, errors);
+        set.add(Millis(at), &route, Counts { old, ..Counts::default() });
+    }
+    set.add(Millis(120_000), &route, Counts { new: count(10, 6), ..Counts::default() });
+    set.judge(Millis(120_000) + JUDGED_AFTER);
+    assert!(set.is_rejected());
+}
