rollout: a version is suspended while its first errors wait to be judged

Cause: since requests are judged after 3 s, a version that always fails met 10% of 1,000 requests/s for 3 s in the scheduler's test of the owner's stop. Ruled out: a looser bound in that test. Conclusion: three errors that are at least half of the waiting requests send all routes to the old version until they are judged.

--- a/crates/wasabi-rollout/src/stop.rs
+++ b/crates/wasabi-rollout/src/stop.rs
@@ -70,8 +70,12 @@
         self.stopped.as_deref()
     }
 
-    /// Returns what a route shows so far.
+    /// Returns what a route shows so far. While the new version is suspended every route counts as
+    /// rejected.
     pub fn verdict(&self, route: &id::Route) -> Verdict {
+        if self.trials.is_suspended() {
+            return Verdict::Rejected;
+        }
         self.trials.verdict(route)
     }
 
--- a/crates/wasabi-rollout/src/trial.rs
+++ b/crates/wasabi-rollout/src/trial.rs
@@ -24,6 +24,12 @@
 /// an outage that both versions share look like the new version's own.
 pub const JUDGED_AFTER: Millis = Millis(3_000);
 
+/// Errors among the requests that wait to be judged from which on the new version is suspended.
+///
+/// At 1,000 requests/s and a share of 10%, 300 requests would meet a version that always fails
+/// while its first errors wait.
+const SUSPENDING_ERRORS: u64 = 3;
+
 /// Number of tests of a trial and of places that run it, over which the false alarms are split.
 const TESTS: f64 = 3.0;
 const PLACES: f64 = 2.0;
@@ -48,6 +54,8 @@
     old: Baseline,
     old_high: Count,
     waiting: VecDeque<Waiting>,
+    waiting_requests: u64,
+    waiting_errors: u64,
     is_rejected: bool,
     routes: usize,
 }
@@ -88,6 +96,8 @@
             old: Baseline::default(),
             old_high: Count::default(),
             waiting: VecDeque::new(),
+            waiting_requests: 0,
+            waiting_errors: 0,
             is_rejected: false,
             routes,
         }
@@ -104,6 +114,8 @@
             trial.old.add(now, seen.old);
         }
         if 0 < seen.new.requests {
+            self.waiting_requests += seen.new.requests;
+            self.waiting_errors += seen.new.errors;
             self.waiting.push_back(Waiting {
                 since: now,
                 route: route.clone(),
@@ -118,6 +130,8 @@
     pub fn judge(&mut self, now: Millis) {
         while self.waiting.front().is_some_and(|first| JUDGED_AFTER <= now.since(first.since)) {
             let Some(seen) = self.waiting.pop_front() else { return };
+            self.waiting_requests -= seen.all.requests;
+            self.waiting_errors -= seen.all.errors;
             let Some(trial) = self.trials.get_mut(&seen.route) else { continue };
             let errors = trial.old.errors(self.old.outage());
             trial.add_new(now, seen.all, errors, &mut self.all);
@@ -153,6 +167,12 @@
         self.trials.get(route).map_or(Verdict::Open, Trial::verdict)
     }
 
+    /// Returns whether the new version should get no request until those that wait are judged,
+    /// because at least half of them failed.
+    pub const fn is_suspended(&self) -> bool {
+        SUSPENDING_ERRORS <= self.waiting_errors && self.waiting_requests <= 2 * self.waiting_errors
+    }
+
     /// Returns whether the new version is bad.
     pub const fn is_rejected(&self) -> bool {
         self.is_rejected
--- a/crates/wasabi-rollout/tests/evidence.rs
+++ b/crates/wasabi-rollout/tests/evidence.rs
@@ -9,6 +9,7 @@
 use wasabi_rollout::{
     credit::Side,
     evidence::{Book, Count, EXPLAINED_WITHIN, Observation, SAME_LOSS_WITHIN},
+    sequential::Verdict,
     stop::Watch,
 };
 
@@ -159,6 +160,13 @@
 /// by its own evidence, and against a stop without a cause.
 #[test]
 fn an_owner_stops_a_bad_version_itself() {
+    // Three errors suspend it at once, on every route.
+    let (suspended, stopped) = watch(3, |_| (End::Failed, 10.0));
+    assert_eq!(suspended.verdict(&"other".into()), Verdict::Rejected);
+    assert_eq!(stopped, None);
+    let (suspended, _) =
+        watch(10, |body| (if body == 9 { End::Failed } else { End::Finished }, 10.0));
+    assert_ne!(suspended.verdict(&"other".into()), Verdict::Rejected);
     // Three errors are enough; they are judged 3 s later, after 6 more requests.
     let (mut failing, stopped) = watch(20, |_| (End::Failed, 10.0));
     assert!(stopped.is_some_and(|after| after <= 2 + 6), "{stopped:?}");
