--- a/crates/wasabi-entry/src/dispatch/open.rs
+++ b/crates/wasabi-entry/src/dispatch/open.rs
@@ -83,7 +83,10 @@
     // An engine answers a call without a stream only after its last token.
     let bound = match &call.work {
         Work::Chat(chat) if !chat.stream => call.deadline.since(call.arrived),
-        _ => grant.first_token_bound,
+        Work::Chat(_) => grant.first_token_bound,
+        // Calls of one service differ more than prompts of one length, so a call is not judged
+        // before the target of its route.
+        Work::Service { .. } => grant.first_token_bound.max(call.route.first_token_ms),
     };
     let context = span.context();
     let attempt = Attempt { call, grant: &grant, id, resume_from: None, line, context };
--- a/crates/wasabi-entry/tests/streams.rs
+++ b/crates/wasabi-entry/tests/streams.rs
@@ -121,3 +121,19 @@
     assert_eq!(answer.kind(), "endpoint_failed", "{}", answer.body);
     assert_eq!(answer.ran, "may_have_run");
 }
+
+/// Guards against an engine that is judged by a connection that went silent, and against a caller
+/// that gets an error although a new connection works.
+#[actix_rt::test]
+async fn a_silent_connection_is_replaced_by_a_new_one() {
+    let entry = Entry::stand_alone("");
+    let engine = engine("m1", &[&entry]);
+    let caller = entry.caller();
+    for _ in 0..5 {
+        caller.until_served().await;
+    }
+    engine.set_faults(Faults { frozen: true, requests: 1, ..Faults::default() });
+    let answer = caller.chat("stock", 20).await;
+    assert!(answer.is_done(), "{}", answer.body);
+    assert_eq!(answer.text(), expected("stock", 20));
+}
