--- a/crates/wasabi-admission/src/queue.rs
+++ b/crates/wasabi-admission/src/queue.rs
@@ -183,11 +183,17 @@
 
     /// Moves the requests that can no longer meet their first-token target behind the others, and
     /// returns their tickets.
-    pub fn age(&mut self, now: Millis) -> Vec<u64> {
+    ///
+    /// In a tier that has late requests already, those that would become late within `lead` count
+    /// as late too: the tier is overloaded, and each of its requests would otherwise start in the
+    /// last moment.
+    pub fn age(&mut self, now: Millis, lead: Millis) -> Vec<u64> {
         let mut late = Vec::new();
         for lane in &mut self.tiers {
+            let is_overloaded = lane.due.len() < lane.len;
+            let by = if is_overloaded { now + lead } else { now };
             while let Some((start_by, ticket)) = lane.due.first().copied()
-                && start_by < now
+                && start_by < by
             {
                 lane.due.pop_first();
                 late.push(ticket);
@@ -268,10 +274,11 @@
         });
         flow.share = item.share.max(1);
         if flow.newest.is_empty() {
-            // An idle organisation saves up no credit: its share was lent meanwhile.
-            self.idle.remove(&(flow.virtual_start, item.organisation.clone()));
-            flow.virtual_start = flow.virtual_start.max(virtual_now);
-            self.order.insert((flow.virtual_start, item.organisation.clone()));
+            // An idle account that virtual time has reached is forgotten, so that no credit is
+            // saved up: the share was lent meanwhile.
+            let key = (flow.virtual_start, item.organisation.clone());
+            self.idle.remove(&key);
+            self.order.insert(key);
         }
         flow.backlog_tokens += item.tokens;
         flow.newest.insert(sequence, item.expires);
--- a/crates/wasabi-control/tests/support/mod.rs
+++ b/crates/wasabi-control/tests/support/mod.rs
@@ -4,8 +4,9 @@
 
 use std::{
     fs,
-    net::SocketAddr,
+    net::{SocketAddr, TcpListener},
     path::PathBuf,
+    sync::atomic::{AtomicU16, Ordering},
     time::{Duration, Instant},
 };
 
@@ -53,7 +54,7 @@
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
         let folder = tempfile::tempdir().unwrap();
         let host = |index: usize| {
-            let address = wasabi_testkit::process::free_address();
+            let address = free_address();
             let relay = (relays == Relays::Between).then(|| Relay::start(address).unwrap());
             Host { name: format!("m{index}"), address, relay, daemon: None }
         };
@@ -201,6 +202,20 @@
     }
 }
 
+/// Returns a loopback address with a free port below the range that the system hands out, so that
+/// no connection of another test takes it before the daemon listens.
+fn free_address() -> SocketAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let start = (std::process::id() % 100) as u16 * 200;
+    loop {
+        let port = 10_000 + (start + NEXT.fetch_add(1, Ordering::Relaxed)) % 20_000;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
 /// Whether messages between members pass relays.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Relays {
--- a/crates/wasabi-scheduler/src/pool/tick.rs
+++ b/crates/wasabi-scheduler/src/pool/tick.rs
@@ -75,7 +75,8 @@
             let message = "the request waited until too little time was left to run; nothing ran";
             refuse(actions, item.ticket, Kind::DeadlineInQueue, message);
         }
-        for ticket in self.queue.age(now) {
+        let lead = self.forecast.patience() + self.forecast.patience();
+        for ticket in self.queue.age(now, lead) {
             let Some(request) = self.requests.get(&ticket) else { continue };
             if self.budgets.may_start(now, &request.organisation) {
                 continue;
@@ -124,7 +125,10 @@
         self.suspects.expire(now);
         let suspects = &self.suspects;
         self.versions.settle_losses(now, |fingerprint| suspects.is_quarantined(now, fingerprint));
-        self.versions.regroup(&self.endpoints.slots);
+        if self.versions.is_moving() {
+            self.versions.regroup(&self.endpoints.slots);
+            self.versions.mark(&mut self.endpoints.slots);
+        }
         for slot in &mut self.endpoints.slots {
             if slot.standing == Standing::Probation {
                 slot.refresh(now, &self.board);
