--- a/crates/wasabi-scheduler/src/pool/budget.rs
+++ b/crates/wasabi-scheduler/src/pool/budget.rs
@@ -73,6 +73,8 @@
             }
             0 < waiting || !account.is_settled(now)
         });
+        // The order of the map differs from process to process.
+        asks.sort_unstable_by(|one, other| one.0.cmp(&other.0));
         asks
     }
 
