control: a TLS setting is refused instead of being ignored

Cause: the daemon does not serve TLS yet, and a set `tls` was ignored, so that operators' credentials would have travelled in the clear unnoticed. Ruled out: a warning in the log; nobody reads it before the first credential is sent. Conclusion: plain connections are a decision of the operator.

--- a/crates/wasabi-control/src/main.rs
+++ b/crates/wasabi-control/src/main.rs
@@ -29,6 +29,12 @@
             return ExitCode::from(2);
         }
     };
+    if settings.tls.is_some() {
+        eprintln!(
+            "`tls` is not served yet; remove it, or the connections would be plain unnoticed"
+        );
+        return ExitCode::from(2);
+    }
     if let Err(error) = log::start(&settings.log) {
         eprintln!("{error}");
         return ExitCode::from(2);
