--- a/crates/wasabi-entry/src/shell.rs
+++ b/crates/wasabi-entry/src/shell.rs
@@ -310,6 +310,8 @@
         self.perform(effects);
         self.peers.borrow().wake_lost(now);
         self.lender.borrow_mut().sweep(now);
+        let open = i64::try_from(self.shared.open_count()).unwrap_or(i64::MAX);
+        self.shared.metrics.open.set(open);
         self.settle_owners();
         if self.shared.mode == Mode::StandAlone {
             self.shared.extend_serving(now);
--- a/crates/wasabi-entry/tests/path.rs
+++ b/crates/wasabi-entry/tests/path.rs
@@ -79,3 +79,24 @@
         .insert_header(("authorization", format!("Bearer {}", support::TOKEN)));
     assert_eq!(request.send().await.unwrap().status(), StatusCode::OK);
 }
+
+/// Guards against figures that the operator cannot see: each answer and refusal is counted.
+#[actix_rt::test]
+async fn metrics_count_answers_and_refusals() {
+    let entry = Entry::stand_alone("");
+    let _engine = engine("m1", &[&entry]);
+    let caller = entry.caller();
+    caller.until_served().await;
+    caller.send(caller.request("POST", "/services/desk/none"), "").await;
+    let url = format!("http://{}/metrics", entry.daemon.metrics());
+    let mut response = awc::Client::new().get(url).send().await.unwrap();
+    let page = String::from_utf8(response.body().await.unwrap().to_vec()).unwrap();
+    for line in [
+        r#"wasabi_entry_goodput_total{tier="0"} 1"#,
+        r#"wasabi_entry_dispatches_total{tier="0"} 1"#,
+        r#"wasabi_entry_refusals_total{kind="unknown_route",tier="unknown"} 1"#,
+        "wasabi_entry_revision 1",
+    ] {
+        assert!(page.contains(line), "{line} is missing in\n{page}");
+    }
+}
