--- a/crates/wasabi-entry/tests/process.rs
+++ b/crates/wasabi-entry/tests/process.rs
@@ -10,11 +10,19 @@
 };
 
 use awc::http::StatusCode;
+use jsonrpsee::{core::client::ClientT as _, rpc_params, ws_client::WsClientBuilder};
 use support::{Caller, contracts, control::Control, control::order, expected, runs, until};
 use tempfile::TempDir;
-use wasabi_protocol::{command::Command, endpoint::Kind};
+use wasabi_protocol::{
+    clock::Millis,
+    command::{Command, Order, Outcome},
+    contract::Contract,
+    endpoint::Kind,
+    fingerprint, id,
+    rpc::{Operate, Operated, method},
+};
 use wasabi_standin::Standin;
-use wasabi_testkit::process::{Daemon, Signal, binary};
+use wasabi_testkit::process::{Daemon, Signal, binary, free_address};
 
 /// A daemon with its folder and address.
 struct Process {
@@ -176,3 +184,55 @@
     assert_eq!((answer.kind().as_str(), answer.ran.as_str()), ("key_pending", "may_have_run"));
     assert_eq!(runs(&service.counts(), "k1"), 1);
 }
+
+/// Gives one contract to a control daemon, and waits until it leads.
+async fn operate(address: &str, contract: Contract) {
+    let client = WsClientBuilder::default().build(format!("ws://{address}"));
+    let client = client.await.unwrap();
+    until("the contract is accepted", async || {
+        let order = Order {
+            command: "first".into(),
+            operator: "test".to_owned(),
+            base: id::Revision::default(),
+        };
+        let command = Command::ApplyContract { order, contract: contract.clone() };
+        let operate = Operate { credential: "operator".to_owned(), command, wait: Millis::ZERO };
+        let operated = client.request::<Operated, _>(method::OPERATE, rpc_params![operate]).await;
+        matches!(operated, Ok(Operated::Committed { outcome: Outcome::Accepted { .. }, .. }))
+    })
+    .await;
+}
+
+/// Guards against daemons that each work against fakes and not with each other.
+#[actix_rt::test]
+async fn an_order_runs_once_between_real_daemons() {
+    let folder = tempfile::tempdir().unwrap();
+    let (listen, metrics) = (free_address().to_string(), free_address().to_string());
+    let data = folder.path().join("data");
+    std::fs::create_dir(&data).unwrap();
+    let settings = format!(
+        "name: c1\nregion: north\ndata_centre: dc1\nlisten: {listen}\nmetrics: {metrics}\n\
+         data: {}\nmembers: [{{name: c1, address: \"{listen}\"}}]\noperator_digests: [\"{}\"]\n",
+        data.display(),
+        fingerprint::token("operator"),
+    );
+    let path = folder.path().join("settings.yaml");
+    std::fs::write(&path, settings).unwrap();
+    let arguments = [PathBuf::from("--settings"), path];
+    let log = folder.path().join("log");
+    let control = Daemon::start(&binary("wasabi-controld"), arguments, &log).unwrap();
+    until("control listens", async || {
+        WsClientBuilder::default().build(format!("ws://{listen}")).await.is_ok()
+    })
+    .await;
+    let mut all: Vec<Contract> = serde_json::from_value(contracts()).unwrap();
+    operate(&listen, all.remove(0)).await;
+    let entry = Process::entry(&format!("control: [\"{listen}\"]")).await;
+    let service = service(&entry);
+    let caller = entry.caller();
+    until("an order runs", async || caller.order("k1", "one lorry").await.status == StatusCode::OK)
+        .await;
+    let again = caller.order("k1", "one lorry").await;
+    assert_eq!((again.status, again.ran.as_str()), (StatusCode::OK, "ran"), "{}", again.body);
+    assert_eq!(runs(&service.counts(), "k1"), 1, "{}", control.output());
+}
