--- a/crates/wasabi-bench/src/baseline.rs
+++ b/crates/wasabi-bench/src/baseline.rs
@@ -6,7 +6,7 @@
     request::{End, Report, Request},
 };
 
-use crate::run::{Command, Policy};
+use crate::policy::{Command, Policy};
 
 /// Entries that decide without knowing of each other.
 const ENTRIES: u64 = 12;
--- a/crates/wasabi-bench/src/bin/decide.rs
+++ b/crates/wasabi-bench/src/bin/decide.rs
@@ -8,7 +8,7 @@
 use argh::FromArgs;
 use fastrand::Rng;
 use wasabi_bench::{
-    run::announcement,
+    engine::announcement,
     traffic::{self, User},
 };
 use wasabi_protocol::{
--- a/crates/wasabi-bench/src/bin/load.rs
+++ b/crates/wasabi-bench/src/bin/load.rs
@@ -4,9 +4,10 @@
 use wasabi_bench::{
     baseline::{Baseline, Rule},
     owner::Owner,
-    run::{Fault, capacity, run},
+    policy::Fault,
+    run::run,
     score::{HEAD, Score},
-    traffic::User,
+    traffic::{User, capacity},
 };
 
 /// Loads relative to the capacity of the engines.
--- a/crates/wasabi-bench/src/engine.rs
+++ b/crates/wasabi-bench/src/engine.rs
@@ -2,6 +2,8 @@
 
 use std::collections::{HashMap, VecDeque};
 
+use wasabi_protocol::endpoint::{Announcement, Kind, Load};
+
 /// Time of an iteration without requests, in microseconds.
 const BASE_US: f64 = 12_000.0;
 
@@ -188,3 +190,26 @@
         }
     }
 }
+
+/// Returns the name of an engine.
+pub fn name(engine: usize) -> String {
+    format!("engine{engine:02}")
+}
+
+/// Returns the announcement of an engine.
+pub fn announcement(index: usize, incarnation: u64, speed: f64, load: Load) -> Announcement {
+    Announcement {
+        name: name(index).as_str().into(),
+        incarnation,
+        address: format!("10.0.0.{index}:8000"),
+        data_centre: "dc1".into(),
+        kind: Kind::Model,
+        backend: "chat".into(),
+        version: "v1".into(),
+        adapters: Vec::new(),
+        hardware: format!("h{speed}"),
+        concurrency: BATCH_MAX as u32,
+        abilities: Default::default(),
+        load,
+    }
+}
--- a/crates/wasabi-bench/src/lib.rs
+++ b/crates/wasabi-bench/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod baseline;
 pub mod engine;
 pub mod owner;
+pub mod policy;
 pub mod run;
 pub mod score;
 pub mod traffic;
--- a/crates/wasabi-bench/src/owner.rs
+++ b/crates/wasabi-bench/src/owner.rs
@@ -15,7 +15,7 @@
 };
 use wasabi_scheduler::pool::{Action, Event, Pool};
 
-use crate::run::{Command, Policy};
+use crate::policy::{Command, Policy};
 
 /// Time for holders to notice the death of an owner.
 const NOTICED_AFTER: Millis = Millis(1_000);
--- a/crates/wasabi-bench/src/traffic.rs
+++ b/crates/wasabi-bench/src/traffic.rs
@@ -4,7 +4,7 @@
 use fastrand::Rng;
 use wasabi_protocol::{clock::Millis, contract::Tier, fingerprint, id, request::Request};
 
-use crate::engine::BLOCK_TOKENS;
+use crate::engine::{BATCH_MAX, BLOCK_TOKENS, Engine, Sequence};
 
 /// Requests of each organisation, as a part of all. A few are large.
 const VOLUME: [f64; 5] = [0.45, 0.30, 0.15, 0.07, 0.03];
@@ -176,3 +176,31 @@
     }
     last
 }
+
+/// Returns the requests per second that the engines finish when each always has a full batch.
+pub fn capacity(user: User, seed: u64) -> f64 {
+    let mut rng = Rng::with_seed(seed);
+    let span = 120_000_000;
+    let mut done = 0;
+    for speed in user.speeds() {
+        let mut engine = Engine::new(speed);
+        let mut now = 0;
+        while now < span {
+            while engine.load().0 + engine.load().1 < BATCH_MAX as u32 {
+                let number = rng.u64(..);
+                let job = job(&mut rng, user, number, 0);
+                let request = job.request;
+                engine.admit(Sequence::new(
+                    number.into(),
+                    request.prompt_tokens,
+                    job.output,
+                    request.prefix,
+                ));
+            }
+            let (length, produced) = engine.iterate();
+            now += length;
+            done += produced.done.len();
+        }
+    }
+    done as f64 / (span as f64 / 1e6)
+}
--- a/crates/wasabi-scheduler/src/pool/choice.rs
+++ b/crates/wasabi-scheduler/src/pool/choice.rs
@@ -1,7 +1,7 @@
 //! The endpoint for one request.
 
 use wasabi_protocol::{clock::Millis, contract::Tier, request::Request};
-use wasabi_rollout::credit::Side;
+use wasabi_rollout::credit::{Placement, Side};
 use wasabi_routing::{choice, pace::Standing, quarantine::Permit};
 
 use super::{
@@ -87,14 +87,18 @@
             }
             // Without a move there is no unproven version.
             (Some(index), None) if unproven.offered == 0 => (index, None),
-            (Some(old), new) => match (self.versions.choose(&request.route, request.tier), new) {
-                (Side::New, Some(new)) => (new, Some(Side::New)),
-                (Side::New, None) => {
+            (Some(_), new) => {
+                let mut side = self.versions.choose(&request.route, request.tier);
+                if side == Side::New && new.is_none() {
                     self.versions.refund(&request.route);
-                    (old, Some(Side::Old))
+                    side = Side::Old;
                 }
-                (Side::Old, _) => (old, Some(Side::Old)),
-            },
+                let best = if side == Side::New { &unproven } else { &proven };
+                let is_packed = self.versions.placement(side, request.tier) == Placement::Pack;
+                let found = if is_packed { best.fullest } else { best.found };
+                let Some(index) = found else { return Choice::Later };
+                (index, Some(side))
+            }
             // The share is counted in dispatches, so a full old version adds nothing to it.
             (None, Some(new)) if proven.offered == 0 || self.versions.has_moved() => {
                 (new, Some(Side::New))
@@ -154,6 +158,10 @@
             if slot.probe_due {
                 probe = Some(index);
             }
+            let is_fuller = |fullest: usize| slots[fullest].in_flight() < slot.in_flight();
+            if best.fullest.is_none_or(is_fuller) {
+                best.fullest = Some(index);
+            }
             let mut candidate = slot.candidate(now, request, half);
             if demand.first_token_ms(slot) < candidate.first_token_ms(request.prompt_tokens)
                 || (demand.keeps_pace && !slot.keeps_pace(now, request))
@@ -241,4 +249,6 @@
     allowed: usize,
     /// The best of those that have room.
     found: Option<usize>,
+    /// The one of them with the most in flight.
+    fullest: Option<usize>,
 }
--- a/crates/wasabi-scheduler/src/pool/dispatch.rs
+++ b/crates/wasabi-scheduler/src/pool/dispatch.rs
@@ -206,6 +206,7 @@
             deadline: item.deadline,
             first_token_at: now + Millis(first_token),
             prefill_tokens,
+            cached: candidate.cached,
             load,
             side: how.side,
             mark: how.mark,
--- a/crates/wasabi-scheduler/src/pool/owner.rs
+++ b/crates/wasabi-scheduler/src/pool/owner.rs
@@ -264,6 +264,7 @@
                 started: now,
                 first_token_at: now,
                 prefill_tokens: held.request.prompt_tokens,
+                cached: 0,
                 load: 0.0,
                 side: None,
                 mark: Mark::Usual,
--- a/crates/wasabi-scheduler/src/pool/release.rs
+++ b/crates/wasabi-scheduler/src/pool/release.rs
@@ -88,7 +88,7 @@
             load: running.load,
             report,
         };
-        self.versions.observe(now, seen);
+        self.versions.observe(now, seen, running.cached);
         // The evidence may have stopped the new version.
         self.versions.mark(&mut self.endpoints.slots);
     }
--- a/crates/wasabi-scheduler/src/pool/running.rs
+++ b/crates/wasabi-scheduler/src/pool/running.rs
@@ -21,6 +21,8 @@
     pub(super) first_token_at: Millis,
     /// Prompt tokens to be read before its first token, those ahead of it included.
     pub(super) prefill_tokens: u32,
+    /// Prompt tokens that the endpoint had in its prefix cache, by the owner's knowledge.
+    pub(super) cached: u32,
     /// In-flight requests of the endpoint at dispatch, as a part of its concurrency.
     pub(super) load: f64,
     pub(super) side: Option<Side>,
--- a/crates/wasabi-scheduler/src/pool/versions.rs
+++ b/crates/wasabi-scheduler/src/pool/versions.rs
@@ -9,7 +9,7 @@
     rpc::Evidence,
 };
 use wasabi_rollout::{
-    credit::{self, Side},
+    credit::{self, Placement, Side},
     evidence::Observation,
     sequential::Verdict,
     stop::Watch,
@@ -177,6 +177,11 @@
         active.ledger.side(route, tier, verdict)
     }
 
+    /// Returns how a dispatch on this side is placed; to be asked once, after [`Self::choose`].
+    pub(super) fn placement(&mut self, side: Side, tier: Tier) -> Placement {
+        self.active.as_mut().map_or(Placement::Spread, |active| active.ledger.placement(side, tier))
+    }
+
     /// Gives back the credit of a dispatch that did not go to the new version after all.
     pub(super) fn refund(&mut self, route: &id::Route) {
         if let Some(active) = &mut self.active {
@@ -184,10 +189,11 @@
         }
     }
 
-    /// Takes an ended request into account.
-    pub(super) fn observe(&mut self, now: Millis, seen: Observation<'_>) {
+    /// Takes an ended request into account, of whose prompt `cached` tokens were in the endpoint's
+    /// prefix cache.
+    pub(super) fn observe(&mut self, now: Millis, seen: Observation<'_>, cached: u32) {
         if let Some(active) = &mut self.active {
-            active.watch.observe(now, seen);
+            active.watch.observe_cached(now, seen, cached);
         }
     }
 
