control: messages between members need a proof, and operators race at the same time in the test

Cause: whoever reached the port could forge messages of members and so change contracts without a credential. The test of racing operators gave the two commands one after the other. The refusal of `tls` had no test. Ruled out: a secret of its own in the settings, which would be one more thing to distribute; a single digest as proof, since members would not know each other while it is replaced. Conclusion: the proof is as strong as the credential over plain TCP; who can read the traffic can repeat both.

--- a/crates/wasabi-control/src/link.rs
+++ b/crates/wasabi-control/src/link.rs
@@ -49,6 +49,7 @@
 pub(crate) async fn run(
     name: id::Member,
     own_address: String,
+    proofs: Vec<String>,
     mut parcels: mpsc::UnboundedReceiver<Parcel>,
 ) {
     let mut links: BTreeMap<(id::Member, String), mpsc::Sender<Step>> = BTreeMap::new();
@@ -57,6 +58,7 @@
         let step = Step {
             from: name.clone(),
             address: own_address.clone(),
+            proofs: proofs.clone(),
             to: parcel.to.clone(),
             messages: STANDARD.encode(bytes),
         };
--- a/crates/wasabi-control/src/options.rs
+++ b/crates/wasabi-control/src/options.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, path::PathBuf};
 
-use wasabi_protocol::id;
+use wasabi_protocol::{fingerprint, id};
 use wasabi_settings::control::Settings;
 
 /// What a member needs to know at its start.
@@ -24,6 +24,15 @@
     pub batching: Batching,
 }
 
+impl Options {
+    /// Returns the proofs by which members know each other: digests of the digests of operators'
+    /// credentials, which only the members' settings hold.
+    pub(crate) fn proofs(&self) -> Vec<String> {
+        let proof = |digest: &String| fingerprint::token(&format!("member {digest}"));
+        self.operator_digests.iter().map(proof).collect()
+    }
+}
+
 /// Whether proposals share a sync.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Batching {
--- a/crates/wasabi-control/src/server.rs
+++ b/crates/wasabi-control/src/server.rs
@@ -112,7 +112,12 @@
             .context(FolderSnafu)?;
         let heard = Arc::new(Mutex::new(heard));
         let (known, identity) = watch::channel(None);
-        let shared = Shared { inputs: inputs.clone(), heard: Arc::clone(&heard), name: identity };
+        let shared = Shared {
+            inputs: inputs.clone(),
+            heard: Arc::clone(&heard),
+            name: identity,
+            proofs: options.proofs().into(),
+        };
         let server = server.start(methods(shared).context(MethodsSnafu)?);
         // Founders answer each other's questions while each of them waits here.
         let start = founding::start(&options, &heard).await.context(FolderSnafu)?;
@@ -120,7 +125,7 @@
         let (parcels, outgoing) = tokio::sync::mpsc::unbounded_channel();
         let own = options.members.iter().find(|(name, _)| *name == start.name);
         let own = own.map_or_else(|| address.to_string(), |(_, address)| address.clone());
-        actix_rt::spawn(link::run(start.name.clone(), own, outgoing));
+        actix_rt::spawn(link::run(start.name.clone(), own, options.proofs(), outgoing));
         let (end, ended) = oneshot::channel();
         thread::Builder::new()
             .name("control".to_owned())
@@ -163,6 +168,8 @@
     heard: Arc<Mutex<Heard>>,
     /// This member's name, once it is known.
     name: watch::Receiver<Option<id::Member>>,
+    /// The proofs that members of this group send.
+    proofs: Arc<[String]>,
 }
 
 fn methods(shared: Shared) -> Result<RpcModule<Shared>, RegisterMethodError> {
@@ -192,6 +199,9 @@
     if shared.name.borrow().as_ref() != Some(&step.to) {
         return Err(refused("the message is for another member"));
     }
+    if !step.proofs.iter().any(|proof| shared.proofs.contains(proof)) {
+        return Err(refused("the sender is not known to be a member"));
+    }
     let messages = link::messages(step).ok_or_else(|| refused("the messages cannot be read"))?;
     let input = input::Step { from: step.from.clone(), address: step.address.clone(), messages };
     shared.inputs.send(Input::Step(input)).map_err(|_| refused("the control thread has ended"))
--- a/crates/wasabi-control/tests/group.rs
+++ b/crates/wasabi-control/tests/group.rs
@@ -74,7 +74,12 @@
         let commands = [1, 2].map(|operator| {
             apply(&format!("r{round}-{operator}"), base, "org", round * 10 + operator)
         });
-        let outcomes = commands.each_ref().map(|command| cluster.operate(command));
+        let outcomes: Vec<_> = thread::scope(|scope| {
+            let cluster = &cluster;
+            let give = |command| scope.spawn(move || cluster.operate(command));
+            let given: Vec<_> = commands.iter().map(give).collect();
+            given.into_iter().map(|operator| operator.join().unwrap()).collect()
+        });
         let wins = outcomes.iter().filter(|outcome| matches!(outcome, Outcome::Accepted { .. }));
         assert_eq!(wins.count(), 1, "{outcomes:?}");
         assert_eq!(cluster.leader().1.config.revision, base.next());
@@ -188,3 +193,18 @@
     let best = best.min().unwrap();
     assert!(best < HAND_OVER_MAX, "the best of three took {best:?}");
 }
+
+/// Guards against a `tls` setting that is ignored, so that credentials would travel in the clear.
+#[test]
+fn tls_that_is_not_served_is_refused() {
+    let mut cluster = Cluster::start(1, Relays::None);
+    cluster.kill(0);
+    let files = ["cert.pem", "key.pem"].map(|name| cluster.data(0).join(name));
+    files.iter().for_each(|file| fs::write(file, "").unwrap());
+    let [certificate, key] = files.map(|file| file.display().to_string());
+    cluster.add_setting(0, &format!("tls:\n  certificate: {certificate}\n  key: {key}\n"));
+    cluster.run(0);
+    assert_eq!(cluster.daemon(0).wait().code(), Some(2));
+    let output = cluster.daemon(0).output();
+    assert!(output.contains("`tls` is not served yet"), "{output}");
+}
--- a/crates/wasabi-control/tests/single.rs
+++ b/crates/wasabi-control/tests/single.rs
@@ -14,7 +14,7 @@
     contract::{Contract, Limits, Repeat, Route, Target, Tier},
     fault::{Fault, Kind},
     fingerprint, id,
-    rpc::{Checked, Checkin, Operate, Operated, Propose, Proposed, method},
+    rpc::{Checked, Checkin, Operate, Operated, Propose, Proposed, Step, method},
 };
 
 const CREDENTIAL: &str = "operator";
@@ -91,7 +91,7 @@
     panic!("revision {revision} never came");
 }
 
-/// Guards against commands without a credential, against an answer before the change is in force
+/// Guards against commands without a credential, against forged messages of members, against an answer before the change is in force
 /// at the entry, and against entries that never get the change.
 #[test]
 fn change_is_answered_once_it_is_in_force() {
@@ -145,6 +145,26 @@
         };
         let recorded: Proposed = call(&client, method::PROPOSE, record).await;
         assert_eq!(recorded, Proposed::Committed(Outcome::Recorded));
+        let forged = |proof: String| Step {
+            from: "m2".into(),
+            address: "127.0.0.1:1".to_owned(),
+            proofs: vec![proof],
+            to: "m1".into(),
+            messages: "AA==".to_owned(),
+        };
+        for (proof, is_taken) in [
+            (fingerprint::token("guess"), false),
+            (fingerprint::token(CREDENTIAL), false),
+            (fingerprint::token(&format!("member {}", fingerprint::token(CREDENTIAL))), true),
+        ] {
+            let answer: Result<(), _> =
+                client.request(method::CONSENSUS, rpc_params![forged(proof)]).await;
+            assert_eq!(
+                answer.is_ok(),
+                is_taken,
+                "messages of members need their proof: {answer:?}"
+            );
+        }
         running.stop();
         running.ended().await.unwrap();
     });
--- a/crates/wasabi-control/tests/support/mod.rs
+++ b/crates/wasabi-control/tests/support/mod.rs
@@ -92,6 +92,13 @@
         fs::write(self.folder.path().join(format!("{}.yaml", host.name)), text).unwrap();
     }
 
+    /// Adds lines to the settings of a host.
+    pub(crate) fn add_setting(&self, index: usize, lines: &str) {
+        let path = self.folder.path().join(format!("{}.yaml", self.hosts[index].name));
+        let text = fs::read_to_string(&path).unwrap() + lines;
+        fs::write(path, text).unwrap();
+    }
+
     /// Starts the daemon of a host.
     pub(crate) fn run(&mut self, index: usize) {
         let binary = PathBuf::from(env!("CARGO_BIN_EXE_wasabi-controld"));
--- a/crates/wasabi-protocol/src/rpc.rs
+++ b/crates/wasabi-protocol/src/rpc.rs
@@ -548,6 +548,9 @@
     pub from: id::Member,
     /// The IP address and port that the sender listens on.
     pub address: String,
+    /// Proofs that the sender holds the same digests of operators' credentials; one that the
+    /// receiver knows suffices, so that credentials can be replaced one after the other.
+    pub proofs: Vec<String>,
     /// The member that the sender means.
     pub to: id::Member,
     /// The messages, encoded with postcard and then base64.
