--- a/crates/wasabi-control/tests/group.rs
+++ b/crates/wasabi-control/tests/group.rs
@@ -208,3 +208,36 @@
     let output = cluster.daemon(0).output();
     assert!(output.contains("`tls` is not served yet"), "{output}");
 }
+
+/// Guards against a group of five that stops with two lost members, and against one that accepts a
+/// change or hides its state without a quorum.
+#[test]
+fn five_members_go_on_without_two_and_not_without_three() {
+    let mut cluster = Cluster::start(5, Relays::None);
+    let (first, status) = cluster.leader();
+    let outcome = cluster.operate(&apply("c1", status.config.revision, "org", 1));
+    assert!(matches!(outcome, Outcome::Accepted { .. }), "{outcome:?}");
+    cluster.kill(first);
+    cluster.kill((first + 1) % 5);
+    let (second, status) = cluster.leader();
+    assert_eq!(share(&status, "org"), Some(1));
+    let outcome = cluster.operate(&apply("c2", status.config.revision, "org", 2));
+    let Outcome::Accepted { revision } = outcome else { panic!("{outcome:?}") };
+    cluster.kill(second);
+    let left = (0..5).find(|index| cluster.hosts[*index].daemon.is_some()).unwrap();
+    let command = apply("c3", revision, "org", 3);
+    assert_eq!(cluster.operate_at(left, &command), None, "accepted without a quorum");
+    cluster.until("the state without a leader", || {
+        match cluster.status_of(left, Source::Member)? {
+            Inquired::Status(status) => {
+                let is_told = status.degraded.iter().any(|part| part.contains("knows no leader"));
+                // The last change is held, and without a leader not known to be committed.
+                (is_told && share(&status, "org").is_some()).then_some(())
+            }
+            _ => None,
+        }
+    });
+    cluster.run(second);
+    let outcome = cluster.operate(&command);
+    assert_eq!(outcome, Outcome::Accepted { revision: revision.next() });
+}
