--- a/crates/wasabi-control/src/member.rs
+++ b/crates/wasabi-control/src/member.rs
@@ -90,8 +90,6 @@
     /// The last index that the state machine has taken into account.
     applied: u64,
     heard: Arc<Mutex<Heard>>,
-    /// When the last message of each member came.
-    pub(crate) last_message: BTreeMap<id::Member, Millis>,
     parcels: UnboundedSender<Parcel>,
     /// Inputs held back while a proposal is under way, without batching.
     held: VecDeque<Input>,
@@ -146,7 +144,6 @@
             snapshot_index,
             applied: 0,
             heard,
-            last_message: BTreeMap::new(),
             parcels,
             held: VecDeque::new(),
             stopping: None,
@@ -243,7 +240,6 @@
             return;
         }
         drop(heard);
-        self.last_message.insert(step.from.clone(), self.clock.now());
         self.learned.insert(step.from.clone(), step.address);
         for message in step.messages {
             self.group.step(self.clock.now(), Event::Receive(step.from.clone(), message));
--- a/crates/wasabi-control/src/serve.rs
+++ b/crates/wasabi-control/src/serve.rs
@@ -24,10 +24,6 @@
 /// Longest time that an operator's command waits to be in force everywhere, in milliseconds.
 const FORCE_WAIT_MAX: Millis = Millis::from_secs(60);
 
-/// Silence after which the last leader is not named any more, in milliseconds: its heartbeats come
-/// every 100 ms, and the longest election timeout is 1,200 ms.
-const LEADER_SILENT_AFTER: Millis = Millis(1_500);
-
 impl Member {
     /// Handles an input of a connection.
     pub(crate) fn handle(&mut self, input: Input) {
@@ -83,11 +79,6 @@
     /// Returns the address of another member that leads, when it is known.
     pub(crate) fn leader_address(&self) -> Option<String> {
         let leader = self.group.leader().filter(|leader| **leader != self.name)?;
-        // Without a quorum there is no new term, and the node names the last leader for good.
-        let last = self.last_message.get(leader)?;
-        if LEADER_SILENT_AFTER <= self.clock.now().since(*last) {
-            return None;
-        }
         self.addresses.get(leader).or_else(|| self.learned.get(leader)).cloned()
     }
 
