scheduler: a frozen owner blames no request for its own pause

Cause: a pool owner that was frozen for 3.5 s found all its endpoints silent when it ran again and suspected what ran on them. With one body in three batches that was three crashes at once, and the body was quarantined at all entries for 10 min. Traced by the calls of the quarantine table during a run of the system test. Ruled out: shifting the time of the last announcement by the pause, since an endpoint that left meanwhile would get work again; crashes by broken connections (no attempt had failed so). One test of silent endpoints jumped over 2.4 s without a tick; it now ticks every 50 ms, as the shell does, and asserts the same. Conclusion: an owner judges silence only over time in which it ran.

--- a/crates/wasabi-cli/tests/site/mod.rs
+++ b/crates/wasabi-cli/tests/site/mod.rs
@@ -28,6 +28,9 @@
 /// Longest time for a daemon to start serving.
 const START_BOUND: Duration = Duration::from_secs(30);
 
+/// Lines of each log that a failed test prints.
+const LOG_LINES: usize = 60;
+
 /// A daemon that can be started again on its settings.
 pub struct Process {
     binary: &'static str,
@@ -136,6 +139,20 @@
     }
 }
 
+impl Drop for Site {
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            return;
+        }
+        for process in self.control.iter().chain(&self.entries) {
+            let log = process.daemon.output();
+            let lines: Vec<_> = log.lines().collect();
+            let shown = lines.len().saturating_sub(LOG_LINES);
+            eprintln!("log of {}:\n{}", process.name, lines[shown..].join("\n"));
+        }
+    }
+}
+
 impl Process {
     fn start(
         folder: &Path,
--- a/crates/wasabi-scheduler/src/pool/announce.rs
+++ b/crates/wasabi-scheduler/src/pool/announce.rs
@@ -44,11 +44,14 @@
         self.settle_versions();
     }
 
-    /// Takes out the endpoints that fell silent; what ran on them is suspected.
+    /// Takes out the endpoints that fell silent; what ran on them is suspected, unless the silence
+    /// may come from a pause of this process.
     pub(super) fn expire_endpoints(&mut self, now: Millis) {
         for slot in self.endpoints.expire(now) {
             self.board.leave(slot.name());
-            self.crashed(now, &slot, None);
+            if !self.excuses_silence(now) {
+                self.crashed(now, &slot, None);
+            }
         }
         self.settle_versions();
     }
--- a/crates/wasabi-scheduler/src/pool/owner.rs
+++ b/crates/wasabi-scheduler/src/pool/owner.rs
@@ -107,6 +107,7 @@
             self.started = Some(now);
             self.timers.start(now);
         }
+        self.notice_pause(now);
         let mut actions = Vec::new();
         match event {
             Event::Config(config) => self.configure(config),
--- a/crates/wasabi-scheduler/src/pool/tick.rs
+++ b/crates/wasabi-scheduler/src/pool/tick.rs
@@ -1,6 +1,6 @@
 //! What is due with time: expiry, refusals, budgets, samples of overdue attempts.
 
-use wasabi_protocol::{clock::Millis, fault::Kind};
+use wasabi_protocol::{clock::Millis, endpoint::SILENT_AFTER, fault::Kind};
 use wasabi_routing::pace::{Sample, Standing};
 
 use super::{
@@ -22,6 +22,11 @@
 /// Time between two searches for overdue attempts and settled losses, in milliseconds.
 const SWEEP_EVERY: Millis = Millis(500);
 
+/// Time without any step from which on this process counts as paused, in milliseconds.
+///
+/// The shell gives a tick at least every 50 ms.
+const PAUSED_AFTER: Millis = Millis(1_000);
+
 /// Unused credit for aged work that is kept, in milliseconds of the reserved fraction.
 const AGED_CREDIT_SPAN: f64 = 10_000.0;
 
@@ -30,6 +35,8 @@
 pub(super) struct Timers {
     /// Slot time that aged work may still use, in milliseconds; negative when it used more.
     pub(super) aged_credit: f64,
+    last_step: Millis,
+    excused_until: Millis,
     last_tick: Millis,
     last_sweep: Millis,
     had_endpoint: Millis,
@@ -37,6 +44,7 @@
 
 impl Timers {
     pub(super) fn start(&mut self, now: Millis) {
+        self.last_step = now;
         self.last_tick = now;
         self.last_sweep = now;
         self.had_endpoint = now;
@@ -44,6 +52,21 @@
 }
 
 impl Pool {
+    /// Notes whether this process was paused. Endpoints announced themselves meanwhile to a process
+    /// that did not listen, so their silence is no sign of a crash.
+    pub(super) fn notice_pause(&mut self, now: Millis) {
+        let pause = now.since(self.timers.last_step);
+        self.timers.last_step = now;
+        if PAUSED_AFTER <= pause {
+            self.timers.excused_until = now + SILENT_AFTER;
+        }
+    }
+
+    /// Returns whether the silence of an endpoint may come from a pause of this process.
+    pub(super) fn excuses_silence(&self, now: Millis) -> bool {
+        now < self.timers.excused_until
+    }
+
     pub(super) fn tick(&mut self, now: Millis, actions: &mut Vec<Action>) {
         self.accrue(now);
         self.expire_endpoints(now);
--- a/crates/wasabi-scheduler/tests/suspects.rs
+++ b/crates/wasabi-scheduler/tests/suspects.rs
@@ -107,6 +107,10 @@
     let mut expected: Vec<_> = on(&held, "a").iter().map(|(ticket, _)| *ticket).collect();
     expected.sort_unstable();
     assert_eq!(known, expected);
+    // The owner runs meanwhile; one that was paused would not know who was silent.
+    for now in (1_150..3_500).step_by(50) {
+        pool.step(Millis(now), Event::Tick);
+    }
     pool.step(Millis(3_500), Event::Announce(announcement("c", 4)));
     pool.step(Millis(3_500), Event::Tick);
     assert_eq!(pool.suspects(Millis(3_500)).len(), 6, "the batch of `b` too");
@@ -132,3 +136,24 @@
     let actions = pool.step(Millis(1_001), Event::Announce(announcement("b", 1)));
     assert_eq!(refusals(&actions), [(499, Kind::Quarantined)], "it waited before");
 }
+
+/// Guards against an owner that was frozen and takes the silence of that time for crashes: what
+/// ran on its endpoints would be suspected, and quarantined after the second freeze.
+#[test]
+fn a_frozen_owner_suspects_nothing() {
+    let (mut pool, held) = busy();
+    for thawed in [10_000, 20_000] {
+        pool.step(Millis(thawed), Event::Tick);
+        assert!(pool.suspects(Millis(thawed)).is_empty());
+        kit::announce_all(&mut pool, Millis(thawed + 1), 3, 4);
+    }
+    // Endpoints that fall silent while the owner runs are still suspected.
+    for now in (20_050..24_000).step_by(50) {
+        pool.step(Millis(now), Event::Tick);
+        if now < 21_500 {
+            kit::announce_all(&mut pool, Millis(now), 3, 4);
+        }
+    }
+    assert_eq!(pool.endpoints().count(), 0);
+    assert_eq!(pool.suspects(Millis(24_000)).len(), held.len());
+}
