control, entry: metrics of members, and settings that are only checked

Cause: the `metrics` address of control was read from the settings and never served, and no daemon could check its settings without a start. Ruled out: removing the setting, since operators need the revision, the log size and the number of records.

--- a/crates/wasabi-control/src/lib.rs
+++ b/crates/wasabi-control/src/lib.rs
@@ -13,6 +13,7 @@
 mod liveness;
 mod member;
 mod members;
+mod metrics;
 mod moves;
 mod options;
 mod record;
@@ -20,5 +21,6 @@
 mod server;
 
 pub use liveness::{Liveness, SILENT_AFTER};
+pub use metrics::Metrics;
 pub use options::{Batching, Options};
 pub use server::{Error, Running};
--- a/crates/wasabi-control/src/main.rs
+++ b/crates/wasabi-control/src/main.rs
@@ -7,7 +7,7 @@
 use tracing::{error, info};
 use wasabi_control::{Batching, Options, Running};
 use wasabi_settings::{control::Settings, file};
-use wasabi_telemetry::log;
+use wasabi_telemetry::{log, metrics};
 
 /// Runs one member of the control group.
 #[derive(FromArgs)]
@@ -15,6 +15,9 @@
     /// the settings file (YAML)
     #[argh(option)]
     settings: PathBuf,
+    /// check the settings and end
+    #[argh(switch)]
+    check: bool,
     /// commit each proposal before the next is taken; only for comparison in measurements
     #[argh(switch)]
     without_batching: bool,
@@ -35,6 +38,9 @@
         );
         return ExitCode::from(2);
     }
+    if arguments.check {
+        return ExitCode::SUCCESS;
+    }
     if let Err(error) = log::start(&settings.log) {
         eprintln!("{error}");
         return ExitCode::from(2);
@@ -47,6 +53,10 @@
     if without_batching {
         options.batching = Batching::Single;
     }
+    if let Err(error) = metrics::serve(*settings.metrics, options.metrics.registry()) {
+        error!(%error, address = %*settings.metrics, "cannot serve metrics");
+        return ExitCode::FAILURE;
+    }
     let mut running = match Running::start(options).await {
         Ok(running) => running,
         Err(error) => {
--- a/crates/wasabi-control/src/member.rs
+++ b/crates/wasabi-control/src/member.rs
@@ -9,13 +9,14 @@
 };
 
 use bytes::Bytes;
+use prometheus_client::metrics::gauge::Gauge;
 use snafu::{ResultExt as _, Snafu};
 use tokio::sync::{mpsc::UnboundedSender, oneshot::Sender};
 use tracing::{debug, error, info, warn};
 use wasabi_consensus::{Event, Message, Payload};
 use wasabi_protocol::{
     clock::{Clock, Millis, unix_now},
-    command::{Command, Outcome},
+    command::{self, Command, Outcome},
     id,
     rpc::{Drained, Operated, Proposed},
 };
@@ -169,6 +170,7 @@
             if last_tick + TICK <= now {
                 last_tick = now;
                 self.group.step(now, Event::Tick);
+                self.show();
             }
             let is_open = self.take_inputs(inputs)?;
             if !is_open || self.has_stopped() {
@@ -309,8 +311,28 @@
         Ok(())
     }
 
+    /// Brings the metrics up to date.
+    fn show(&self) {
+        let metrics = &self.options.metrics;
+        let set = |gauge: &Gauge, value: u64| {
+            gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
+        };
+        let size = self.machine.size();
+        let view = self.machine.view();
+        let serving =
+            view.entries.iter().filter(|entry| entry.duty == command::Duty::Serving).count();
+        set(&metrics.leading, u64::from(self.group.is_leader()));
+        set(&metrics.revision, self.machine.revision().0);
+        set(&metrics.applied_index, self.applied);
+        set(&metrics.log_bytes, self.group.log_bytes());
+        set(&metrics.keys, size.keys as u64);
+        set(&metrics.key_bytes, size.key_bytes as u64);
+        set(&metrics.serving_entries, serving as u64);
+    }
+
     fn commit(&mut self, index: u64, term: u64, data: &Payload) -> Result<(), Error> {
         self.applied = index;
+        self.options.metrics.commits.inc();
         let placed = self.placed.remove(&index).filter(|(placed, _)| *placed == term);
         let outcome = match data {
             Payload::Command(bytes) => {
--- /dev/null
+++ b/crates/wasabi-control/src/metrics.rs
@@ -0,0 +1,41 @@
+//! Metrics of one member.
+
+use std::sync::Arc;
+
+use prometheus_client::{
+    metrics::{counter::Counter, gauge::Gauge},
+    registry::Registry,
+};
+
+/// What a member shows of itself. Clones share their values.
+#[derive(Debug, Clone, Default)]
+pub struct Metrics {
+    pub(crate) leading: Gauge,
+    pub(crate) revision: Gauge,
+    pub(crate) applied_index: Gauge,
+    pub(crate) log_bytes: Gauge,
+    pub(crate) keys: Gauge,
+    pub(crate) key_bytes: Gauge,
+    pub(crate) serving_entries: Gauge,
+    pub(crate) commits: Counter,
+}
+
+impl Metrics {
+    /// Returns a registry with all metrics of the member.
+    pub fn registry(&self) -> Arc<Registry> {
+        let mut registry = Registry::with_prefix("wasabi_control");
+        for (name, help, gauge) in [
+            ("leading", "1 while this member leads", &self.leading),
+            ("revision", "Configuration revision that this member holds", &self.revision),
+            ("applied_index", "Last log index in the state machine", &self.applied_index),
+            ("log_bytes", "Bytes of log segments on disk", &self.log_bytes),
+            ("keys", "At-most-once records", &self.keys),
+            ("key_bytes", "Bytes accounted to at-most-once records", &self.key_bytes),
+            ("serving_entries", "Entries of the view that take new callers", &self.serving_entries),
+        ] {
+            registry.register(name, help, gauge.clone());
+        }
+        registry.register("commits", "Committed log entries", self.commits.clone());
+        Arc::new(registry)
+    }
+}
--- a/crates/wasabi-control/src/options.rs
+++ b/crates/wasabi-control/src/options.rs
@@ -5,6 +5,8 @@
 use wasabi_protocol::{fingerprint, id};
 use wasabi_settings::control::Settings;
 
+use crate::metrics::Metrics;
+
 /// What a member needs to know at its start.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -22,6 +24,8 @@
     pub snapshot_every: u64,
     /// Whether proposals share a sync.
     pub batching: Batching,
+    /// Where the member shows what it does.
+    pub metrics: Metrics,
 }
 
 impl Options {
@@ -55,6 +59,7 @@
             operator_digests: settings.operator_digests.clone(),
             snapshot_every: *settings.snapshot_every,
             batching: Batching::Shared,
+            metrics: Metrics::default(),
         }
     }
 }
--- a/crates/wasabi-control/tests/single.rs
+++ b/crates/wasabi-control/tests/single.rs
@@ -16,6 +16,7 @@
     fingerprint, id,
     rpc::{Checked, Checkin, Operate, Operated, Propose, Proposed, Step, method},
 };
+use wasabi_telemetry::metrics;
 
 const CREDENTIAL: &str = "operator";
 
@@ -28,6 +29,7 @@
         operator_digests: vec![fingerprint::token(CREDENTIAL)],
         snapshot_every: 100,
         batching: Batching::Shared,
+        metrics: Default::default(),
     }
 }
 
@@ -91,8 +93,31 @@
     panic!("revision {revision} never came");
 }
 
-/// Guards against commands without a credential, against forged messages of members, against an answer before the change is in force
-/// at the entry, and against entries that never get the change.
+/// Guards against metrics that stay at their first values.
+#[test]
+fn a_leader_shows_what_it_holds() {
+    actix_rt::System::new().block_on(async {
+        let folder = tempfile::tempdir().unwrap();
+        let options = options(folder.path());
+        let registry = options.metrics.registry();
+        let running = Running::start(options).await.unwrap();
+        let url = format!("ws://{}", running.address());
+        let client = WsClientBuilder::default().build(&url).await.unwrap();
+        heartbeat_until(&client, 1).await;
+        let expected = ["control_leading 1", "control_revision 1", "control_serving_entries 1"];
+        for _ in 0..500 {
+            let page = metrics::encode(&registry);
+            if expected.iter().all(|line| page.contains(line)) {
+                return;
+            }
+            actix_rt::time::sleep(std::time::Duration::from_millis(10)).await;
+        }
+        panic!("{expected:?} is missing from {}", metrics::encode(&registry));
+    });
+}
+
+/// Guards against commands without a credential, against forged messages of members, against an
+/// answer before the change is in force at the entry, and against entries that never get it.
 #[test]
 fn change_is_answered_once_it_is_in_force() {
     actix_rt::System::new().block_on(async {
--- a/crates/wasabi-entry/src/main.rs
+++ b/crates/wasabi-entry/src/main.rs
@@ -14,6 +14,9 @@
     /// path of the settings in YAML
     #[argh(option)]
     settings: PathBuf,
+    /// check the settings and end
+    #[argh(switch)]
+    check: bool,
     /// path of a file that gets the bound caller address once the daemon listens
     #[argh(option)]
     address_file: Option<PathBuf>,
@@ -32,6 +35,9 @@
 
 fn run(arguments: &Arguments) -> Result<(), Box<dyn std::error::Error>> {
     let settings: Settings = file::read(&arguments.settings)?;
+    if arguments.check {
+        return Ok(());
+    }
     log::start(&settings.log)?;
     let daemon = Daemon::start(settings)?;
     tracing::info!(
