admission: a burst after quiet traffic gets its concurrency with the first slice

Cause: a pool was allotted twice the concurrency that it wanted, so going from 1 to 64 running requests took several asks, 25 ms apart, although the limit was nearly free. Ruled out: a larger advance before the first slice, which more pools could add up to over the limit. Conclusion: half of the unwanted concurrency is allotted ahead; parts still never add up to more than the limit.

--- a/crates/wasabi-admission/src/lender.rs
+++ b/crates/wasabi-admission/src/lender.rs
@@ -116,13 +116,18 @@
             .map(|(_, other)| u64::from(other.allotted.max(other.running)))
             .sum();
         let wanted: u64 = self.borrowers.values().map(|other| u64::from(other.wanted)).sum();
+        let borrowers = self.borrowers.len() as u64;
         let free = u64::from(limit).saturating_sub(others) as u32;
         let Some(borrower) = self.borrowers.get_mut(pool) else { return 0 };
         let fair = (u64::from(limit) * u64::from(borrower.wanted)).div_ceil(wanted.max(1)) as u32;
         let is_scarce = u64::from(limit) < wanted;
         let most = if is_scarce { fair.min(free) } else { free };
-        // While there is enough, twice what is wanted leaves room for a burst between two asks.
-        borrower.allotted = most.min(borrower.wanted.saturating_mul(2));
+        // While there is enough, half of what nobody wants leaves room for a burst between two
+        // asks. Twice what is wanted is too little after quiet traffic: each doubling takes an ask.
+        let spare = u64::from(limit).saturating_sub(wanted) / (2 * borrowers);
+        let generous =
+            u64::from(borrower.wanted.saturating_mul(2)).max(u64::from(borrower.wanted) + spare);
+        borrower.allotted = most.min(u32::try_from(generous).unwrap_or(u32::MAX));
         borrower.allotted
     }
 }
--- a/crates/wasabi-admission/tests/limit.rs
+++ b/crates/wasabi-admission/tests/limit.rs
@@ -216,3 +216,17 @@
     assert!(kept < 64, "pool a gives back what it does not run with");
     assert!(ask("b", 0, 60) <= 64 - 60);
 }
+
+/// Guards against a burst after quiet traffic that waits for several asks although most of the
+/// limit is free.
+#[test]
+fn leaves_room_for_a_burst_after_quiet_traffic() {
+    let mut lender = Lender::new();
+    let organisation: id::Organisation = "org".into();
+    let used = Usage { running: 1, ..Usage::default() };
+    let mut ask =
+        |pool: &str| lender.lend(Millis(1_000), &organisation, &LIMITS, &pool.into(), &used);
+    assert!(LIMITS.concurrency / 2 <= ask("a").concurrency);
+    let second = ask("b").concurrency;
+    assert!(LIMITS.concurrency / 8 <= second, "pool b may start {second}");
+}
