routing: differences of a few milliseconds put no endpoint on probation

Cause: at 64 streams some callers waited 75 to 112 ms for a grant. A trace of the waiting queue showed the only endpoint on probation with one place: it usually sends its first token in 1 ms, and three answers in 3 ms were bad samples against its own average. Ruled out: the contract's budget (requests might start), the in-flight bound (100,000), silence of the endpoint. Conclusion: first tokens below 20 ms and tokens below 1 ms count as equal.

--- a/crates/wasabi-routing/src/pace.rs
+++ b/crates/wasabi-routing/src/pace.rs
@@ -41,6 +41,15 @@
 /// Prompt tokens that count as read at least, so that fixed costs do not show as a slow prefill.
 pub const PREFILL_TOKENS_MIN: u32 = 256;
 
+/// Time to the first token below which samples count as equal, in milliseconds.
+///
+/// Below it the scheduling of threads shows more than the endpoint's pace: a lone endpoint that
+/// usually answers in 1 ms went on probation for three answers in 3 ms.
+pub const FIRST_TOKEN_NOISE: Millis = Millis(20);
+
+/// Time per token below which samples count as equal, in milliseconds, for the same reason.
+pub const PER_TOKEN_NOISE_MS: f64 = 1.0;
+
 /// Progress bounds: a multiple of the endpoint's own expected time, between a floor and a cap.
 const FIRST_TOKEN_FACTOR: f64 = 4.0;
 const FIRST_TOKEN_FLOOR: Millis = Millis(1_000);
@@ -101,10 +110,12 @@
             return None;
         }
         let per_token_ms = (STREAM_TOKENS_MIN <= report.output_tokens)
-            .then(|| report.stream.0 as f64 / f64::from(report.output_tokens - 1));
-        let per_prompt_token_ms = report
-            .first_token
-            .map(|first| first.0 as f64 / f64::from(prefill_tokens.max(PREFILL_TOKENS_MIN)));
+            .then(|| report.stream.0 as f64 / f64::from(report.output_tokens - 1))
+            .map(|per_token| per_token.max(PER_TOKEN_NOISE_MS));
+        let per_prompt_token_ms = report.first_token.map(|first| {
+            let first = first.max(FIRST_TOKEN_NOISE);
+            first.0 as f64 / f64::from(prefill_tokens.max(PREFILL_TOKENS_MIN))
+        });
         (per_token_ms.is_some() || per_prompt_token_ms.is_some()).then_some(Self {
             per_token_ms,
             per_prompt_token_ms,
--- a/crates/wasabi-routing/tests/pace.rs
+++ b/crates/wasabi-routing/tests/pace.rs
@@ -1,5 +1,6 @@
 //! Tests of stragglers and progress bounds.
 
+use wasabi_protocol::request::{End, Report};
 use wasabi_protocol::{
     clock::Millis,
     endpoint::{self, Announcement},
@@ -136,3 +137,31 @@
     assert!(first("a") < first("s"));
     assert!(Millis(32_000) < first("s"));
 }
+
+/// Guards against a fast endpoint that goes on probation, and so holds up its queue, because some
+/// answers took 3 ms instead of 1 ms.
+#[test]
+fn differences_of_a_few_milliseconds_are_no_straggling() {
+    let mut board = Board::default();
+    board.join(&"a".into(), kind("h1"));
+    let sample = |first_ms: u64, stream_ms: u64| {
+        let report = Report {
+            end: End::Finished,
+            first_token: Some(Millis(first_ms)),
+            stream: Millis(stream_ms),
+            output_tokens: 20,
+            prompt_tokens: 20,
+        };
+        Sample::of(&report, 20).unwrap()
+    };
+    for _ in 0..50 {
+        board.sample(Millis(1), &"a".into(), sample(1, 0));
+    }
+    for _ in 0..10 {
+        assert_eq!(board.sample(Millis(2), &"a".into(), sample(5, 15)), Standing::Normal);
+    }
+    for _ in 0..BAD_IN_A_ROW {
+        board.sample(Millis(3), &"a".into(), sample(60, 15));
+    }
+    assert_eq!(board.standing(&"a".into()), Standing::Probation, "a real delay is still seen");
+}
