--- a/crates/wasabi-cli/src/command/contract_diff.rs
+++ b/crates/wasabi-cli/src/command/contract_diff.rs
@@ -18,7 +18,8 @@
 }
 
 /// A field that differs.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Difference {
     field: String,
     in_force: Option<Value>,
--- a/crates/wasabi-cli/src/output.rs
+++ b/crates/wasabi-cli/src/output.rs
@@ -30,7 +30,8 @@
 }
 
 /// An accepted change, for scripts.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Accepted<'a> {
     revision: id::Revision,
     force: &'a Force,
--- a/crates/wasabi-consensus/src/entry.rs
+++ b/crates/wasabi-consensus/src/entry.rs
@@ -10,9 +10,8 @@
 ///
 /// Positions are ordered by term and then by index, which is the order in which logs are compared
 /// at elections.
-#[derive(
-    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct Position {
     /// The term in which the entry was accepted. It is not the highest term joined.
     pub term: u64,
@@ -21,7 +20,8 @@
 }
 
 /// An entry of the log.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Entry {
     /// The term in which the entry was accepted.
     pub term: u64,
@@ -50,7 +50,8 @@
 }
 
 /// The content of an entry.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum Payload {
     /// Nothing; appended by a new leader so that earlier entries can be committed.
     Empty,
@@ -61,7 +62,8 @@
 }
 
 /// The highest term joined and the vote given in it.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct Vote {
     /// The highest term joined.
     pub term: u64,
@@ -70,7 +72,8 @@
 }
 
 /// The state machine up to a position, with the members in force there.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct Snapshot {
     /// The last entry that the snapshot covers.
     pub last: Position,
--- a/crates/wasabi-consensus/src/membership.rs
+++ b/crates/wasabi-consensus/src/membership.rs
@@ -6,7 +6,8 @@
 use wasabi_protocol::{clock::Millis, id};
 
 /// The members of a group.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct Membership {
     /// Members that vote and whose copies count for a commit.
     pub voters: BTreeSet<id::Member>,
@@ -52,7 +53,8 @@
 }
 
 /// A change of a single member.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum Change {
     /// Adds a member without a vote.
     AddLearner(id::Member),
--- a/crates/wasabi-consensus/src/message.rs
+++ b/crates/wasabi-consensus/src/message.rs
@@ -7,7 +7,8 @@
 use crate::{Entry, Membership, Position};
 
 /// A message between members.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum Message {
     /// Asks whether the receiver would vote for the sender; changes nothing at the receiver.
     PreVote {
@@ -114,7 +115,8 @@
 }
 
 /// What became of the entries of an [`Message::Append`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum Verdict {
     /// The receiver holds the leader's log durably up to this index.
     Matched(u64),
--- a/crates/wasabi-control/src/founding.rs
+++ b/crates/wasabi-control/src/founding.rs
@@ -36,7 +36,8 @@
 }
 
 /// Why the folder cannot be used.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum Error {
     /// The log cannot be used.
--- a/crates/wasabi-control/src/member.rs
+++ b/crates/wasabi-control/src/member.rs
@@ -47,7 +47,8 @@
 const STOP_BOUND: Millis = Millis(3_000);
 
 /// Why the control thread ended.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum Error {
     /// A write or sync failed. What reached the disk is unknown, so the process must end.
     #[snafu(display("the log cannot go on: {source}"))]
--- a/crates/wasabi-control/src/record.rs
+++ b/crates/wasabi-control/src/record.rs
@@ -8,7 +8,8 @@
 use wasabi_state::Machine;
 
 /// One item of the log, with the time at which the leader proposed it.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct Record {
     /// The leader's wall-clock time, in milliseconds since the Unix epoch.
     pub(crate) now: Millis,
@@ -17,7 +18,8 @@
 }
 
 /// An item of the log.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) enum Item {
     /// A command of the state machine.
     Command(Command),
@@ -34,7 +36,8 @@
 pub(crate) type Addresses = BTreeMap<id::Member, String>;
 
 /// Why stored bytes cannot be read or written.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum Error {
     /// The bytes do not hold what is expected.
     #[snafu(display("a stored record cannot be encoded or decoded: {source}"))]
--- a/crates/wasabi-control/src/server.rs
+++ b/crates/wasabi-control/src/server.rs
@@ -38,7 +38,8 @@
 const MESSAGE_BYTES_MAX: u32 = 64 * 1024 * 1024;
 
 /// Why a member cannot start or had to end.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum Error {
     /// The address cannot be bound. Remedy: correct `listen`, or end the process that uses it.
     #[snafu(display("cannot listen on {address}: {source}"))]
--- a/crates/wasabi-entry/src/callers/answer.rs
+++ b/crates/wasabi-entry/src/callers/answer.rs
@@ -23,12 +23,14 @@
 const RETRY_AFTER_S: &str = "1";
 
 /// The body of an answer whose first outcome is known but not kept whole.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct OutcomeBody {
     outcome: OutcomeDetail,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct OutcomeDetail {
     ran: Ran,
     status: Option<u16>,
--- a/crates/wasabi-entry/src/daemon.rs
+++ b/crates/wasabi-entry/src/daemon.rs
@@ -32,7 +32,8 @@
 };
 
 /// Why an entry cannot start.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum Error {
     /// An address cannot be bound. Remedy: correct it, or end the process that uses it.
     #[snafu(display("cannot listen on {address}: {source}"))]
--- a/crates/wasabi-entry/src/dispatch/events.rs
+++ b/crates/wasabi-entry/src/dispatch/events.rs
@@ -11,7 +11,8 @@
 const SEPARATOR: &[u8] = b"\n\n";
 
 /// The explicit end of a stream, as the endpoint states it.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Deserialize)]
 pub struct End {
     /// The attempt that the stream answers.
     pub attempt: id::Attempt,
--- a/crates/wasabi-entry/src/metrics.rs
+++ b/crates/wasabi-entry/src/metrics.rs
@@ -13,7 +13,8 @@
 use wasabi_protocol::{contract::Tier, fault::Kind};
 
 /// Labels of what is counted by tier.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
 pub(crate) struct ByTier {
     /// The tier.
     pub(crate) tier: u32,
@@ -26,7 +27,8 @@
 }
 
 /// Labels of a refusal.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
 pub(crate) struct ByKind {
     /// The kind of error.
     pub(crate) kind: String,
--- a/crates/wasabi-protocol/src/clock.rs
+++ b/crates/wasabi-protocol/src/clock.rs
@@ -12,9 +12,8 @@
 ///
 /// Points are counted from the origin of the [`Clock`] that produced them. Arithmetic saturates,
 /// so that a clock difference never turns into a huge span.
-#[derive(
-    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Millis(pub u64);
 
--- a/crates/wasabi-protocol/src/command.rs
+++ b/crates/wasabi-protocol/src/command.rs
@@ -9,7 +9,8 @@
 };
 
 /// Who ordered a change, and on which revision.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Order {
     /// The command's unique name. A resent command keeps it.
     pub command: id::Command,
@@ -20,7 +21,8 @@
 }
 
 /// One member of the entry view.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Entry {
     /// The entry's name.
     pub name: id::Entry,
@@ -37,7 +39,8 @@
 }
 
 /// Whether an entry takes new callers and owns pools.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Duty {
     /// It takes new callers and owns pools.
@@ -47,7 +50,8 @@
 }
 
 /// The live entries, as a numbered view.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct View {
     /// The number of the view.
     pub number: id::View,
@@ -56,7 +60,8 @@
 }
 
 /// A version move as the operator orders it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Plan {
     /// The name of the move.
     pub name: id::Move,
@@ -77,7 +82,8 @@
 }
 
 /// Where a version move stands.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Stage {
     /// The new version gets at most this share of each route's traffic, in thousandths.
@@ -102,7 +108,8 @@
 }
 
 /// A version move and where it stands.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Move {
     /// What was ordered.
     pub plan: Plan,
@@ -117,7 +124,8 @@
 }
 
 /// The configuration that entries hold.
-#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct Config {
     /// The revision. It covers everything below.
     pub revision: id::Revision,
@@ -132,7 +140,8 @@
 }
 
 /// The name of an at-most-once record.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Key {
     /// The organisation.
     pub organisation: id::Organisation,
@@ -141,7 +150,8 @@
 }
 
 /// The outcome of a request that runs at most once, as the record keeps it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Kept {
     /// What is known about whether it ran.
     pub ran: fault::Ran,
@@ -163,7 +173,8 @@
 pub const KEY_CLOCK_ERROR: Millis = Millis::from_secs(5 * 60);
 
 /// A command of the replicated log.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum Command {
     /// Puts a contract in force, in place of an earlier one of the same organisation.
     ApplyContract {
@@ -252,7 +263,8 @@
 }
 
 /// What a command did.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum Outcome {
     /// It was accepted; the configuration has this revision.
     Accepted {
--- a/crates/wasabi-protocol/src/contract.rs
+++ b/crates/wasabi-protocol/src/contract.rs
@@ -10,7 +10,8 @@
 pub const TIERS: usize = 5;
 
 /// The urgency of a route. Tier 0 is the most urgent.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Tier(pub u8);
 
@@ -30,7 +31,8 @@
 }
 
 /// The contract of one organisation.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Contract {
     /// The organisation that the contract is made with.
@@ -46,7 +48,8 @@
 }
 
 /// Limits of a contract over all entries together.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Limits {
     /// Most requests started in one second.
@@ -58,7 +61,8 @@
 }
 
 /// One kind of request within a contract.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Route {
     /// The name of the route, unique in the contract.
@@ -78,7 +82,8 @@
 }
 
 /// What a route leads to.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub enum Target {
     /// A language model, called through the chat completions route.
@@ -107,7 +112,8 @@
 }
 
 /// Whether a request may run more than once.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub enum Repeat {
     /// The request is idempotent and may be retried.
@@ -129,7 +135,8 @@
 }
 
 /// A fault in a contract.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Problem {
     /// The field, such as `routes[2].tier`.
     pub field: String,
--- a/crates/wasabi-protocol/src/endpoint.rs
+++ b/crates/wasabi-protocol/src/endpoint.rs
@@ -14,7 +14,8 @@
 pub const SILENT_AFTER: Millis = Millis(2_500);
 
 /// What an endpoint announces, first and at each renewal.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Announcement {
     /// The endpoint's name, unique in the region.
@@ -48,7 +49,8 @@
 }
 
 /// Whether an endpoint is a model engine or a plain service.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Kind {
     /// A language-model engine.
@@ -58,7 +60,8 @@
 }
 
 /// What an endpoint can do beyond serving.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Abilities {
     /// Refuses orders that carry an old fencing number.
@@ -72,7 +75,8 @@
 }
 
 /// A load report of an endpoint. It lags behind the truth.
-#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Load {
     /// Requests in the batch.
--- a/crates/wasabi-protocol/src/fault.rs
+++ b/crates/wasabi-protocol/src/fault.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// What is known about whether a request ran.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Ran {
     /// No byte of the request left for an endpoint, and none will.
@@ -28,7 +29,8 @@
 }
 
 /// Whether the caller may send the request again.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Retry {
     /// The same request may be sent again after a pause, to the same or another entry.
@@ -40,7 +42,8 @@
 }
 
 /// The kinds of errors that a caller or an operator can meet.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Kind {
     /// The request is malformed. Remedy: correct it as the message says.
@@ -228,7 +231,8 @@
 }
 
 /// An error that leaves the system.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Fault {
     /// The kind, which sets the status and what is said about running.
     pub kind: Kind,
--- a/crates/wasabi-protocol/src/fingerprint.rs
+++ b/crates/wasabi-protocol/src/fingerprint.rs
@@ -9,7 +9,8 @@
 use crate::id;
 
 /// The digest of a request body.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Body(pub u64);
 
--- a/crates/wasabi-protocol/src/id.rs
+++ b/crates/wasabi-protocol/src/id.rs
@@ -147,7 +147,8 @@
 /// One attempt to run a request on one endpoint.
 ///
 /// It is sent to the endpoint and must come back with the answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(from = "String", into = "String")]
 pub struct Attempt(pub u128);
 
--- a/crates/wasabi-protocol/src/request.rs
+++ b/crates/wasabi-protocol/src/request.rs
@@ -5,7 +5,8 @@
 use crate::{clock::Millis, contract::Tier, fault, fingerprint, id};
 
 /// A request as the pool owner sees it. The body stays with the entry that holds the caller.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Request {
     /// The attempt that a grant would start.
     pub attempt: id::Attempt,
@@ -49,7 +50,8 @@
 }
 
 /// How an attempt ended, as the entry that held it reports.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum End {
     /// The whole answer came.
@@ -84,7 +86,8 @@
 }
 
 /// What an attempt showed about its endpoint.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Report {
     /// How it ended.
     pub end: End,
--- /dev/null
+++ b/crates/wasabi-protocol/src/rpc/entry.rs
@@ -0,0 +1,126 @@
+//! Messages between entries, and between entries and control.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    clock::Millis,
+    command::{Command, Config, Entry, Outcome},
+    endpoint::Announcement,
+    fingerprint, id,
+    rpc::Pressure,
+};
+
+/// A request fingerprint that crashed endpoints.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Suspect {
+    /// The fingerprint.
+    pub fingerprint: fingerprint::Body,
+    /// The organisation.
+    pub organisation: id::Organisation,
+    /// Crashes in which it ran alone or was the only common request.
+    pub crashes: u32,
+    /// Weight collected from crashes of whole batches, from 0 to the number of crashes.
+    pub weight: f64,
+    /// Age of the last crash, in milliseconds.
+    pub age: Millis,
+}
+
+/// What entries tell each other, and the answer.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// The sender.
+    pub from: id::Entry,
+    /// The number of the sender's view.
+    pub view: id::View,
+    /// The revision in force at the sender.
+    pub revision: id::Revision,
+    /// Revisions that the sender knows to be in force at other entries.
+    pub known: Vec<(id::Entry, id::Revision)>,
+    /// The pools that the sender owns.
+    pub pools: Vec<Pressure>,
+    /// Suspects and quarantined requests.
+    pub suspects: Vec<Suspect>,
+}
+
+/// What an entry tells the control leader.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Checkin {
+    /// The entry, with its addresses.
+    pub entry: Entry,
+    /// The revision in force at the entry.
+    pub revision: id::Revision,
+    /// Revisions that it knows to be in force at its peers.
+    pub known: Vec<(id::Entry, id::Revision)>,
+    /// Evidence about moves, collected by the pools that it owns.
+    pub evidence: Vec<Evidence>,
+    /// The endpoints of the pools that it owns.
+    pub endpoints: Vec<Announcement>,
+    /// Suspects and quarantined requests.
+    pub suspects: Vec<Suspect>,
+    /// Parts that are degraded, in words for the operator.
+    pub degraded: Vec<String>,
+}
+
+/// The control leader's answer to [`Checkin`].
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub enum Checked {
+    /// The leader has heard the entry.
+    Heard {
+        /// The revision in force.
+        revision: id::Revision,
+        /// The configuration, when the entry's is older.
+        config: Option<Box<Config>>,
+    },
+    /// The asked member is not the leader.
+    NotLeader {
+        /// The leader's address, when it is known.
+        leader: Option<String>,
+    },
+}
+
+/// What one version showed on one route since the last check-in.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Evidence {
+    /// The move.
+    pub name: id::Move,
+    /// The route.
+    pub route: id::Route,
+    /// The version.
+    pub version: id::Version,
+    /// Requests that ended, without abandoned ones.
+    pub requests: u64,
+    /// Requests that failed by the endpoint's fault.
+    pub errors: u64,
+    /// Requests slower than the route's targets after correction for length.
+    pub slow: u64,
+    /// Whether the owner stopped the new version by its own evidence.
+    pub stopped: bool,
+}
+
+/// A command to the control leader.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Propose {
+    /// The command.
+    pub command: Command,
+}
+
+/// The answer to [`Propose`].
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub enum Proposed {
+    /// The command is committed with this outcome.
+    Committed(Outcome),
+    /// The asked member is not the leader; the command was not proposed.
+    NotLeader {
+        /// The leader's address, when it is known.
+        leader: Option<String>,
+    },
+    /// Leadership was lost after the command was proposed; it may still be committed.
+    Unknown,
+}
--- /dev/null
+++ b/crates/wasabi-protocol/src/rpc/member.rs
@@ -0,0 +1,41 @@
+//! Messages between control members.
+
+use serde::{Deserialize, Serialize};
+
+use crate::id;
+
+/// Messages of the agreement between two control members.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Step {
+    /// The sender.
+    pub from: id::Member,
+    /// The IP address and port that the sender listens on.
+    pub address: String,
+    /// Proofs that the sender holds the same digests of operators' credentials; one that the
+    /// receiver knows suffices, so that credentials can be replaced one after the other.
+    pub proofs: Vec<String>,
+    /// The member that the sender means.
+    pub to: id::Member,
+    /// The messages, encoded with postcard and then base64.
+    pub messages: String,
+}
+
+/// Asks a member whether it ever got a message from the asker.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Hello {
+    /// The asker.
+    pub from: id::Member,
+}
+
+/// The answer to [`Hello`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Met {
+    /// No message of the asker ever came.
+    Never,
+    /// The asker took part before, so an empty folder means that it lost its disk.
+    Before,
+}
--- /dev/null
+++ b/crates/wasabi-protocol/src/rpc/method.rs
@@ -0,0 +1,36 @@
+//! Names of the methods.
+
+/// Asks a pool owner for a grant; answered when one is given or refused.
+pub const ACQUIRE: &str = "pool.acquire";
+/// Gives a grant back with its report.
+pub const RELEASE: &str = "pool.release";
+/// Takes a grant back from its holder before the first token.
+pub const PREEMPT: &str = "pool.preempt";
+/// Tells a new pool owner the grants that a holder still uses.
+pub const REPORT: &str = "pool.report";
+/// Relays an endpoint's announcement to the pool owner.
+pub const ANNOUNCE: &str = "endpoint.announce";
+/// Relays that an endpoint leaves.
+pub const LEAVE: &str = "endpoint.leave";
+/// Asks the owner of an organisation's budget for a slice.
+pub const LEND: &str = "budget.lend";
+/// Exchanges liveness and summaries between entries.
+pub const PEER_HEARTBEAT: &str = "peer.heartbeat";
+/// Returns the configuration in force at a peer or at control.
+pub const CONFIG: &str = "config.fetch";
+/// Exchanges liveness between an entry and the control leader.
+pub const CONTROL_HEARTBEAT: &str = "control.heartbeat";
+/// Proposes a command to the control leader.
+pub const PROPOSE: &str = "control.propose";
+/// Carries a message of the agreement between control members.
+pub const CONSENSUS: &str = "consensus.step";
+/// Asks a member whether it ever heard the asker, before the asker founds a group.
+pub const HELLO: &str = "consensus.hello";
+/// Gives an operator's command.
+pub const OPERATE: &str = "operator.command";
+/// Returns contracts, moves, entries, endpoints and degraded parts.
+pub const STATUS: &str = "operator.status";
+/// Changes the members of the control group.
+pub const MEMBERS: &str = "operator.members";
+/// Drains an entry.
+pub const DRAIN: &str = "operator.drain";
--- /dev/null
+++ b/crates/wasabi-protocol/src/rpc/mod.rs
@@ -0,0 +1,17 @@
+//! Messages between entries, control and operators.
+
+mod entry;
+mod member;
+pub mod method;
+mod operator;
+mod pool;
+
+pub use entry::{Checked, Checkin, Evidence, Heartbeat, Propose, Proposed, Suspect};
+pub use member::{Hello, Met, Step};
+pub use operator::{
+    ChangeMembers, Drain, Drained, EntryStatus, Force, Inquire, Inquired, MemberChange,
+    MemberStatus, MembersChanged, Operate, Operated, Role, Source, Standing, Status,
+};
+pub use pool::{
+    Acquire, Acquired, Grant, Holdings, Lend, Preempt, Pressure, Release, Running, Slice, Usage,
+};
--- /dev/null
+++ b/crates/wasabi-protocol/src/rpc/pool.rs
@@ -0,0 +1,176 @@
+//! Messages between the holders of callers and the owners of pools and budgets.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    clock::Millis,
+    contract::{TIERS, Tier},
+    fault::Fault,
+    id,
+    request::{Report, Request},
+};
+
+/// Asks a pool owner for a grant.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Acquire {
+    /// The pool.
+    pub pool: id::Pool,
+    /// The entry that holds the caller.
+    pub holder: id::Entry,
+    /// The request.
+    pub request: Request,
+}
+
+/// A grant: the holder may run the request on the endpoint.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Grant {
+    /// The number of the grant at its owner.
+    pub grant: id::Grant,
+    /// The pool.
+    pub pool: id::Pool,
+    /// The owner.
+    pub owner: id::Entry,
+    /// The endpoint.
+    pub endpoint: id::Endpoint,
+    /// The IP address and port of the endpoint.
+    pub address: String,
+    /// The version of the endpoint.
+    pub version: id::Version,
+    /// Whether the endpoint resumes streams.
+    pub resume: bool,
+    /// Longest silence before the first token, in milliseconds.
+    pub first_token_bound: Millis,
+    /// Longest silence between tokens, in milliseconds.
+    pub between_tokens_bound: Millis,
+}
+
+/// The owner's answer to [`Acquire`].
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub enum Acquired {
+    /// The request may run.
+    Granted(Grant),
+    /// The request is refused; nothing ran.
+    Refused(Fault),
+    /// The asked entry does not own the pool in its view.
+    NotOwner {
+        /// The number of its view.
+        view: id::View,
+    },
+}
+
+/// Gives a grant back.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Release {
+    /// The pool.
+    pub pool: id::Pool,
+    /// The owner that gave the grant.
+    pub owner: id::Entry,
+    /// The number of the grant.
+    pub grant: id::Grant,
+    /// The attempt that held it.
+    pub attempt: id::Attempt,
+    /// The endpoint.
+    pub endpoint: id::Endpoint,
+    /// The route of the request.
+    pub route: id::Route,
+    /// The version that served it.
+    pub version: id::Version,
+    /// What the attempt showed.
+    pub report: Report,
+}
+
+/// Takes a grant back from its holder, unless a token of the answer came already.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Preempt {
+    /// The pool.
+    pub pool: id::Pool,
+    /// The attempt that the grant started.
+    pub attempt: id::Attempt,
+}
+
+/// A grant that a holder still uses, told to a new owner.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Running {
+    /// The request.
+    pub request: Request,
+    /// The endpoint.
+    pub endpoint: id::Endpoint,
+}
+
+/// Tells a new pool owner what a holder still runs.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Holdings {
+    /// The pool.
+    pub pool: id::Pool,
+    /// The entry that holds the callers.
+    pub holder: id::Entry,
+    /// What it runs.
+    pub running: Vec<Running>,
+}
+
+/// The load of a pool, shared between entries.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Pressure {
+    /// The pool.
+    pub pool: id::Pool,
+    /// The model or service.
+    pub backend: id::Backend,
+    /// Waiting requests by tier.
+    pub waiting: [u32; TIERS],
+    /// Running requests by tier.
+    pub running: [u32; TIERS],
+    /// Requests that its endpoints may run at one time.
+    pub capacity: u32,
+    /// The least urgent tier started in the last second.
+    pub lowest_started: Option<Tier>,
+}
+
+/// Part of an organisation's budget, lent to one pool owner for a short time.
+#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Slice {
+    /// Requests that may be started while the slice lasts.
+    pub requests: f64,
+    /// Estimated tokens that may be started while the slice lasts.
+    pub tokens: f64,
+    /// Requests that may run at one time while the slice lasts.
+    pub concurrency: u32,
+    /// How long the slice lasts, in milliseconds.
+    pub span: Millis,
+}
+
+/// What a pool owner used of an organisation's budget since it last asked, and what it wants.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+#[derive(Serialize, Deserialize)]
+pub struct Usage {
+    /// Requests started.
+    pub requests: u64,
+    /// Estimated tokens started.
+    pub tokens: u64,
+    /// Requests running now.
+    pub running: u32,
+    /// Requests that wait for budget.
+    pub waiting: u32,
+    /// Estimated tokens of the requests that wait for budget.
+    pub waiting_tokens: u64,
+}
+
+/// Asks the owner of an organisation's budget for the next slice.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Lend {
+    /// The organisation.
+    pub organisation: id::Organisation,
+    /// The pool that asks.
+    pub pool: id::Pool,
+    /// What the pool used and wants.
+    pub used: Usage,
+}
--- a/crates/wasabi-settings/src/control.rs
+++ b/crates/wasabi-settings/src/control.rs
@@ -9,7 +9,8 @@
 use crate::{log::Log, scalar::Scalar, tls::Tls};
 
 /// Settings of `wasabi-controld`.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize, JsonSchema, Validate)]
 #[serde(default)]
 #[garde(custom(distinct))]
 pub struct Settings {
@@ -69,7 +70,8 @@
 }
 
 /// A member of a new control group.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize, JsonSchema, Validate)]
 pub struct Member {
     /// The member's name.
     #[garde(length(min = 1))]
--- a/crates/wasabi-settings/src/entry.rs
+++ b/crates/wasabi-settings/src/entry.rs
@@ -10,7 +10,8 @@
 use crate::{log::Log, scalar::Scalar, tls::Tls};
 
 /// Settings of `wasabi-entryd`.
-#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize, JsonSchema)]
+#[derive(Debug, Clone, PartialEq, Default)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(default)]
 pub struct Settings {
     /// The entry's name, unique among all entries.
@@ -38,7 +39,8 @@
 }
 
 /// Where the entry listens.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize, JsonSchema, Validate)]
 #[serde(default)]
 pub struct Listen {
     /// Callers and endpoints (HTTP).
@@ -60,7 +62,8 @@
 }
 
 /// Limits on what one caller can make the entry hold.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize, JsonSchema, Validate)]
 #[serde(default)]
 pub struct Callers {
     /// Largest request body, in bytes.
@@ -89,7 +92,8 @@
 }
 
 /// How the entry stops.
-#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize, JsonSchema, Validate)]
+#[derive(Debug, Clone, PartialEq, Default)]
+#[derive(Serialize, Deserialize, JsonSchema, Validate)]
 #[serde(default)]
 pub struct Drain {
     /// Time after which a stopping entry cuts the streams that are left; none means never.
@@ -98,7 +102,8 @@
 }
 
 /// Number of threads.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize, JsonSchema, Validate)]
 #[serde(transparent)]
 #[garde(transparent)]
 pub struct Threads(#[garde(dive)] pub Scalar<u16>);
--- a/crates/wasabi-settings/src/file.rs
+++ b/crates/wasabi-settings/src/file.rs
@@ -10,7 +10,8 @@
 use snafu::{ResultExt as _, Snafu};
 
 /// Why a settings file is refused.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum Error {
     /// The file cannot be read. Remedy: correct the path or its permissions.
     #[snafu(display("cannot read the settings file {}: {source}", path.display()))]
--- a/crates/wasabi-settings/src/log.rs
+++ b/crates/wasabi-settings/src/log.rs
@@ -7,7 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Settings of logs and traces.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize, JsonSchema, Validate)]
 #[serde(default)]
 pub struct Log {
     /// The level, or a filter such as `info,wasabi_entry=debug`.
--- a/crates/wasabi-settings/src/tls.rs
+++ b/crates/wasabi-settings/src/tls.rs
@@ -7,7 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 /// The certificate and key that a listener presents.
-#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize, JsonSchema, Validate)]
+#[derive(Debug, Clone, PartialEq, Default)]
+#[derive(Serialize, Deserialize, JsonSchema, Validate)]
 #[serde(default)]
 pub struct Tls {
     /// The PEM file with the certificate chain.
--- a/crates/wasabi-standin/src/counts.rs
+++ b/crates/wasabi-standin/src/counts.rs
@@ -8,7 +8,8 @@
 use serde::{Deserialize, Serialize};
 
 /// A snapshot of the counts.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct Counts {
     /// Requests that were received whole.
     pub requests: u64,
--- a/crates/wasabi-standin/src/settings.rs
+++ b/crates/wasabi-standin/src/settings.rs
@@ -4,7 +4,8 @@
 use wasabi_protocol::{clock::Millis, endpoint, id};
 
 /// What a stand-in provides and how fast.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// The endpoint's name.
@@ -49,7 +50,8 @@
 }
 
 /// Fault modes. Each is off at its default value.
-#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Faults {
     /// Added to the time between tokens, in milliseconds.
--- a/crates/wasabi-state/src/keys.rs
+++ b/crates/wasabi-state/src/keys.rs
@@ -50,7 +50,8 @@
 }
 
 /// The record of one key.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct Record {
     changed: Millis,
     body: u128,
@@ -207,7 +208,8 @@
 }
 
 /// The part of the records that a snapshot holds.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(crate) struct Image<'a> {
     by_key: &'a BTreeMap<Key, Record>,
     released: &'a VecDeque<(Millis, id::Attempt)>,
--- a/crates/wasabi-state/src/lease.rs
+++ b/crates/wasabi-state/src/lease.rs
@@ -5,7 +5,8 @@
 const DRIFT_DIVISOR: u64 = 10;
 
 /// The lease for orders to the platform.
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct Lease {
     fence: id::Fence,
     holder: Option<id::Member>,
--- a/crates/wasabi-state/src/machine.rs
+++ b/crates/wasabi-state/src/machine.rs
@@ -34,7 +34,8 @@
 }
 
 /// The last accepted change of the configuration.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct Change {
     /// The revision that it produced.
     pub revision: id::Revision,
--- a/crates/wasabi-state/src/moves.rs
+++ b/crates/wasabi-state/src/moves.rs
@@ -15,7 +15,8 @@
 const WHOLE_PERMILLE: u32 = 1_000;
 
 /// Version moves and the versions that were taken back.
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct Moves {
     by_name: BTreeMap<id::Move, Move>,
     banned: BTreeSet<(id::Backend, id::Version)>,
--- a/crates/wasabi-state/src/results.rs
+++ b/crates/wasabi-state/src/results.rs
@@ -23,7 +23,8 @@
 }
 
 /// The first result of a command.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct Result {
     at: Millis,
     digest: u128,
--- a/crates/wasabi-state/src/snapshot.rs
+++ b/crates/wasabi-state/src/snapshot.rs
@@ -16,7 +16,8 @@
 const LAYOUT: u16 = 1;
 
 /// Why a snapshot cannot be written or read.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum Error {
     /// The bytes do not hold a snapshot.
     #[snafu(display("the snapshot cannot be encoded or decoded: {source}"))]
@@ -33,7 +34,8 @@
 }
 
 /// The parts that are cheap to copy, beside the records.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
 struct Head {
     index: u64,
     now: Millis,
@@ -46,7 +48,8 @@
     results: Vec<(id::Command, results::Result)>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct OwnedKeys {
     by_key: BTreeMap<command::Key, keys::Record>,
     released: VecDeque<(Millis, id::Attempt)>,
--- a/crates/wasabi-telemetry/src/log.rs
+++ b/crates/wasabi-telemetry/src/log.rs
@@ -20,7 +20,8 @@
 use crate::trace;
 
 /// Why logging cannot start.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum Error {
     /// The level is not a filter. Remedy: use a level such as `info`.
     #[snafu(display("log.level `{level}` is not a filter such as `info`: {source}"))]
--- a/crates/wasabi-wal/src/error.rs
+++ b/crates/wasabi-wal/src/error.rs
@@ -8,7 +8,8 @@
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
 /// Why the log cannot go on.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum Error {
     /// The operating system refused an operation on a file.
--- a/crates/wasabi-wal/src/frame.rs
+++ b/crates/wasabi-wal/src/frame.rs
@@ -13,7 +13,8 @@
 const RECORD_HEADER_BYTES: usize = 8;
 
 /// A record as it stands in a frame.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) enum Item {
     /// The first record of a segment; its number guards against renamed files.
     Segment(u64),
--- a/crates/wasabi-wal/src/lib.rs
+++ b/crates/wasabi-wal/src/lib.rs
@@ -21,7 +21,8 @@
 use serde::{Deserialize, Serialize};
 
 /// A record of the log.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Record {
     /// The index. It is one higher than that of the record before.
     pub index: u64,
@@ -32,7 +33,8 @@
 }
 
 /// The highest term joined and the vote given in it.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct Vote {
     /// The highest term joined.
     pub term: u64,
