scheduler: a suspect that met every endpoint is refused at once

Cause: a suspect whose only endpoint stands in its avoid list waited until its deadline, since the place for a suspect was looked for before the check that ends other requests. Seen once as a wait of 20 s. Ruled out: giving it the endpoint again, since a retry must not meet it. Conclusion: the answer is no_endpoint, "not run" for this attempt.

--- a/crates/wasabi-scheduler/src/pool/choice.rs
+++ b/crates/wasabi-scheduler/src/pool/choice.rs
@@ -71,7 +71,9 @@
             Permit::Refused { .. } => return Choice::Quarantined,
             Permit::Wait => return Choice::Later,
             Permit::Alone => {
-                let Some(index) = self.alone(now, request) else { return Choice::Later };
+                let Some(index) = self.alone(now, request) else {
+                    return if self.has_met_all(request) { Choice::Never } else { Choice::Later };
+                };
                 let side = self.versions.side(&self.endpoints.slots[index].announcement.version);
                 return Choice::Now { index, side, mark: Mark::Alone };
             }
@@ -108,6 +110,13 @@
         Choice::Now { index, side, mark: Mark::Usual }
     }
 
+    /// Returns whether the request must avoid each endpoint that is offered.
+    fn has_met_all(&self, request: &Request) -> bool {
+        let mut offered =
+            self.endpoints.slots.iter().filter(|slot| slot.offer != Offer::Never).peekable();
+        offered.peek().is_some() && offered.all(|slot| request.avoid.contains(slot.name()))
+    }
+
     /// Returns the endpoint with the lowest predicted time to the first token.
     ///
     /// Endpoints that do not meet the demand are left out.
--- a/crates/wasabi-scheduler/tests/suspects.rs
+++ b/crates/wasabi-scheduler/tests/suspects.rs
@@ -157,3 +157,15 @@
     assert_eq!(pool.endpoints().count(), 0);
     assert_eq!(pool.suspects(Millis(24_000)).len(), held.len());
 }
+
+/// Guards against a suspect that waits until its deadline for an endpoint that it may not meet
+/// again.
+#[test]
+fn a_suspect_that_met_every_endpoint_is_refused() {
+    let mut pool = ready(1, 4);
+    let held: Vec<_> = (0..2).flat_map(|n| grants(&acquire(&mut pool, 1_000, n, 2))).collect();
+    crash(&mut pool, 1_100, &on(&held, "a"));
+    pool.step(Millis(1_200), Event::Announce(announcement("a", 4)));
+    let refused = refusals(&pool.step(Millis(1_300), again(100, 0, &["a"])));
+    assert_eq!(refused, [(100, Kind::NoEndpoint)]);
+}
