system: the move test orders its moves in one place

Cause: the order of a move stood twice in the test of a failing version, and a comment on the endpoint choice was hard to read and over the line width. Ruled out: sharing the start of the entry's and the stand-in's binaries, since their arguments differ and the shared lines are a dozen. The repeated lines are gone.

--- a/crates/wasabi-cli/tests/bad_version.rs
+++ b/crates/wasabi-cli/tests/bad_version.rs
@@ -28,6 +28,14 @@
     Standin::start(settings).unwrap()
 }
 
+/// Orders the move to the new version; returns the exit code and output of the command.
+fn start_move(site: &Site, name: &str) -> (i32, String) {
+    let permille = SHARE_PERMILLE.to_string();
+    let versions = ["--backend", "chat", "--from", "v1", "--to", "v2"];
+    let pace = ["--within-min", "5", "--start-permille", permille.as_str(), name];
+    site.operate(&[&["move", "start"][..], &versions, &pace].concat())
+}
+
 /// Guards against a bad version that keeps its share, spreads over the traffic, or is offered
 /// again after it was taken back; and against callers who meet its errors, since their requests
 /// may be repeated.
@@ -40,22 +48,7 @@
     let new = [engine(&site, "new-0", "v2", bad.clone()), engine(&site, "new-1", "v2", bad)];
     let entries: Vec<_> = site.entries.iter().map(|entry| entry.address).collect();
 
-    let permille = SHARE_PERMILLE.to_string();
-    let (code, text) = site.operate(&[
-        "move",
-        "start",
-        "--backend",
-        "chat",
-        "--from",
-        "v1",
-        "--to",
-        "v2",
-        "--within-min",
-        "5",
-        "--start-permille",
-        &permille,
-        "first",
-    ]);
+    let (code, text) = start_move(&site, "first");
     assert_eq!(code, 0, "{text}");
 
     let started = Instant::now();
@@ -84,18 +77,6 @@
     assert_eq!(met_after, met, "a version that was taken back got traffic");
     let served: u64 = old.iter().map(|engine| engine.counts().requests).sum();
     assert!(sent <= served);
-    let (code, text) = site.operate(&[
-        "move",
-        "start",
-        "--backend",
-        "chat",
-        "--from",
-        "v1",
-        "--to",
-        "v2",
-        "--within-min",
-        "5",
-        "second",
-    ]);
+    let (code, text) = start_move(&site, "second");
     assert_ne!(code, 0, "a version that was taken back was accepted again: {text}");
 }
--- a/crates/wasabi-scheduler/src/pool/choice.rs
+++ b/crates/wasabi-scheduler/src/pool/choice.rs
@@ -195,8 +195,8 @@
     /// Returns what an endpoint must bring for the request to start now.
     ///
     /// An endpoint that reads long prompts or is slow would make the request late, while another
-    /// one will soon have room. Once the request must start to be in time, any endpoint will do that brings
-    /// the answer before the deadline; work that cannot end would only waste its prefill.
+    /// one will soon have room. Once the request must start to be in time, it may use any endpoint
+    /// that can answer before the deadline; work that cannot end would only waste its prefill.
     fn demand(&self, now: Millis, ticket: u64, request: &Request) -> Demand {
         let Some(item) = self.queue.item(ticket) else { return Demand::default() };
         if now + self.forecast.patience() < item.start_by {
