protocol, state: a site configuration, limits with a burst, refusals with a time

Cause: some operators send one versioned document with all routes, back ends and organisations. Contracts name the routes of one organisation each; hundreds of shared routes times sixteen organisations would not fit.

Change: `site::Config` is a second source of routes and limits. The highest version is in force; an older or resent one is acknowledged without effect. The text is kept as it was sent. Organisations of a site have limits in tokens with a burst; a pool refuses a request at once, with the time after which there is room, when the limit holds it back past its target. Lent credit that is not used within its slice is lost, so a lender gives no more than is wanted.

Ruled out: one contract per organisation with all routes copied (350 routes x 5 organisations in each check-in), and a bound without a burst (a request of 18,000 tokens overdraws a slice of a limit of 18,000/s four times).

--- a/crates/wasabi-admission/src/lender.rs
+++ b/crates/wasabi-admission/src/lender.rs
@@ -1,7 +1,8 @@
 //! The owner of an organisation's budget, which lends slices of it to pool owners.
 //!
-//! What is lent in a span `w` is at most the limit times `w` plus one slice: the purse fills at the
-//! rate of the limit, holds at most one slice, and is empty when a lender starts.
+//! What is lent in a span `w` is at most the limit times `w` plus one purse: the purse fills at the
+//! rate of the limit, holds at most one slice or the burst of the limits, and is empty when a lender
+//! starts.
 
 use std::collections::HashMap;
 
@@ -78,7 +79,8 @@
     fn fill(&mut self, now: Millis, limits: &Limits) {
         let elapsed = now.since(self.filled).seconds();
         self.filled = self.filled.max(now);
-        let (requests, tokens) = overdraft(limits);
+        let (requests, slice) = overdraft(limits);
+        let tokens = slice.max(f64::from(limits.burst_tokens));
         self.requests = (self.requests + f64::from(limits.requests_per_s) * elapsed).min(requests);
         self.tokens = (self.tokens + f64::from(limits.tokens_per_s) * elapsed).min(tokens);
         self.borrowers.retain(|_, borrower| now.since(borrower.asked) < FORGET);
@@ -99,7 +101,8 @@
         let part =
             |held: f64, wanted: f64, all: f64| (held.max(0.0) * wanted / all).min(2.0 * wanted);
         let requests = part(self.requests, wanted_requests, all_requests);
-        let tokens = part(self.tokens, wanted_tokens, all_tokens);
+        // Credit that is not used within its slice is lost, so no more is lent than is wanted.
+        let tokens = part(self.tokens, wanted_tokens, all_tokens).min(wanted_tokens);
         self.requests -= requests;
         self.tokens -= tokens;
         let concurrency = self.allot(limits.concurrency, pool);
--- a/crates/wasabi-admission/src/limit.rs
+++ b/crates/wasabi-admission/src/limit.rs
@@ -77,6 +77,15 @@
         allowed
     }
 
+    /// Returns the time until one more request may start behind `waiting_tokens` of others, as the
+    /// limit alone allows.
+    pub fn wait(&self, waiting_tokens: u64) -> Millis {
+        let (_, tokens) = overdraft(&self.limits);
+        let owed = waiting_tokens as f64 - self.tokens - tokens;
+        let rate = f64::from(self.limits.tokens_per_s.max(1));
+        Millis((owed.max(0.0) / rate * 1_000.0) as u64)
+    }
+
     /// Charges a request that starts.
     pub fn start(&mut self, tokens: u64) {
         self.requests -= 1.0;
--- a/crates/wasabi-admission/tests/limit.rs
+++ b/crates/wasabi-admission/tests/limit.rs
@@ -13,7 +13,8 @@
     rpc::{Slice, Usage},
 };
 
-const LIMITS: Limits = Limits { requests_per_s: 400, tokens_per_s: 40_000, concurrency: 64 };
+const LIMITS: Limits =
+    Limits { requests_per_s: 400, tokens_per_s: 40_000, concurrency: 64, burst_tokens: 0 };
 const LARGEST: u64 = 2_000;
 const DELAY: u64 = 5;
 
--- a/crates/wasabi-bench/src/owner.rs
+++ b/crates/wasabi-bench/src/owner.rs
@@ -37,7 +37,12 @@
 impl Owner {
     /// Returns an owner of a pool with contracts that do not limit the load of a run.
     pub fn new(seed: u64) -> Self {
-        let limits = Limits { requests_per_s: 5_000, tokens_per_s: 10_000_000, concurrency: 4_000 };
+        let limits = Limits {
+            requests_per_s: 5_000,
+            tokens_per_s: 10_000_000,
+            concurrency: 4_000,
+            burst_tokens: 0,
+        };
         Self {
             pool: pool(Millis::ZERO, seed, &limits),
             lender: Lender::new(),
--- a/crates/wasabi-protocol/src/command.rs
+++ b/crates/wasabi-protocol/src/command.rs
@@ -4,8 +4,8 @@
 
 use crate::{
     clock::Millis,
-    contract::{Contract, Problem},
-    endpoint, fault, id,
+    contract::{Contract, Limits, Problem},
+    endpoint, fault, id, site,
 };
 
 /// Who ordered a change, and on which revision.
@@ -34,6 +34,9 @@
     pub data_centre: id::DataCentre,
     /// The region.
     pub region: id::Region,
+    /// When its process started, in milliseconds since the Unix epoch; tells a restarted process
+    /// from the one before.
+    pub started: Millis,
     /// Whether it takes new callers.
     pub duty: Duty,
 }
@@ -137,6 +140,20 @@
     pub moves: Vec<Move>,
     /// Versions that were taken back and are never offered again.
     pub banned: Vec<(id::Backend, id::Version)>,
+    /// The site configuration, on deployments whose operator sends one.
+    pub site: Option<site::Config>,
+}
+
+impl Config {
+    /// Returns the limits of an organisation, from its contract or from the site.
+    pub fn limits(&self, organisation: &id::Organisation) -> Option<Limits> {
+        let mut contracts = self.contracts.iter();
+        if let Some(contract) = contracts.find(|contract| contract.organisation == *organisation) {
+            return Some(contract.limits);
+        }
+        let mut of_site = self.site.iter().flat_map(|site| &site.organisations);
+        of_site.find(|one| one.name == *organisation)?.contract_limits()
+    }
 }
 
 /// The name of an at-most-once record.
@@ -260,6 +277,8 @@
     },
     /// Removes records past their retention.
     ExpireKeys,
+    /// Puts a site configuration in force unless one with the same or a higher version is.
+    PutSite(Box<site::Document>),
 }
 
 /// What a command did.
--- a/crates/wasabi-protocol/src/contract.rs
+++ b/crates/wasabi-protocol/src/contract.rs
@@ -58,6 +58,10 @@
     pub tokens_per_s: u32,
     /// Most requests running at one time.
     pub concurrency: u32,
+    /// Estimated tokens that may be started beyond `tokens_per_s` after quiet traffic; 0 means those
+    /// of a quarter of a second.
+    #[serde(default)]
+    pub burst_tokens: u32,
 }
 
 /// One kind of request within a contract.
--- a/crates/wasabi-protocol/src/fault.rs
+++ b/crates/wasabi-protocol/src/fault.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::clock::Millis;
+
 /// What is known about whether a request ran.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 #[derive(Serialize, Deserialize)]
@@ -238,12 +240,21 @@
     pub kind: Kind,
     /// What happened and what the reader can do.
     pub message: String,
+    /// When the same request is likely to find room, in milliseconds from now.
+    #[serde(default)]
+    pub retry_after: Option<Millis>,
 }
 
 impl Fault {
     /// Returns a fault of a kind with its message.
     pub fn new(kind: Kind, message: impl Into<String>) -> Self {
-        Self { kind, message: message.into() }
+        Self { kind, message: message.into(), retry_after: None }
+    }
+
+    /// Returns the fault with the time after which the request may be sent again.
+    #[must_use]
+    pub fn after(self, pause: Millis) -> Self {
+        Self { retry_after: Some(pause), ..self }
     }
 }
 
--- a/crates/wasabi-protocol/src/lib.rs
+++ b/crates/wasabi-protocol/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod id;
 pub mod request;
 pub mod rpc;
+pub mod site;
--- a/crates/wasabi-protocol/src/rpc/entry.rs
+++ b/crates/wasabi-protocol/src/rpc/entry.rs
@@ -74,6 +74,8 @@
         revision: id::Revision,
         /// The configuration, when the entry's is older.
         config: Option<Box<Config>>,
+        /// The addresses of the control members.
+        members: Vec<String>,
     },
     /// The asked member is not the leader.
     NotLeader {
--- a/crates/wasabi-protocol/src/rpc/member.rs
+++ b/crates/wasabi-protocol/src/rpc/member.rs
@@ -39,3 +39,30 @@
     /// The asker took part before, so an empty folder means that it lost its disk.
     Before,
 }
+
+/// Asks the control leader to be a member of its group.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Join {
+    /// The member.
+    pub member: id::Member,
+    /// The IP address and port that it listens on.
+    pub address: String,
+    /// Proofs that the sender knows the operators' digests.
+    pub proofs: Vec<String>,
+}
+
+/// The answer to [`Join`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum Joined {
+    /// It is a voting member.
+    Member,
+    /// The next step is under way; the member asks again.
+    Waiting,
+    /// The asked member does not lead.
+    NotLeader {
+        /// The leader's address, when it is known.
+        leader: Option<String>,
+    },
+}
--- a/crates/wasabi-protocol/src/rpc/method.rs
+++ b/crates/wasabi-protocol/src/rpc/method.rs
@@ -12,6 +12,10 @@
 pub const ANNOUNCE: &str = "endpoint.announce";
 /// Relays that an endpoint leaves.
 pub const LEAVE: &str = "endpoint.leave";
+/// Announces an endpoint that another process heard, to be passed to the pool owner.
+pub const REGISTER: &str = "endpoint.register";
+/// States that an endpoint leaves, to be passed to all entries.
+pub const RETIRE: &str = "endpoint.retire";
 /// Asks the owner of an organisation's budget for a slice.
 pub const LEND: &str = "budget.lend";
 /// Exchanges liveness and summaries between entries.
@@ -26,6 +30,8 @@
 pub const CONSENSUS: &str = "consensus.step";
 /// Asks a member whether it ever heard the asker, before the asker founds a group.
 pub const HELLO: &str = "consensus.hello";
+/// Asks the control leader to be a member of its group.
+pub const JOIN: &str = "consensus.join";
 /// Gives an operator's command.
 pub const OPERATE: &str = "operator.command";
 /// Returns contracts, moves, entries, endpoints and degraded parts.
--- a/crates/wasabi-protocol/src/rpc/mod.rs
+++ b/crates/wasabi-protocol/src/rpc/mod.rs
@@ -7,7 +7,7 @@
 mod pool;
 
 pub use entry::{Checked, Checkin, Evidence, Heartbeat, Propose, Proposed, Suspect};
-pub use member::{Hello, Met, Step};
+pub use member::{Hello, Join, Joined, Met, Step};
 pub use operator::{
     ChangeMembers, Drain, Drained, EntryStatus, Force, Inquire, Inquired, MemberChange,
     MemberStatus, MembersChanged, Operate, Operated, Role, Source, Standing, Status,
--- a/crates/wasabi-routing/tests/rendezvous.rs
+++ b/crates/wasabi-routing/tests/rendezvous.rs
@@ -4,6 +4,7 @@
 
 use proptest::{prelude::*, test_runner::RngSeed};
 use wasabi_protocol::{
+    clock::Millis,
     command::{Duty, Entry, View},
     id,
 };
@@ -16,6 +17,7 @@
         peer_address: String::new(),
         data_centre: format!("dc-{centre}").into(),
         region: region.into(),
+        started: Millis::ZERO,
         duty: Duty::Serving,
     }
 }
--- a/crates/wasabi-scheduler/src/pool/budget.rs
+++ b/crates/wasabi-scheduler/src/pool/budget.rs
@@ -10,6 +10,7 @@
     id,
     request::Request,
     rpc::{Slice, Usage},
+    site,
 };
 
 /// The accounts of a pool with the organisations' budgets.
@@ -25,6 +26,7 @@
             .contracts
             .iter()
             .map(|contract| (contract.organisation.clone(), contract.limits))
+            .chain(config.site.iter().flat_map(site_limits))
             .collect();
         for (organisation, account) in &mut self.accounts {
             if let Some(limits) = self.limits.get(organisation) {
@@ -39,6 +41,12 @@
         self.account(organisation).is_none_or(|account| account.may_start(now))
     }
 
+    /// Returns the time until the organisation may start one more request behind those that wait.
+    pub(super) fn wait(&mut self, organisation: &id::Organisation, queue: &Queue) -> Millis {
+        let (_, tokens) = queue.backlog(organisation);
+        self.account(organisation).map_or(Millis::ZERO, |account| account.wait(tokens))
+    }
+
     pub(super) fn start(&mut self, request: &Request) {
         if let Some(account) = self.account(&request.organisation) {
             account.start(request.tokens());
@@ -97,3 +105,8 @@
         self.accounts.get_mut(organisation)
     }
 }
+
+/// Returns the organisations of a site that have a limit.
+fn site_limits(site: &site::Config) -> impl Iterator<Item = (id::Organisation, Limits)> {
+    site.organisations.iter().filter_map(|one| Some((one.name.clone(), one.contract_limits()?)))
+}
--- a/crates/wasabi-scheduler/src/pool/owner.rs
+++ b/crates/wasabi-scheduler/src/pool/owner.rs
@@ -38,6 +38,10 @@
 /// Time after which a new owner stops waiting for reports of running grants.
 const TAKEOVER: Millis = Millis(500);
 
+/// Wait for an organisation's budget up to which a request is queued in any case, in milliseconds:
+/// a slice comes within this time.
+const LIMIT_WAIT_MIN: Millis = Millis(250);
+
 /// The owner of one pool.
 #[derive(Debug)]
 pub struct Pool {
@@ -209,6 +213,13 @@
             let message = "the retry budget is used up; this attempt was not run";
             return refuse(actions, ticket, Kind::Overloaded, message);
         }
+        let wait = self.budgets.wait(&request.organisation, &self.queue);
+        if request.first_token.max(LIMIT_WAIT_MIN) < wait {
+            let message = "a limit of the contract is used up; wait, or change the contract";
+            let fault = Fault::new(Kind::LimitReached, message).after(wait);
+            actions.push(Action::Refuse { ticket, fault });
+            return;
+        }
         let item = self.item(now, ticket, &request);
         match self.queue.push(item) {
             Pushed::Queued => {}
--- a/crates/wasabi-scheduler/tests/urgency.rs
+++ b/crates/wasabi-scheduler/tests/urgency.rs
@@ -117,7 +117,8 @@
 fn holds_an_organisation_to_its_contract() {
     let mut pool = ready(4, 64);
     let mut config = config(1, &["e1"]);
-    let limits = Limits { requests_per_s: 40, tokens_per_s: 1_000_000, concurrency: 200 };
+    let limits =
+        Limits { requests_per_s: 40, tokens_per_s: 1_000_000, concurrency: 200, burst_tokens: 0 };
     config.contracts = vec![contract("org", limits)];
     pool.step(Millis(1_000), Event::Config(&config));
     let mut granted = 0;
--- a/crates/wasabi-state/src/machine.rs
+++ b/crates/wasabi-state/src/machine.rs
@@ -5,7 +5,7 @@
     clock::Millis,
     command::{Command, Config, Entry, Order, Outcome, View},
     contract::{Contract, Problem},
-    id,
+    id, site,
 };
 
 use crate::{
@@ -31,6 +31,7 @@
     pub(crate) lease: Lease,
     pub(crate) results: Results,
     pub(crate) keys: Keys,
+    pub(crate) site: Option<site::Document>,
 }
 
 /// The last accepted change of the configuration.
@@ -97,6 +98,7 @@
                 self.results.expire(self.now);
                 self.keys.expire(self.now)
             }
+            Command::PutSite(document) => self.put_site(document),
         }
     }
 
@@ -108,6 +110,7 @@
             contracts: self.contracts.values().cloned().collect(),
             moves: self.moves.list().cloned().collect(),
             banned: self.moves.banned().cloned().collect(),
+            site: self.site.as_ref().map(|document| document.config.clone()),
         }
     }
 
@@ -136,6 +139,11 @@
         self.contracts.values()
     }
 
+    /// Returns the site configuration in force, with its text.
+    pub const fn site(&self) -> Option<&site::Document> {
+        self.site.as_ref()
+    }
+
     /// Returns the moves, ordered by name.
     pub fn moves(&self) -> impl Iterator<Item = &wasabi_protocol::command::Move> {
         self.moves.list()
@@ -210,6 +218,21 @@
         }
     }
 
+    /// Accepts a site configuration with a higher version than the one held. An older or resent one
+    /// is acknowledged without effect, whatever its content.
+    fn put_site(&mut self, document: &site::Document) -> Outcome {
+        let version = document.config.version;
+        if self.site.as_ref().is_some_and(|held| version <= held.config.version) {
+            return Outcome::Done;
+        }
+        let problems = document.config.problems();
+        if !problems.is_empty() {
+            return Outcome::Refused { problems };
+        }
+        self.site = Some(document.clone());
+        self.accept(CONTROL, format!("put version {version} of the site in force"))
+    }
+
     fn set_view(&mut self, base: id::View, entries: &[Entry]) -> Outcome {
         if base != self.view.number {
             return self.conflict();
--- a/crates/wasabi-state/src/snapshot.rs
+++ b/crates/wasabi-state/src/snapshot.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt as _, Snafu, ensure};
-use wasabi_protocol::{clock::Millis, command, contract::Contract, id};
+use wasabi_protocol::{clock::Millis, command, contract::Contract, id, site};
 
 use crate::{
     keys::{self, Keys},
@@ -13,7 +13,7 @@
 };
 
 /// The layout of snapshots that this version reads and writes.
-const LAYOUT: u16 = 1;
+const LAYOUT: u16 = 2;
 
 /// Why a snapshot cannot be written or read.
 #[derive(Debug)]
@@ -46,6 +46,7 @@
     moves: Moves,
     lease: Lease,
     results: Vec<(id::Command, results::Result)>,
+    site: Option<site::Document>,
 }
 
 #[derive(Debug)]
@@ -72,6 +73,7 @@
             moves: self.moves.clone(),
             lease: self.lease.clone(),
             results: self.results.image(),
+            site: self.site.clone(),
         };
         postcard::to_stdvec(&(LAYOUT, head, self.keys.image())).context(CodecSnafu)
     }
@@ -96,6 +98,7 @@
             lease: head.lease,
             results: Results::from_image(head.results),
             keys: Keys::from_image(keys.by_key, keys.released),
+            site: head.site,
         })
     }
 }
--- a/crates/wasabi-state/tests/support/mod.rs
+++ b/crates/wasabi-state/tests/support/mod.rs
@@ -22,7 +22,7 @@
         organisation: organisation.into(),
         token_digests: vec![fingerprint::token("secret")],
         share,
-        limits: Limits { requests_per_s: 10, tokens_per_s: 1_000, concurrency: 4 },
+        limits: Limits { requests_per_s: 10, tokens_per_s: 1_000, concurrency: 4, burst_tokens: 0 },
         routes: vec![route],
     }
 }
@@ -58,6 +58,7 @@
         peer_address: "127.0.0.1:2".to_owned(),
         data_centre: "a".into(),
         region: "r".into(),
+        started: Millis::ZERO,
         duty: Duty::Serving,
     }
 }
