control: members join and leave the group without an operator

Cause: where nobody repairs, a host that lost its disk or an empty successor at a new address stayed outside of the group for good, and after a power loss of all members nobody could hold an election: addresses came only from the settings or from committed entries, and after a restart nothing is known to be committed.

Change: a member asks the leader to be taken in, again and again; the leader adds it without a vote, promotes it once it has caught up, and only then removes the one that it replaces. A member is removed after 1 s of silence when another one serves its address, after 4 s when the group is larger than it was founded; a new leader counts silence from its start. Addresses are read from the log on disk, committed or not.

Ruled out: names that carry addresses (a joined member has a random suffix), and removal of any silent member (a group of three with one member restarting tolerates no more after it).

--- a/crates/wasabi-control/examples/measure/entries.rs
+++ b/crates/wasabi-control/examples/measure/entries.rs
@@ -4,6 +4,7 @@
 
 use jsonrpsee::{core::client::ClientT as _, rpc_params};
 use wasabi_protocol::{
+    clock::Millis,
     command::{Config, Duty, Entry},
     id,
     rpc::{Checked, Checkin, method},
@@ -63,6 +64,7 @@
             peer_address: format!("10.0.0.{number}:8081"),
             data_centre: "a".into(),
             region: "r".into(),
+            started: Millis::ZERO,
             duty: Duty::Serving,
         },
         revision: id::Revision(0),
--- a/crates/wasabi-control/examples/measure/state.rs
+++ b/crates/wasabi-control/examples/measure/state.rs
@@ -116,6 +116,7 @@
                 peer_address: "10.0.0.1:8081".to_owned(),
                 data_centre: "a".into(),
                 region: "r".into(),
+                started: Millis::ZERO,
                 duty: Duty::Serving,
             },
             revision: id::Revision(0),
--- a/crates/wasabi-control/src/input.rs
+++ b/crates/wasabi-control/src/input.rs
@@ -3,14 +3,17 @@
 use tokio::sync::oneshot::Sender;
 use wasabi_consensus::Message;
 use wasabi_protocol::{
-    command::Config,
+    command::{Config, Move, View},
     id,
     rpc::{
-        ChangeMembers, Checked, Checkin, Drain, Drained, Inquire, Inquired, MembersChanged,
-        Operate, Operated, Propose, Proposed,
+        ChangeMembers, Checked, Checkin, Drain, Drained, Inquire, Inquired, Join, Joined,
+        MembersChanged, Operate, Operated, Propose, Proposed,
     },
+    site,
 };
 
+use crate::local::{MoveOrder, Read};
+
 /// One input of the control thread, with the place for its answer.
 #[derive(Debug)]
 pub(crate) enum Input {
@@ -28,6 +31,20 @@
     Drain(Drain, Sender<Drained>),
     /// A question for the configuration that this member holds.
     Config(Sender<Config>),
+    /// A member that asks to be in the group.
+    Join(Join, Sender<Joined>),
+    /// A question for the addresses of the other members.
+    Addresses(Sender<Vec<String>>),
+    /// A site configuration.
+    PutSite(Box<site::Document>, Sender<Proposed>),
+    /// A question for the site configuration.
+    Site(Sender<Read<Option<site::Document>>>),
+    /// A version move.
+    StartMove(MoveOrder, Sender<Proposed>),
+    /// A question for the last move of a model or service.
+    LastMove(id::Backend, Sender<Read<Option<Move>>>),
+    /// A question for the entry view that this member holds.
+    View(Sender<View>),
     /// Messages from another member.
     Step(Step),
     /// A planned stop: leadership is handed over, then the thread ends.
--- /dev/null
+++ b/crates/wasabi-control/src/join.rs
@@ -0,0 +1,143 @@
+//! Membership without an operator: hosts join by themselves, and members that are gone leave.
+//!
+//! A member asks the leader to be taken in, again and again, so that one that was removed while it
+//! was silent comes back by itself. The leader adds it without a vote, promotes it once it has
+//! caught up, and only then removes the member that it replaces; one change at a time.
+
+use std::{sync::mpsc, time::Duration};
+
+use jsonrpsee::{core::client::ClientT as _, rpc_params, ws_client::WsClientBuilder};
+use tokio::sync::oneshot;
+use tracing::{debug, info};
+use wasabi_consensus::Change;
+use wasabi_protocol::{
+    clock::Millis,
+    id,
+    rpc::{Join, Joined, method},
+};
+
+use crate::{
+    input::Input,
+    member::{Duty, Member},
+    options::Options,
+};
+
+/// Time between two asks of a member that is not taken in yet.
+const ASK_EVERY: Duration = Duration::from_millis(200);
+
+/// Time between two asks of a member that is in the group.
+const CONFIRM_EVERY: Duration = Duration::from_millis(1_000);
+
+/// Longest time for one question.
+const ASK_BOUND: Duration = Duration::from_millis(500);
+
+/// Silence after which a member is removed when the group is larger than it was founded. A host that restarts is back within this time as a rule.
+const REMOVE_AFTER: Millis = Millis(4_000);
+
+/// Silence after which a member is removed when another one serves its address: a process that
+/// lives answers heartbeats far sooner.
+const REPLACED_AFTER: Millis = Millis(1_000);
+
+/// Asks to be in the group until the control thread has ended.
+pub(crate) async fn run(name: id::Member, options: Options, inputs: mpsc::Sender<Input>) {
+    let join = Join { member: name, address: options.listen.to_string(), proofs: options.proofs() };
+    let mut leader = None;
+    let mut was_in = false;
+    loop {
+        let known = match ask_here(&inputs).await {
+            Some(known) => known,
+            None => return,
+        };
+        let mut is_in = false;
+        for address in leader.take().into_iter().chain(known).chain(options.contacts.clone()) {
+            let Some(joined) = ask(&address, &join).await else { continue };
+            match joined {
+                Joined::Member => is_in = true,
+                Joined::Waiting => {}
+                Joined::NotLeader { leader: Some(other) } if other != address => {
+                    leader = Some(other);
+                    continue;
+                }
+                Joined::NotLeader { .. } => continue,
+            }
+            leader = Some(address);
+            break;
+        }
+        if is_in != was_in {
+            was_in = is_in;
+            info!(member = %join.member, is_in, "place in the control group");
+        }
+        actix_rt::time::sleep(if is_in { CONFIRM_EVERY } else { ASK_EVERY }).await;
+    }
+}
+
+async fn ask_here(inputs: &mpsc::Sender<Input>) -> Option<Vec<String>> {
+    let (reply, answer) = oneshot::channel();
+    inputs.send(Input::Addresses(reply)).ok()?;
+    answer.await.ok()
+}
+
+async fn ask(address: &str, join: &Join) -> Option<Joined> {
+    let client =
+        WsClientBuilder::default().request_timeout(ASK_BOUND).build(format!("ws://{address}"));
+    let client = actix_rt::time::timeout(ASK_BOUND, client).await.ok()?.ok()?;
+    let answer = client.request(method::JOIN, rpc_params![join]).await;
+    answer.inspect_err(|error| debug!(%address, %error, "no answer to a join")).ok()
+}
+
+impl Member {
+    /// Takes the next step towards a member that asks to be in the group.
+    pub(crate) fn join(&mut self, join: &Join) -> Joined {
+        self.learned.insert(join.member.clone(), join.address.clone());
+        if !self.leads() {
+            return Joined::NotLeader { leader: self.leader_address() };
+        }
+        if self.group.membership().voters.contains(&join.member) {
+            return Joined::Member;
+        }
+        let _ = self.add_member(&join.member, &join.address);
+        Joined::Waiting
+    }
+
+    /// Returns the addresses of the members, the likely leader first.
+    pub(crate) fn member_addresses(&self) -> Vec<String> {
+        let leader = self.leader_address();
+        let members = self.group.membership().all();
+        let others = members.filter(|member| **member != self.name).filter_map(|member| {
+            self.addresses.get(member).or_else(|| self.learned.get(member)).cloned()
+        });
+        let others: Vec<_> = others.filter(|address| leader.as_ref() != Some(address)).collect();
+        leader.into_iter().chain(others).collect()
+    }
+
+    /// Removes one member that is gone, as [`REMOVE_AFTER`] says.
+    pub(crate) fn remove_gone(&mut self) {
+        if !self.options.self_repair {
+            return;
+        }
+        let now = self.clock.now();
+        let membership = self.group.membership();
+        let address = |member: &id::Member| self.addresses.get(member);
+        let is_replaced = |member: &id::Member| {
+            let others = membership.voters.iter().filter(|other| *other != member);
+            address(member).is_some()
+                && others.into_iter().any(|other| address(other) == address(member))
+        };
+        let founders = self.options.members.len().max(self.options.contacts.len());
+        let is_large = founders < membership.voters.len();
+        let led = now.since(self.duties.since);
+        let gone = self.group.members(now).into_iter().find(|status| {
+            let silent = status.silent.unwrap_or(led).min(led);
+            let is_voter = membership.voters.contains(&status.member);
+            status.member != self.name
+                && ((REMOVE_AFTER <= silent && (is_large || !is_voter))
+                    || (is_replaced(&status.member) && REPLACED_AFTER <= silent))
+        });
+        let Some(gone) = gone else { return };
+        let change = Change::Remove(gone.member.clone());
+        if self.can_lose(&change) && self.duties.begin(Duty::Members) {
+            info!(member = %gone.member, silent = ?gone.silent, "removing a member that is gone");
+            self.order_change(change);
+        }
+    }
+}
--- a/crates/wasabi-control/src/lead.rs
+++ b/crates/wasabi-control/src/lead.rs
@@ -26,6 +26,8 @@
     pub(crate) forces: Vec<ForceWait>,
     pub(crate) moves: Book,
     under_way: Vec<Duty>,
+    /// When this member began to lead.
+    pub(crate) since: Millis,
     next: Millis,
 }
 
@@ -39,6 +41,11 @@
 }
 
 impl Duties {
+    /// Returns the duties of a leader that begins to lead at `now`.
+    pub(crate) fn starting(now: Millis) -> Self {
+        Self { since: now, ..Self::default() }
+    }
+
     /// Marks a duty as under way; returns whether it was not.
     pub(crate) fn begin(&mut self, duty: Duty) -> bool {
         if self.under_way.contains(&duty) {
@@ -77,6 +84,7 @@
         if let Some((member, address)) = self.unrecorded_address() {
             self.propose_duty(Duty::Address, Item::Address { member, address });
         }
+        self.remove_gone();
         self.drive_moves();
     }
 
--- /dev/null
+++ b/crates/wasabi-control/src/local.rs
@@ -0,0 +1,83 @@
+//! Calls of other parts of the same process, such as a server for an operator's own protocol.
+
+use std::sync::mpsc;
+
+use tokio::sync::oneshot;
+use wasabi_protocol::{
+    clock::Millis,
+    command::{Move, View},
+    endpoint, id,
+    rpc::Proposed,
+    site,
+};
+
+use crate::input::Input;
+
+/// A version move as a caller in the same process orders it. The leader fills in the version in
+/// use and the revision.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MoveOrder {
+    /// The model or service.
+    pub backend: id::Backend,
+    /// Whether model engines or plain services provide it.
+    pub kind: endpoint::Kind,
+    /// The version to move to.
+    pub to: id::Version,
+    /// Time until all traffic must have moved, in milliseconds.
+    pub within: Millis,
+}
+
+/// What the leader's state says, or who may know it.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Read<T> {
+    /// This member leads, and its state is the newest.
+    Held(T),
+    /// Another member may lead; its address, when it is known.
+    Elsewhere(Option<String>),
+}
+
+/// The way to the control thread of this process.
+#[derive(Debug, Clone)]
+pub struct Local {
+    inputs: mpsc::Sender<Input>,
+}
+
+impl Local {
+    pub(crate) fn new(inputs: mpsc::Sender<Input>) -> Self {
+        Self { inputs }
+    }
+
+    /// Puts a site configuration in force; answered once it is committed.
+    pub async fn put_site(&self, document: site::Document) -> Proposed {
+        let ask = |reply| Input::PutSite(Box::new(document), reply);
+        self.ask(ask).await.unwrap_or(Proposed::Unknown)
+    }
+
+    /// Returns the site configuration in force.
+    pub async fn site(&self) -> Read<Option<site::Document>> {
+        self.ask(Input::Site).await.unwrap_or(Read::Elsewhere(None))
+    }
+
+    /// Orders a version move; answered once it is committed. A resent order has no second effect.
+    pub async fn start_move(&self, order: MoveOrder) -> Proposed {
+        let ask = |reply| Input::StartMove(order, reply);
+        self.ask(ask).await.unwrap_or(Proposed::Unknown)
+    }
+
+    /// Returns the last move of a model or service.
+    pub async fn last_move(&self, backend: id::Backend) -> Read<Option<Move>> {
+        let ask = |reply| Input::LastMove(backend, reply);
+        self.ask(ask).await.unwrap_or(Read::Elsewhere(None))
+    }
+
+    /// Returns the entries that this member knows; the view may be old.
+    pub async fn view(&self) -> View {
+        self.ask(Input::View).await.unwrap_or_default()
+    }
+
+    async fn ask<T>(&self, input: impl FnOnce(oneshot::Sender<T>) -> Input) -> Option<T> {
+        let (reply, answer) = oneshot::channel();
+        self.inputs.send(input(reply)).ok()?;
+        answer.await.ok()
+    }
+}
--- a/crates/wasabi-control/src/member.rs
+++ b/crates/wasabi-control/src/member.rs
@@ -131,14 +131,16 @@
         let now = clock.now();
         let snapshot_index = start.restored.snapshot.last.index;
         let machine = Machine::new();
+        let known = record::known_addresses(&start.restored).into_iter();
+        let learned = known.chain(options.members.iter().cloned()).collect();
         Self {
-            group: Group::new(start.name.clone(), start.log, start.restored, now),
             liveness: Liveness::new(now, machine.view(), machine.revision()),
+            group: Group::new(start.name.clone(), start.log, start.restored, now),
             name: start.name,
             clock,
             machine,
             addresses: Addresses::new(),
-            learned: options.members.iter().cloned().collect(),
+            learned,
             duties: Duties::default(),
             waiting: BTreeMap::new(),
             placed: BTreeMap::new(),
@@ -298,7 +300,7 @@
                     info!(term, "leading");
                     let (view, revision) = (self.machine.view(), self.machine.revision());
                     self.liveness = Liveness::new(self.clock.now(), view, revision);
-                    self.duties = Duties::default();
+                    self.duties = Duties::starting(self.clock.now());
                 }
                 Effect::StepDown => self.step_down(),
                 Effect::Halt(reason) => return HaltedSnafu { reason }.fail(),
--- a/crates/wasabi-control/src/members.rs
+++ b/crates/wasabi-control/src/members.rs
@@ -1,6 +1,6 @@
 //! Changes of the control group by an operator.
 
-use wasabi_consensus::Change;
+use wasabi_consensus::{Change, Membership};
 use wasabi_protocol::{
     clock::Millis,
     fault::{Fault, Kind},
@@ -32,7 +32,7 @@
         }
     }
 
-    fn add_member(&mut self, member: &id::Member, address: &str) -> MembersChanged {
+    pub(crate) fn add_member(&mut self, member: &id::Member, address: &str) -> MembersChanged {
         let membership = self.group.membership();
         if membership.voters.contains(member) {
             return self.changed();
@@ -62,13 +62,7 @@
         let Some(next) = membership.after(&change) else {
             return refused(format!("{member} is the last member"));
         };
-        let answering = self
-            .group
-            .members(self.clock.now())
-            .into_iter()
-            .filter(|status| next.voters.contains(&status.member))
-            .filter(|status| status.silent.is_some_and(|silent| silent < SILENT_AFTER))
-            .count();
+        let answering = self.answering(&next);
         if answering < next.quorum() {
             return refused(format!(
                 "without {member} only {answering} of {} members would answer; add a member first",
@@ -79,14 +73,35 @@
         self.waiting(format!("{member} is being removed"))
     }
 
+    /// Returns whether a quorum still answers after the change.
+    pub(crate) fn can_lose(&self, change: &Change) -> bool {
+        let next = self.group.membership().after(change);
+        next.is_some_and(|next| next.quorum() <= self.answering(&next))
+    }
+
+    /// Returns how many voters of a membership were heard of late.
+    fn answering(&self, next: &Membership) -> usize {
+        self.group
+            .members(self.clock.now())
+            .into_iter()
+            .filter(|status| next.voters.contains(&status.member))
+            .filter(|status| status.silent.is_some_and(|silent| silent < SILENT_AFTER))
+            .count()
+    }
+
     /// Orders a change of the members unless one is under way.
     fn change(&mut self, change: Change) {
         if self.duties.begin(Duty::Members) {
-            let request = self.wait(Waiting::Duty(Duty::Members));
-            self.group.change(self.clock.now(), change, request);
+            self.order_change(change);
         }
     }
 
+    /// Orders a change of the members whose duty has begun.
+    pub(crate) fn order_change(&mut self, change: Change) {
+        let request = self.wait(Waiting::Duty(Duty::Members));
+        self.group.change(self.clock.now(), change, request);
+    }
+
     /// Returns that the change is done, once a quorum of the members holds the whole log.
     fn changed(&self) -> MembersChanged {
         if self.group.is_settled() {
--- a/crates/wasabi-control/src/options.rs
+++ b/crates/wasabi-control/src/options.rs
@@ -18,6 +18,11 @@
     pub data: PathBuf,
     /// The members of a new group with their addresses; empty when the member waits to be added.
     pub members: Vec<(id::Member, String)>,
+    /// Addresses that are asked to be taken into the group; none means that an operator adds this
+    /// member.
+    pub contacts: Vec<String>,
+    /// Whether members that are gone are removed without an operator.
+    pub self_repair: bool,
     /// SHA-256 digests of the operators' credentials.
     pub operator_digests: Vec<String>,
     /// Committed entries after which a snapshot is taken.
@@ -56,6 +61,8 @@
             listen: *settings.listen,
             data: settings.data.clone(),
             members: settings.members.iter().map(member).collect(),
+            contacts: Vec::new(),
+            self_repair: false,
             operator_digests: settings.operator_digests.clone(),
             snapshot_every: *settings.snapshot_every,
             batching: Batching::Shared,
--- a/crates/wasabi-control/src/record.rs
+++ b/crates/wasabi-control/src/record.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt as _, Snafu};
+use wasabi_consensus::{Payload, Restored};
 use wasabi_protocol::{clock::Millis, command::Command, id};
 use wasabi_state::Machine;
 
@@ -95,3 +96,19 @@
     let (addresses, state) = postcard::take_from_bytes(bytes).context(CodecSnafu)?;
     Ok((addresses, Machine::restore(state).context(StateSnafu)?))
 }
+
+/// Returns the addresses of members that a member's disk names, committed or not.
+///
+/// After a restart of all members nothing is known to be committed, and the first election already
+/// needs the addresses.
+pub(crate) fn known_addresses(restored: &Restored) -> Addresses {
+    let snapshot = restore(&restored.snapshot.data).map(|(addresses, _)| addresses);
+    let mut addresses = snapshot.unwrap_or_default();
+    for entry in &restored.entries {
+        let Payload::Command(bytes) = &entry.data else { continue };
+        if let Ok(Record { item: Item::Address { member, address }, .. }) = decode(bytes) {
+            addresses.insert(member, address);
+        }
+    }
+    addresses
+}
--- a/crates/wasabi-control/src/serve.rs
+++ b/crates/wasabi-control/src/serve.rs
@@ -1,22 +1,27 @@
 //! Inputs of connections and their answers.
 
+use std::collections::BTreeMap;
+
 use tokio::sync::oneshot::Sender;
 use wasabi_consensus::Part;
-use wasabi_protocol::clock::Millis;
 use wasabi_protocol::{
-    command::{Command, Outcome},
+    clock::{Millis, unix_now},
+    command::{Command, Move, Order, Outcome, Plan},
     contract::Problem,
     fault::{Fault, Kind},
-    fingerprint,
+    fingerprint, id,
     rpc::{
         Checked, Checkin, Drain, Drained, Force, Inquire, Inquired, MemberStatus, Operate,
         Operated, Proposed, Role, Source, Status,
     },
+    site,
 };
+use wasabi_state::Machine;
 
 use crate::{
     input::Input,
     lead::ForceWait,
+    local::{MoveOrder, Read},
     member::{Duty, Lost, Member, Waiting},
     record::Item,
 };
@@ -24,6 +29,12 @@
 /// Longest time that an operator's command waits to be in force everywhere, in milliseconds.
 const FORCE_WAIT_MAX: Millis = Millis::from_secs(60);
 
+/// First share of a move that is ordered without one, in thousandths.
+const MOVE_START_PERMILLE: u32 = 20;
+
+/// Time for which a move that is ordered without one is watched after its end.
+const MOVE_WATCH: Millis = Millis(1_000);
+
 impl Member {
     /// Handles an input of a connection.
     pub(crate) fn handle(&mut self, input: Input) {
@@ -58,6 +69,23 @@
             Input::Config(reply) => {
                 let _ = reply.send(self.machine.config());
             }
+            Input::Join(join, reply) => {
+                let _ = reply.send(self.join(&join));
+            }
+            Input::Addresses(reply) => {
+                let _ = reply.send(self.member_addresses());
+            }
+            Input::PutSite(document, reply) => self.put_site(document, reply),
+            Input::Site(reply) => {
+                let _ = reply.send(self.read(|machine| machine.site().cloned()));
+            }
+            Input::StartMove(order, reply) => self.start_move(&order, reply),
+            Input::LastMove(backend, reply) => {
+                let _ = reply.send(self.read(|machine| last_move(machine, &backend).cloned()));
+            }
+            Input::View(reply) => {
+                let _ = reply.send(self.machine.view().clone());
+            }
             Input::Step(_) | Input::Stop => {}
         }
     }
@@ -91,7 +119,9 @@
         self.liveness.check_in(self.clock.now(), checkin);
         let revision = self.machine.revision();
         let config = (held < revision).then(|| Box::new(self.machine.config()));
-        Checked::Heard { revision, config }
+        let mut members = self.member_addresses();
+        members.push(self.options.listen.to_string());
+        Checked::Heard { revision, config, members }
     }
 
     fn operate(&mut self, operate: Operate, reply: Sender<Operated>) {
@@ -150,6 +180,64 @@
         let _ = reply.send(answer);
     }
 
+    /// Returns what the state says, when this member may answer from it.
+    fn read<T>(&self, look_up: impl FnOnce(&Machine) -> T) -> Read<T> {
+        if self.leads() {
+            Read::Held(look_up(&self.machine))
+        } else {
+            Read::Elsewhere(self.leader_address())
+        }
+    }
+
+    fn put_site(&mut self, document: Box<site::Document>, reply: Sender<Proposed>) {
+        let held = self.machine.site().map(|held| held.config.version);
+        if self.leads() && Some(document.config.version) <= held {
+            // It changes nothing, so it needs no place in the log.
+            let _ = reply.send(Proposed::Committed(Outcome::Done));
+            return;
+        }
+        self.propose(Item::Command(Command::PutSite(document)), Waiting::Propose(reply));
+    }
+
+    fn start_move(&mut self, order: &MoveOrder, reply: Sender<Proposed>) {
+        if !self.leads() {
+            let _ = reply.send(Proposed::NotLeader { leader: self.leader_address() });
+            return;
+        }
+        let last = last_move(&self.machine, &order.backend);
+        if last.is_some_and(|last| last.plan.to == order.to) {
+            let _ = reply.send(Proposed::Committed(Outcome::Done));
+            return;
+        }
+        let plan = self.plan(order);
+        let command = id::Command::from(format!("{} {}", plan.name, self.machine.index()));
+        let base = self.machine.revision();
+        let order = Order { command, operator: "operator".to_owned(), base };
+        let command = Command::StartMove { order, plan };
+        self.propose(Item::Command(command), Waiting::Propose(reply));
+    }
+
+    /// Returns the plan of an order, which moves away from the version that most endpoints run.
+    fn plan(&self, order: &MoveOrder) -> Plan {
+        let mut counts = BTreeMap::new();
+        for endpoint in self.liveness.endpoints(self.clock.now()) {
+            if endpoint.backend == order.backend && endpoint.version != order.to {
+                *counts.entry(endpoint.version).or_insert(0_u32) += 1;
+            }
+        }
+        let most = counts.into_iter().max_by_key(|(_, count)| *count);
+        Plan {
+            name: format!("{}-{}-{}", order.backend, order.to, self.machine.index()).into(),
+            kind: order.kind,
+            backend: order.backend.clone(),
+            from: most.map_or_else(|| "".into(), |(version, _)| version),
+            to: order.to.clone(),
+            finish_by: unix_now() + order.within,
+            start_permille: MOVE_START_PERMILLE,
+            watch: MOVE_WATCH,
+        }
+    }
+
     /// Answers what waited for a proposal that is committed.
     pub(crate) fn answer_committed(&mut self, waiting: Waiting, outcome: Outcome) {
         match waiting {
@@ -271,3 +359,8 @@
         }
     }
 }
+
+/// Returns the move of a model or service that was ordered last.
+fn last_move<'a>(machine: &'a Machine, backend: &id::Backend) -> Option<&'a Move> {
+    machine.moves().filter(|order| order.plan.backend == *backend).max_by_key(|order| order.started)
+}
--- a/crates/wasabi-control/src/server.rs
+++ b/crates/wasabi-control/src/server.rs
@@ -19,14 +19,15 @@
 use tokio::sync::{oneshot, watch};
 use wasabi_protocol::{
     id,
-    rpc::{Hello, Met, Step, method},
+    rpc::{Hello, Join, Met, Step, method},
 };
 
 use crate::{
     founding,
     heard::Heard,
     input::{self, Input},
-    link,
+    join, link,
+    local::Local,
     member::{self, Member},
     options::Options,
 };
@@ -127,6 +128,9 @@
         let own = options.members.iter().find(|(name, _)| *name == start.name);
         let own = own.map_or_else(|| address.to_string(), |(_, address)| address.clone());
         actix_rt::spawn(link::run(start.name.clone(), own, options.proofs(), outgoing));
+        if !options.contacts.is_empty() {
+            actix_rt::spawn(join::run(start.name.clone(), options.clone(), inputs.clone()));
+        }
         let (end, ended) = oneshot::channel();
         thread::Builder::new()
             .name("control".to_owned())
@@ -142,6 +146,11 @@
         self.address
     }
 
+    /// Returns the way to the control thread for other parts of this process.
+    pub fn local(&self) -> Local {
+        Local::new(self.inputs.clone())
+    }
+
     /// Starts a planned stop.
     pub fn stop(&self) {
         let _ = self.inputs.send(Input::Stop);
@@ -181,6 +190,13 @@
     serve(&mut module, method::STATUS, Input::Inquire)?;
     serve(&mut module, method::MEMBERS, Input::ChangeMembers)?;
     serve(&mut module, method::DRAIN, Input::Drain)?;
+    module.register_async_method(method::JOIN, |params, shared, _| async move {
+        let join: Join = read(&params)?;
+        if !join.proofs.iter().any(|proof| shared.proofs.contains(proof)) {
+            return Err(unknown_sender());
+        }
+        ask(&shared.inputs, |reply| Input::Join(join, reply)).await
+    })?;
     module.register_async_method(method::CONFIG, |_, shared, _| async move {
         ask(&shared.inputs, Input::Config).await
     })?;
@@ -201,13 +217,18 @@
         return Err(refused("the message is for another member"));
     }
     if !step.proofs.iter().any(|proof| shared.proofs.contains(proof)) {
-        return Err(refused("the sender is not known to be a member"));
+        return Err(unknown_sender());
     }
     let messages = link::messages(step).ok_or_else(|| refused("the messages cannot be read"))?;
     let input = input::Step { from: step.from.clone(), address: step.address.clone(), messages };
     shared.inputs.send(Input::Step(input)).map_err(|_| refused("the control thread has ended"))
 }
 
+fn unknown_sender() -> ErrorObjectOwned {
+    let message = "the sender is not known to be a member";
+    ErrorObjectOwned::owned(INVALID_PARAMS_CODE, message, None::<()>)
+}
+
 /// Registers a method with one parameter that the control thread answers.
 fn serve<Q, A>(
     module: &mut RpcModule<Shared>,
--- a/crates/wasabi-control/tests/liveness.rs
+++ b/crates/wasabi-control/tests/liveness.rs
@@ -16,6 +16,7 @@
         peer_address: "127.0.0.1:2".to_owned(),
         data_centre: "a".into(),
         region: "r".into(),
+        started: Millis::ZERO,
         duty: Duty::Serving,
     }
 }
