entry: requests are passed on by host and path, in a deployment's own dialect

Cause: the entry served one interface only (chat completions and named services).

Change: `forward` reads a request, finds route and organisation in the site configuration, acquires a grant of the pool's owner, sends it and passes the answer on; streams go on at another endpoint after the last whole event where the route allows it. Header names come from a `Dialect`. A refusal that says "not run" gets a status that promises it and a time to return.

--- a/crates/wasabi-entry/src/callers/server.rs
+++ b/crates/wasabi-entry/src/callers/server.rs
@@ -28,16 +28,16 @@
 };
 
 /// Open connections per traffic thread. Each costs at most the buffers of one request.
-const CONNECTIONS_MAX: usize = 16_384;
+pub(crate) const CONNECTIONS_MAX: usize = 16_384;
 
 /// Waiting connections of the listener.
-const BACKLOG: u32 = 2_048;
+pub(crate) const BACKLOG: u32 = 2_048;
 
 /// Time that idle workers get to end after a drain, in seconds. All requests have ended by then.
-const STOP_S: u64 = 2;
+pub(crate) const STOP_S: u64 = 2;
 
 /// Bytes of an answer held for a caller that reads slowly.
-const WRITE_BYTES: usize = 16 * 1024;
+pub(crate) const WRITE_BYTES: usize = 16 * 1024;
 
 /// One traffic thread.
 pub(crate) struct Worker {
@@ -128,14 +128,14 @@
 }
 
 /// Sends tokens as they come, and returns the caller's address.
-fn prepare(io: &TcpStream) -> Option<SocketAddr> {
+pub(crate) fn prepare(io: &TcpStream) -> Option<SocketAddr> {
     if let Err(error) = io.set_nodelay(true) {
         tracing::debug!(%error, "TCP_NODELAY not set");
     }
     io.peer_addr().ok()
 }
 
-fn closed(error: &DispatchError) {
+pub(crate) fn closed(error: &DispatchError) {
     tracing::debug!(%error, "connection of a caller closed");
 }
 
--- a/crates/wasabi-entry/src/control/checkin.rs
+++ b/crates/wasabi-entry/src/control/checkin.rs
@@ -28,7 +28,8 @@
     let sent = shell.now();
     let checkin = checkin(shell);
     match shell.control.check_in(&checkin).await {
-        Some(Checked::Heard { config, .. }) => {
+        Some(Checked::Heard { config, members, .. }) => {
+            shell.control.learn(members);
             if let Some(config) = config {
                 shell.apply(&config);
             }
--- a/crates/wasabi-entry/src/control/link.rs
+++ b/crates/wasabi-entry/src/control/link.rs
@@ -34,7 +34,10 @@
 /// The control members and the open connections to them.
 #[derive(Debug, Default)]
 pub(crate) struct Link {
+    /// The members of the settings.
     members: Vec<String>,
+    /// The members that the leader named last.
+    learned: RefCell<Vec<String>>,
     clients: RefCell<HashMap<String, Arc<WsClient>>>,
     leader: RefCell<Option<String>>,
 }
@@ -46,6 +49,11 @@
         Self { members, ..Self::default() }
     }
 
+    /// Takes over the addresses of the members in force.
+    pub(crate) fn learn(&self, members: Vec<String>) {
+        *self.learned.borrow_mut() = members;
+    }
+
     /// Checks in with the leader and returns its answer.
     pub(crate) async fn check_in(&self, checkin: &Checkin) -> Option<Checked> {
         let mut asked = Vec::new();
@@ -112,7 +120,8 @@
             return None;
         }
         let leader = self.leader.borrow().clone();
-        let candidates = leader.iter().chain(&self.members);
+        let learned = self.learned.borrow();
+        let candidates = leader.iter().chain(learned.iter()).chain(&self.members);
         candidates.into_iter().find(|member| !asked.contains(member)).cloned()
     }
 
--- a/crates/wasabi-entry/src/daemon.rs
+++ b/crates/wasabi-entry/src/daemon.rs
@@ -13,6 +13,7 @@
 use snafu::{ResultExt as _, Snafu};
 use tokio::sync::oneshot;
 use wasabi_protocol::{
+    clock::unix_now,
     command::{Config, Duty, Entry, View},
     contract::Contract,
     id,
@@ -24,6 +25,7 @@
     callers,
     control::{checkin, link::Link},
     drain,
+    forward::{self, dialect::Gateway},
     message::{Handle, Message},
     metrics::Metrics,
     peers,
@@ -79,6 +81,7 @@
 struct Listeners {
     callers: TcpListener,
     peers: TcpListener,
+    gateway: Option<(Gateway, forward::server::Listeners)>,
 }
 
 impl Daemon {
@@ -88,10 +91,22 @@
     ///
     /// Returns an error when an address, a file or a thread cannot be used.
     pub fn start(settings: Settings) -> Result<Self, Error> {
+        Self::start_with(settings, None)
+    }
+
+    /// Starts an entry that also passes requests on, when there is a gateway.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when an address, a file or a thread cannot be used.
+    pub fn start_with(settings: Settings, gateway: Option<Gateway>) -> Result<Self, Error> {
+        let gateway = gateway.map(bind_gateway).transpose()?;
         let listeners = Listeners {
             callers: bind(*settings.listen.callers)?,
             peers: bind(*settings.listen.peers)?,
+            gateway,
         };
+        let front = listeners.gateway.as_ref().map(|(gateway, _)| gateway.front);
         let callers = listeners.callers.local_addr().context(StartSnafu)?;
         let peers = listeners.peers.local_addr().context(StartSnafu)?;
         // The metrics server binds by address, so a free port is found for it here.
@@ -101,10 +116,11 @@
         };
         let entry = Entry {
             name: settings.name.as_str().into(),
-            caller_address: callers.to_string(),
+            caller_address: front.unwrap_or(callers).to_string(),
             peer_address: peers.to_string(),
             data_centre: settings.data_centre.as_str().into(),
             region: settings.region.as_str().into(),
+            started: unix_now(),
             duty: Duty::Serving,
         };
         let stand_alone = stand_alone(&settings, &entry)?;
@@ -207,7 +223,11 @@
     let peers = peers::server::start(listeners.peers, &handle)?;
     let (end, ended) = oneshot::channel();
     let members: Vec<_> = shared.settings.control.iter().map(|address| **address).collect();
-    let start = drain::Start { server, ended: end };
+    let mut servers = vec![server];
+    if let Some((gateway, bound)) = listeners.gateway {
+        servers.push(forward::server::start(bound, &gateway, &shared, &handle)?);
+    }
+    let start = drain::Start { servers, ended: end };
     let shell = Shell::new(shared, Link::new(&members), start);
     if let Some(config) = stand_alone {
         shell.apply(&config);
@@ -224,6 +244,15 @@
     Ok(ended)
 }
 
+fn bind_gateway(gateway: Gateway) -> Result<(Gateway, forward::server::Listeners), Error> {
+    let listeners = forward::server::Listeners {
+        front: bind(gateway.front)?,
+        ready: bind(gateway.ready)?,
+        directory: bind(gateway.directory)?,
+    };
+    Ok((gateway, listeners))
+}
+
 fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
     TcpListener::bind(address).context(ListenSnafu { address })
 }
--- a/crates/wasabi-entry/src/drain.rs
+++ b/crates/wasabi-entry/src/drain.rs
@@ -3,6 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use actix_server::ServerHandle;
+use futures_util::future::join_all;
 use tokio::sync::oneshot;
 use wasabi_protocol::clock::Millis;
 
@@ -22,11 +23,11 @@
 /// Time for the last releases and outcomes to reach their owners.
 const LAST_MESSAGES: Duration = Duration::from_millis(200);
 
-/// What is needed to stop: the caller server, and the signal that ends the control thread.
+/// What is needed to stop: the servers for callers, and the signal that ends the control thread.
 #[derive(Debug)]
 pub(crate) struct Start {
-    /// The server for callers.
-    pub(crate) server: ServerHandle,
+    /// The servers for callers.
+    pub(crate) servers: Vec<ServerHandle>,
     /// Ends the control thread.
     pub(crate) ended: oneshot::Sender<()>,
 }
@@ -35,7 +36,7 @@
     /// Stops at once.
     pub(crate) fn kill(self) {
         actix_rt::spawn(async move {
-            self.server.stop(false).await;
+            stop(&self.servers, false).await;
             let _ = self.ended.send(());
         });
     }
@@ -53,7 +54,7 @@
                 checkin::check_in(&shell).await;
             }
             finish(&shell.shared).await;
-            self.server.stop(true).await;
+            stop(&self.servers, true).await;
             tokio::time::sleep(LAST_MESSAGES).await;
             if self.ended.send(()).is_err() {
                 tracing::debug!("the control thread has ended already");
@@ -62,6 +63,10 @@
     }
 }
 
+async fn stop(servers: &[ServerHandle], graceful: bool) {
+    join_all(servers.iter().map(|server| server.stop(graceful))).await;
+}
+
 /// Waits until the last list that names this entry has run out and every request has ended, or
 /// until the bound of the settings.
 async fn finish(shared: &Shared) {
--- /dev/null
+++ b/crates/wasabi-entry/src/forward/answer.rs
@@ -0,0 +1,71 @@
+//! Answers to callers whose requests are passed on.
+
+use actix_http::{
+    Response, StatusCode,
+    body::{BoxBody, MessageBody},
+    header::{self, HeaderMap, HeaderValue},
+};
+use wasabi_protocol::{
+    clock::Millis,
+    fault::{Fault, Kind, Ran, Retry},
+};
+
+use crate::{callers::answer, forward::call::is_of_hop};
+
+/// Pause after which a refused request is sent again to another entry.
+const ELSEWHERE: Millis = Millis(100);
+
+/// Pause after which a request that found no room is sent again.
+const CROWDED: Millis = Millis(600);
+
+/// Returns the answer for a fault.
+///
+/// A request that did not run gets a status that promises so, with the time after which it may be
+/// sent again; callers then repeat also what must not run twice.
+pub(crate) fn fault(fault: &Fault) -> Response<BoxBody> {
+    let table = fault.kind.answer();
+    let status = match (table.ran, table.retry, fault.kind) {
+        (Ran::NotRun, _, Kind::LimitReached) => StatusCode::TOO_MANY_REQUESTS,
+        (Ran::NotRun, Retry::Safe | Retry::WithKey, kind) if kind != Kind::RequestTimeout => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
+        (Ran::NotRun, _, Kind::Quarantined) => StatusCode::SERVICE_UNAVAILABLE,
+        // No status may promise more than is known.
+        (Ran::MayHaveRun, ..) if table.status == 503 => StatusCode::BAD_GATEWAY,
+        _ => StatusCode::from_u16(table.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR),
+    };
+    let mut response = answer::json(status, answer::fault_json(fault));
+    if status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::TOO_MANY_REQUESTS {
+        let pause = match fault.kind {
+            Kind::EntryIsolated | Kind::EntryDraining | Kind::EndpointUnreachable => ELSEWHERE,
+            _ => CROWDED,
+        };
+        let pause = fault.retry_after.unwrap_or(pause);
+        if let Ok(value) = HeaderValue::from_str(&format!("{:.3}", pause.seconds())) {
+            response.headers_mut().insert(header::RETRY_AFTER, value);
+        }
+    }
+    // The rest of a body that was not read would stand before the next request.
+    if matches!(fault.kind, Kind::BodyTooLarge | Kind::RequestTimeout | Kind::EntryDraining) {
+        response.head_mut().set_connection_type(actix_http::ConnectionType::Close);
+    }
+    response
+}
+
+/// Returns an endpoint's answer.
+pub(crate) fn passed(
+    status: StatusCode,
+    headers: &HeaderMap,
+    body: impl MessageBody + 'static,
+) -> Response<BoxBody> {
+    let mut response = Response::build(status).message_body(body).map_or_else(
+        |_| Response::new(StatusCode::INTERNAL_SERVER_ERROR),
+        Response::map_into_boxed_body,
+    );
+    for (name, value) in headers {
+        if !is_of_hop(name) {
+            response.headers_mut().append(name.clone(), value.clone());
+        }
+    }
+    response
+}
--- /dev/null
+++ b/crates/wasabi-entry/src/forward/relay.rs
@@ -0,0 +1,136 @@
+//! Passes a stream of events on as it comes, and goes on elsewhere when it breaks.
+
+use std::{io, time::Duration};
+
+use bytes::Bytes;
+use futures_util::stream::{self, Stream};
+use wasabi_protocol::{fault::Kind, request::End};
+
+use crate::{
+    dispatch::grant::Held,
+    forward::{
+        events::{Events, Splitter},
+        send::{self, Failure, Opened},
+        way::Attempts,
+    },
+    shared::Open,
+};
+
+/// A stream on its way to its caller.
+pub(crate) struct Relay {
+    attempts: Attempts,
+    opened: Opened,
+    held: Option<Held>,
+    splitter: Splitter,
+    _open: Open,
+}
+
+/// Returns the events of a relay. It ends without an error only when the answer is whole.
+pub(crate) fn stream(relay: Relay) -> impl Stream<Item = io::Result<Bytes>> {
+    stream::unfold(Some(relay), |relay| async {
+        let mut relay = relay?;
+        match relay.next().await {
+            Ok(Some(events)) => Some((Ok(events), Some(relay))),
+            Ok(None) => None,
+            Err(error) => Some((Err(error), None)),
+        }
+    })
+}
+
+impl Relay {
+    /// Returns the relay of an answer that has begun.
+    pub(crate) fn new(attempts: Attempts, opened: Opened, held: Held, open: Open) -> Self {
+        Self { attempts, opened, held: Some(held), splitter: Splitter::default(), _open: open }
+    }
+
+    /// Returns the next events, or none when the answer is whole.
+    async fn next(&mut self) -> io::Result<Option<Bytes>> {
+        loop {
+            let failure = match self.read().await {
+                Ok(Some(events)) if events.is_empty() => continue,
+                Ok(Some(events)) => return Ok(Some(events)),
+                Ok(None) => {
+                    self.finish();
+                    return Ok(None);
+                }
+                Err(failure) => failure,
+            };
+            self.recover(failure).await?;
+        }
+    }
+
+    async fn read(&mut self) -> Result<Option<Bytes>, Failure> {
+        let attempts = &self.attempts;
+        let bound = self.bound();
+        let chunk =
+            send::next_chunk(&attempts.worker, &attempts.call, &mut self.opened, bound).await?;
+        let Some(chunk) = chunk else {
+            if self.splitter.has_partial() {
+                let message = "the stream ended within an event";
+                return Err(Failure::new(End::Broken, Kind::StreamBroken, message));
+            }
+            return Ok(None);
+        };
+        match self.splitter.push(chunk) {
+            Events::Whole(events) => {
+                let tokens = self.splitter.count() * attempts.call.backend.tokens_per_event.max(1);
+                if let Some(held) = self.held.as_mut().filter(|_| !events.is_empty()) {
+                    held.progress(tokens);
+                }
+                Ok(Some(events))
+            }
+            Events::TooLong => {
+                let message = "the endpoint sent an event that is too long";
+                Err(Failure::new(End::Failed, Kind::StreamBroken, message))
+            }
+        }
+    }
+
+    /// Returns the longest silence that is borne. Only a stream that can go on elsewhere gains
+    /// from an early end.
+    fn bound(&self) -> Duration {
+        let call = &self.attempts.call;
+        let grant = self.held.as_ref().map(Held::grant);
+        let Some(grant) = grant.filter(|_| call.is_resumable()) else {
+            return call.deadline.since(call.arrived).duration();
+        };
+        let per_event = u64::from(call.backend.tokens_per_event.max(1));
+        let between = grant.between_tokens_bound.0.saturating_mul(per_event);
+        Duration::from_millis(between.max(grant.first_token_bound.0))
+    }
+
+    /// Goes on at another endpoint.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error, which breaks the caller's connection, when that is not possible.
+    async fn recover(&mut self, failure: Failure) -> io::Result<()> {
+        let Some(held) = self.held.take() else {
+            return Err(io::Error::other("the stream has ended"));
+        };
+        let endpoint = held.grant().endpoint.clone();
+        let (request, sent) = (&self.attempts.call.id, self.splitter.count());
+        tracing::info!(
+            request, %endpoint, sent, end = ?failure.end, fault = %failure.fault, "stream broke"
+        );
+        held.end(failure.end);
+        self.splitter.drop_partial();
+        let last = self.splitter.last().unwrap_or_default().to_owned();
+        let resumed = self.attempts.resume(endpoint, failure, &last).await;
+        let (opened, held) = resumed.map_err(|fault| {
+            tracing::info!(request = self.attempts.call.id, %fault, "stream is not resumed");
+            io::Error::other(fault.message)
+        })?;
+        self.opened = opened;
+        self.held = Some(held);
+        Ok(())
+    }
+
+    fn finish(&mut self) {
+        if let Some(held) = self.held.take() {
+            held.end(End::Finished);
+        }
+        let metrics = &self.attempts.worker.shared.metrics;
+        metrics.finished.get_or_create(&self.attempts.call.tier.into()).inc();
+    }
+}
--- /dev/null
+++ b/crates/wasabi-entry/src/forward/send.rs
@@ -0,0 +1,185 @@
+//! Sends an attempt to its endpoint and reads what comes back.
+
+use std::time::Duration;
+
+use actix_http::{
+    StatusCode,
+    header::{self, HeaderMap},
+};
+use awc::error::{ConnectError, PayloadError, SendRequestError};
+use bytes::{Bytes, BytesMut};
+use futures_util::{StreamExt as _, stream::LocalBoxStream};
+use wasabi_protocol::{
+    clock::Millis,
+    fault::{Fault, Kind},
+    request::End,
+    rpc::Grant,
+};
+
+use crate::{
+    callers::server::Worker,
+    dispatch::connect,
+    forward::{call::Call, dialect::Dialect},
+};
+
+/// Largest answer that is collected, in bytes.
+const ANSWER_BYTES_MAX: usize = 8 * 1024 * 1024;
+
+/// An answer whose head belongs to the request.
+pub(crate) struct Opened {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: LocalBoxStream<'static, Result<Bytes, PayloadError>>,
+}
+
+impl Opened {
+    /// Returns whether the answer is a stream of events.
+    pub(crate) fn is_stream(&self) -> bool {
+        let content_type = self.headers.get(header::CONTENT_TYPE);
+        self.status.is_success()
+            && content_type.is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"))
+    }
+}
+
+/// Why an attempt gave no whole answer.
+#[derive(Debug)]
+pub(crate) struct Failure {
+    /// What the owner is told.
+    pub(crate) end: End,
+    /// What the caller is told when there is no other attempt.
+    pub(crate) fault: Fault,
+}
+
+impl Failure {
+    pub(crate) fn new(end: End, kind: Kind, message: impl Into<String>) -> Self {
+        Self { end, fault: Fault::new(kind, message) }
+    }
+}
+
+/// Sends a request and returns its answer once the head came and belongs to it.
+///
+/// # Errors
+///
+/// Returns how the attempt ended when no such head came within `bound`.
+pub(crate) async fn send(
+    worker: &Worker,
+    dialect: &Dialect,
+    call: &Call,
+    grant: &Grant,
+    last_event: Option<&str>,
+    bound: Millis,
+) -> Result<Opened, Failure> {
+    // A kept connection that its endpoint has just closed leaves open whether the request ran.
+    let client = if call.is_repeatable() { worker.pooled.clone() } else { connect::fresh(None) };
+    let uri = format!("http://{}{}", grant.address, call.target);
+    let mut request = client.request(call.method.clone(), uri).no_decompress();
+    for (name, value) in &call.headers {
+        request = request.append_header((name.clone(), value.clone()));
+    }
+    let left = call.deadline.since(worker.shared.clock.now());
+    request = request
+        .insert_header((dialect.deadline.clone(), left.0.to_string()))
+        .insert_header((dialect.endpoint.clone(), grant.endpoint.as_str()));
+    if !call.organisation.as_str().is_empty() {
+        request = request.insert_header((dialect.organisation.clone(), call.organisation.as_str()));
+    }
+    if let Some(last) = last_event {
+        request = request.insert_header((dialect.last_event.clone(), last));
+    }
+    let time = bound.min(left).duration();
+    let sent = tokio::time::timeout(time, request.send_body(call.body.clone())).await;
+    let response = match sent {
+        Ok(Ok(response)) => response,
+        Ok(Err(error)) => return Err(failed(&error)),
+        Err(_) => return Err(late(worker, call)),
+    };
+    let (status, headers) = (response.status(), response.headers().clone());
+    let echoed = headers.get(&dialect.request).and_then(|value| value.to_str().ok());
+    let is_refusal = headers.contains_key(&dialect.not_run) || status.as_u16() == 421;
+    if !is_refusal && echoed != Some(call.id.as_str()) {
+        tracing::warn!(
+            request = call.id, endpoint = %grant.endpoint, ?echoed,
+            "dropped an answer that belongs to another request"
+        );
+        let message = "the endpoint answered another request; its answer was dropped";
+        return Err(Failure::new(End::Failed, Kind::EndpointFailed, message));
+    }
+    if is_refusal {
+        let is_gone = status.as_u16() == 421;
+        let end = if is_gone { End::Unreachable } else { End::Abandoned };
+        let message = format!("the endpoint refused the request with {status}; it did not run");
+        return Err(Failure::new(end, Kind::EndpointUnreachable, message));
+    }
+    let is_sized = headers.contains_key(header::CONTENT_LENGTH)
+        || headers.contains_key(header::TRANSFER_ENCODING);
+    // A body without a length ends with its connection.
+    let body = if is_sized { connect::checked(response) } else { response.boxed_local() };
+    Ok(Opened { status, headers, body })
+}
+
+/// Returns the next bytes of an answer, within a bound on progress.
+///
+/// # Errors
+///
+/// Returns the failure when the connection broke, or nothing came within `bound`.
+pub(crate) async fn next_chunk(
+    worker: &Worker,
+    call: &Call,
+    opened: &mut Opened,
+    bound: Duration,
+) -> Result<Option<Bytes>, Failure> {
+    let left = call.deadline.since(worker.shared.clock.now()).duration();
+    match tokio::time::timeout(bound.min(left), opened.body.next()).await {
+        Ok(Some(Ok(chunk))) => Ok(Some(chunk)),
+        Ok(None) => Ok(None),
+        Ok(Some(Err(error))) => {
+            let message = format!("the answer broke off: {error}");
+            Err(Failure::new(End::Broken, Kind::EndpointFailed, message))
+        }
+        Err(_) => Err(late(worker, call)),
+    }
+}
+
+/// Returns the whole body of an answer.
+///
+/// # Errors
+///
+/// Returns the failure when the answer broke off, came too late or is too large.
+pub(crate) async fn collect(
+    worker: &Worker,
+    call: &Call,
+    opened: &mut Opened,
+) -> Result<Bytes, Failure> {
+    let bound = call.deadline.since(call.arrived).duration();
+    let mut body = BytesMut::new();
+    while let Some(chunk) = next_chunk(worker, call, opened, bound).await? {
+        if ANSWER_BYTES_MAX < body.len() + chunk.len() {
+            let message = format!("the answer is larger than {ANSWER_BYTES_MAX} bytes");
+            return Err(Failure::new(End::Failed, Kind::EndpointFailed, message));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
+
+fn failed(error: &SendRequestError) -> Failure {
+    // A kept connection that closes before the answer counts as `Disconnected`, so only the other
+    // connect errors prove that nothing was sent.
+    let is_unsent = matches!(error, SendRequestError::Connect(cause)
+        if !matches!(cause, ConnectError::Disconnected));
+    if is_unsent {
+        let message = format!("the endpoint cannot be reached, and nothing was sent: {error}");
+        return Failure::new(End::Unreachable, Kind::EndpointUnreachable, message);
+    }
+    let message = format!("the connection broke after the request was sent: {error}");
+    Failure::new(End::Broken, Kind::EndpointFailed, message)
+}
+
+fn late(worker: &Worker, call: &Call) -> Failure {
+    if call.deadline <= worker.shared.clock.now() {
+        let message = "the deadline passed while the request ran";
+        return Failure::new(End::Abandoned, Kind::DeadlineRunning, message);
+    }
+    let message = "the endpoint made no progress within its bound";
+    Failure::new(End::Silent, Kind::EndpointSilent, message)
+}
--- /dev/null
+++ b/crates/wasabi-entry/src/forward/server.rs
@@ -0,0 +1,153 @@
+//! The listeners of a gateway: requests, readiness, and where to connect.
+
+use std::{convert::Infallible, future::ready, io, net::TcpListener, rc::Rc, sync::Arc};
+
+use actix_http::{
+    HttpService, KeepAlive, Method, Protocol, Request, Response, StatusCode, body::BoxBody,
+};
+use actix_rt::net::TcpStream;
+use actix_server::{Server, ServerHandle};
+use actix_service::{ServiceFactoryExt as _, fn_service};
+
+use crate::{
+    callers::{
+        answer as inner,
+        server::{BACKLOG, CONNECTIONS_MAX, STOP_S, WRITE_BYTES, Worker, closed, prepare},
+    },
+    dispatch::connect,
+    forward::{
+        dialect::{Dialect, Gateway},
+        directory,
+        watch::Watched,
+        way,
+    },
+    message::Handle,
+    shared::Shared,
+};
+
+/// The bound listeners.
+pub(crate) struct Listeners {
+    pub(crate) front: TcpListener,
+    pub(crate) ready: TcpListener,
+    pub(crate) directory: TcpListener,
+}
+
+/// Which of the listeners a request came in by.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Side {
+    Front,
+    Ready,
+    Directory,
+}
+
+/// Starts the traffic threads of a gateway.
+///
+/// # Errors
+///
+/// Returns an error when a listener cannot be used.
+pub(crate) fn start(
+    listeners: Listeners,
+    gateway: &Gateway,
+    shared: &Arc<Shared>,
+    handle: &Handle,
+) -> io::Result<ServerHandle> {
+    let callers = &shared.settings.callers;
+    let (head_time, idle_time) = (callers.head_time.duration(), callers.idle_time.duration());
+    let mut builder = Server::build()
+        .workers(usize::from(*shared.settings.traffic_threads.0))
+        .max_concurrent_connections(CONNECTIONS_MAX)
+        .backlog(BACKLOG)
+        .shutdown_timeout(STOP_S)
+        .disable_signals();
+    for (name, side, listener) in [
+        ("front", Side::Front, listeners.front),
+        ("ready", Side::Ready, listeners.ready),
+        ("directory", Side::Directory, listeners.directory),
+    ] {
+        let signal = builder.graceful_shutdown_signal();
+        let (shared, handle, gateway) = (Arc::clone(shared), handle.clone(), gateway.clone());
+        builder = builder.listen(name, listener, move || {
+            let signal = signal.clone();
+            let worker = Rc::new(Worker {
+                shared: Arc::clone(&shared),
+                handle: handle.clone(),
+                pooled: connect::pooled(),
+            });
+            let (gateway, dialect) = (Rc::new(gateway.clone()), Rc::new(gateway.dialect.clone()));
+            fn_service(|io: TcpStream| {
+                let peer = prepare(&io);
+                ready(Ok::<_, ()>((Watched::new(io), Protocol::Http1, peer)))
+            })
+            .and_then(
+                HttpService::build()
+                    .client_request_timeout(head_time)
+                    .keep_alive(KeepAlive::Timeout(idle_time))
+                    .h1_write_buffer_size(WRITE_BYTES)
+                    .graceful_shutdown_signal(move || {
+                        let signal = signal.clone();
+                        async move { signal.notified().await }
+                    })
+                    .finish(fn_service(move |request| {
+                        let dialect = Rc::clone(&dialect);
+                        serve(Rc::clone(&worker), Rc::clone(&gateway), dialect, side, request)
+                    }))
+                    .map_err(|error| closed(&error)),
+            )
+        })?;
+    }
+    let server = builder.run();
+    let stop = server.handle();
+    actix_rt::spawn(async move {
+        if let Err(error) = server.await {
+            tracing::error!(%error, "the gateway's server ended with an error");
+        }
+    });
+    Ok(stop)
+}
+
+async fn serve(
+    worker: Rc<Worker>,
+    gateway: Rc<Gateway>,
+    dialect: Rc<Dialect>,
+    side: Side,
+    request: Request,
+) -> Result<Response<BoxBody>, Infallible> {
+    let shared = Arc::clone(&worker.shared);
+    let mut response = match side {
+        Side::Front => way::serve(worker, dialect, request).await,
+        Side::Ready => is_ready(&shared, &dialect, &request),
+        Side::Directory => list(&shared, &gateway, &request),
+    };
+    if shared.is_draining() {
+        response.head_mut().set_connection_type(actix_http::ConnectionType::Close);
+    }
+    Ok(response)
+}
+
+/// Answers whether this entry takes new callers.
+fn is_ready(shared: &Shared, dialect: &Dialect, request: &Request) -> Response<BoxBody> {
+    if request.path() != dialect.ready_path || request.method() != Method::GET {
+        return Response::new(StatusCode::NOT_FOUND);
+    }
+    let is_ready =
+        !shared.is_draining() && shared.check_serving().is_ok() && shared.in_force().site.is_some();
+    Response::new(if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
+}
+
+/// Answers where to connect.
+fn list(shared: &Shared, gateway: &Gateway, request: &Request) -> Response<BoxBody> {
+    let dialect = &gateway.dialect;
+    if request.path() != dialect.directory_path || request.method() != Method::GET {
+        return Response::new(StatusCode::NOT_FOUND);
+    }
+    // Without a view of the others, an answer would name this entry alone.
+    if shared.in_force().site.is_none() || shared.check_serving().is_err() {
+        return Response::new(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let data_centre = request.uri().query().and_then(dialect.data_centre);
+    let addresses = directory::addresses(&shared.live(), data_centre.as_ref());
+    if addresses.is_empty() {
+        return Response::new(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    inner::json(StatusCode::OK, (dialect.list)(&addresses, gateway.list_lifetime))
+}
--- a/crates/wasabi-entry/src/lib.rs
+++ b/crates/wasabi-entry/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod dispatch;
 mod drain;
 mod endpoints;
+pub mod forward;
 mod gate;
 mod message;
 mod metrics;
--- a/crates/wasabi-entry/src/peers/server.rs
+++ b/crates/wasabi-entry/src/peers/server.rs
@@ -83,6 +83,16 @@
         handle.send(Message::Peer(Peer::Leave(endpoint)));
         Answer::Ok(())
     })?;
+    module.register_async_method(method::REGISTER, |params, handle, _| async move {
+        let announcement = Box::new(one(&params)?);
+        handle.send(Message::Announce(announcement));
+        Answer::Ok(())
+    })?;
+    module.register_async_method(method::RETIRE, |params, handle, _| async move {
+        let endpoint: id::Endpoint = one(&params)?;
+        handle.send(Message::Leave(endpoint));
+        Answer::Ok(())
+    })?;
     module.register_async_method(method::PEER_HEARTBEAT, |params, handle, _| async move {
         let heartbeat: Heartbeat = one(&params)?;
         told(handle.ask(|reply| Peer::Heartbeat(Box::new(heartbeat), reply)).await)
--- a/crates/wasabi-entry/src/peers/table.rs
+++ b/crates/wasabi-entry/src/peers/table.rs
@@ -16,6 +16,8 @@
 #[derive(Debug)]
 struct Peer {
     address: String,
+    /// The start of its process.
+    started: Millis,
     client: Option<Arc<WsClient>>,
     /// The last heartbeat that it answered, by the time of sending.
     heard: Option<Millis>,
@@ -34,13 +36,16 @@
 }
 
 impl Table {
-    /// Takes over a view and returns the entries that left it.
+    /// Takes over a view and returns the entries that left it or whose process is a new one.
     pub(crate) fn set_view(&mut self, now: Millis, view: &View, own: &id::Entry) -> Vec<id::Entry> {
+        let is_same = |name: &id::Entry, peer: &Peer| {
+            view.entries.iter().any(|entry| entry.name == *name && entry.started == peer.started)
+        };
         let gone: Vec<_> = self
             .peers
-            .keys()
-            .filter(|name| !view.entries.iter().any(|entry| entry.name == **name))
-            .cloned()
+            .iter()
+            .filter(|(name, peer)| !is_same(name, peer))
+            .map(|(name, _)| name.clone())
             .collect();
         for name in &gone {
             if let Some(peer) = self.peers.remove(name) {
@@ -50,6 +55,7 @@
         for entry in view.entries.iter().filter(|entry| entry.name != *own) {
             let peer = self.peers.entry(entry.name.clone()).or_insert_with(|| Peer {
                 address: entry.peer_address.clone(),
+                started: entry.started,
                 client: None,
                 heard: None,
                 named: now,
--- a/crates/wasabi-entry/src/pools/budget.rs
+++ b/crates/wasabi-entry/src/pools/budget.rs
@@ -39,11 +39,9 @@
     /// Returns the next slice of a budget that this entry owns.
     pub(crate) fn lend(&self, lend: &Lend) -> Option<Slice> {
         let in_force = self.shared.in_force();
-        let mut contracts = in_force.config.contracts.iter();
-        let contract = contracts.find(|contract| contract.organisation == lend.organisation)?;
-        let (now, limits) = (self.now(), &contract.limits);
+        let limits = in_force.config.limits(&lend.organisation)?;
         let mut lender = self.lender.borrow_mut();
-        Some(lender.lend(now, &lend.organisation, limits, &lend.pool, &lend.used))
+        Some(lender.lend(self.now(), &lend.organisation, &limits, &lend.pool, &lend.used))
     }
 
     fn hand_out(self: &Rc<Self>, lend: &Lend, slice: Slice) {
--- a/crates/wasabi-entry/src/pools/follow.rs
+++ b/crates/wasabi-entry/src/pools/follow.rs
@@ -52,10 +52,11 @@
     pub(crate) fn settle_owners(self: &Rc<Self>) {
         let in_force = self.shared.in_force();
         let own = &self.shared.entry.name;
-        let routes = in_force.config.contracts.iter().flat_map(|contract| &contract.routes);
+        let contracts = in_force.config.contracts.iter().flat_map(|contract| &contract.routes);
+        let of_contracts = contracts.map(|route| route.target.backend());
+        let of_site = in_force.config.site.iter().flat_map(|site| &site.backends);
         let mut wanted = HashMap::new();
-        for route in routes {
-            let backend = route.target.backend();
+        for backend in of_contracts.chain(of_site.map(|backend| &backend.name)) {
             for pool in self.pools_of(backend) {
                 wanted.entry(pool).or_insert(backend);
             }
--- a/crates/wasabi-entry/src/shared.rs
+++ b/crates/wasabi-entry/src/shared.rs
@@ -17,7 +17,7 @@
 };
 use wasabi_settings::entry::Settings;
 
-use crate::metrics::Metrics;
+use crate::{forward::site, metrics::Metrics};
 
 /// Time for which an entry serves after it last heard control or a majority of its peers.
 pub(crate) const SERVING_SPAN: Millis = Millis::from_secs(2);
@@ -29,6 +29,8 @@
     pub(crate) config: Config,
     /// The position of the contract for each token digest.
     tokens: HashMap<String, usize>,
+    /// The routes and keys of the site.
+    pub(crate) site: Option<site::Index>,
 }
 
 impl InForce {
@@ -42,7 +44,8 @@
                 contract.token_digests.iter().map(move |digest| (digest.clone(), index))
             })
             .collect();
-        Self { config, tokens }
+        let site = config.site.as_ref().map(site::Index::new);
+        Self { config, tokens, site }
     }
 
     /// Returns the contract that a bearer token belongs to.
@@ -86,6 +89,8 @@
     /// End of the last lifetime of a list that names this entry, on `clock`.
     listed_until: AtomicU64,
     open: AtomicUsize,
+    /// The serving entries that answered lately, this one included unless it drains.
+    live: RwLock<Arc<[Entry]>>,
 }
 
 impl Shared {
@@ -102,6 +107,7 @@
             draining: AtomicBool::new(false),
             listed_until: AtomicU64::new(0),
             open: AtomicUsize::new(0),
+            live: RwLock::new(Arc::new([])),
         }
     }
 
@@ -200,6 +206,16 @@
         Entry { duty, ..self.entry.clone() }
     }
 
+    /// Returns the serving entries that answered lately.
+    pub(crate) fn live(&self) -> Arc<[Entry]> {
+        Arc::clone(&self.live.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Takes over which entries serve and answered lately.
+    pub(crate) fn set_live(&self, live: Vec<Entry>) {
+        *self.live.write().unwrap_or_else(PoisonError::into_inner) = live.into();
+    }
+
     /// Counts an open request until the guard is dropped.
     pub(crate) fn open(self: &Arc<Self>) -> Open {
         self.open.fetch_add(1, Ordering::AcqRel);
--- a/crates/wasabi-entry/src/shell.rs
+++ b/crates/wasabi-entry/src/shell.rs
@@ -176,11 +176,12 @@
             effects.extend(self.pools.borrow_mut().lose_holder(now, &name));
         }
         self.perform(effects);
-        let is_drained = config
-            .view
-            .entries
-            .iter()
-            .any(|entry| entry.name == *own && entry.duty == Duty::Draining);
+        // A view may still hold the process that ran here before, which drained.
+        let started = self.shared.entry.started;
+        let mut entries = config.view.entries.iter();
+        let is_drained = entries.any(|entry| {
+            entry.name == *own && entry.started == started && entry.duty == Duty::Draining
+        });
         if is_drained {
             self.drain();
         }
@@ -309,6 +310,7 @@
         let effects = self.pools.borrow_mut().step_all(now, || Event::Tick);
         self.perform(effects);
         self.peers.borrow().wake_lost(now);
+        self.note_live();
         self.lender.borrow_mut().sweep(now);
         let open = i64::try_from(self.shared.open_count()).unwrap_or(i64::MAX);
         self.shared.metrics.open.set(open);
@@ -318,6 +320,18 @@
         }
     }
 
+    /// Notes which serving entries answered lately, for callers that ask where to connect.
+    fn note_live(&self) {
+        let now = self.now();
+        let peers = self.peers.borrow();
+        let mut live = self.shared.others();
+        live.retain(|entry| peers.is_live(now, &entry.name));
+        if !self.shared.is_draining() {
+            live.push(self.shared.entry.clone());
+        }
+        self.shared.set_live(live);
+    }
+
     fn kill(&self) {
         if let Some(start) = self.drain.borrow_mut().take() {
             start.kill();
--- a/crates/wasabi-entry/tests/support/control.rs
+++ b/crates/wasabi-entry/tests/support/control.rs
@@ -158,7 +158,7 @@
     let config = state.machine.config();
     let revision = config.revision;
     let config = (checkin.revision < revision).then(|| Box::new(config));
-    Ok(Checked::Heard { revision, config })
+    Ok(Checked::Heard { revision, config, members: Vec::new() })
 }
 
 /// Returns an order on the revision in force.
--- a/crates/wasabi-settings/src/entry.rs
+++ b/crates/wasabi-settings/src/entry.rs
@@ -75,6 +75,9 @@
     /// Longest time for a request body to arrive.
     #[garde(dive)]
     pub body_time: Scalar<Millis>,
+    /// Longest time that a caller's connection may be idle, where requests are passed on.
+    #[garde(dive)]
+    pub idle_time: Scalar<Millis>,
     /// Time for which callers may keep the list of entries.
     #[garde(dive)]
     pub list_lifetime: Scalar<Millis>,
@@ -86,6 +89,7 @@
             body_bytes: Scalar::new(4 * 1024 * 1024),
             head_time: Scalar::new(Millis::from_secs(10)),
             body_time: Scalar::new(Millis::from_secs(30)),
+            idle_time: Scalar::new(Millis::from_secs(20)),
             list_lifetime: Scalar::new(Millis::from_secs(30)),
         }
     }
