scheduling: route tiers within the organisation's, windows of limits, unlike engines, take-overs

Changes: the tier of the organisation goes first, that of the route orders within it. Tokens of a limit with a burst are counted in its window by the lender, which learns from the borrowers what an earlier lender lent. Without announced hardware an endpoint is a straggler only when it is slower than its peers and than itself. The next owner in order hears announcements too, and an old owner hands its endpoints over. A peer that answers on neither of two connections is down at once.

--- a/crates/wasabi-admission/src/lender.rs
+++ b/crates/wasabi-admission/src/lender.rs
@@ -1,8 +1,9 @@
 //! The owner of an organisation's budget, which lends slices of it to pool owners.
 //!
-//! What is lent in a span `w` is at most the limit times `w` plus one purse: the purse fills at the
-//! rate of the limit, holds at most one slice or the burst of the limits, and is empty when a lender
-//! starts.
+//! What is lent in a span `w` is at most the limit times `w` plus one slice: the purse fills at the
+//! rate of the limit, holds at most one slice, and is empty when a lender starts. Tokens of a limit
+//! with a burst are counted in its sliding window instead; a new lender learns from the borrowers
+//! what they started in it.
 
 use std::collections::HashMap;
 
@@ -13,7 +14,10 @@
     rpc::{Slice, Usage},
 };
 
-use crate::limit::{SLICE, overdraft};
+use crate::{
+    limit::{SLICE, overdraft, window_tokens},
+    window::Window,
+};
 
 /// Time after which a pool that did not ask is forgotten, in milliseconds.
 ///
@@ -31,6 +35,9 @@
     requests: f64,
     tokens: f64,
     filled: Millis,
+    /// Tokens lent in the window of a limit with a burst, and the limit that they count against.
+    lent: Window,
+    window_limit: f64,
     borrowers: HashMap<id::Pool, Borrower>,
 }
 
@@ -63,6 +70,8 @@
             requests: 0.0,
             tokens: 0.0,
             filled: now,
+            lent: Window::default(),
+            window_limit: 0.0,
             borrowers: HashMap::new(),
         });
         purse.fill(now, limits);
@@ -79,14 +88,31 @@
     fn fill(&mut self, now: Millis, limits: &Limits) {
         let elapsed = now.since(self.filled).seconds();
         self.filled = self.filled.max(now);
-        let (requests, slice) = overdraft(limits);
-        let tokens = slice.max(f64::from(limits.burst_tokens));
+        let (requests, tokens) = overdraft(limits);
         self.requests = (self.requests + f64::from(limits.requests_per_s) * elapsed).min(requests);
         self.tokens = (self.tokens + f64::from(limits.tokens_per_s) * elapsed).min(tokens);
         self.borrowers.retain(|_, borrower| now.since(borrower.asked) < FORGET);
+        if let Some(burst) = &limits.burst {
+            let most = window_tokens(limits, burst);
+            self.lent.set_span(burst.window);
+            // After a change the organisation has used the same part of the new limit as of the old
+            // one. Counted in full, a lowered limit would refuse everything for a window.
+            if 0.0 < self.window_limit && self.window_limit != most {
+                self.lent.scale(most / self.window_limit);
+            }
+            self.window_limit = most;
+            self.tokens = most - self.lent.sum(now);
+        }
     }
 
     fn lend(&mut self, now: Millis, limits: &Limits, pool: &id::Pool, used: &Usage) -> Slice {
+        if limits.burst.is_some() && !self.borrowers.contains_key(pool) {
+            let unknown = used.recent_tokens as f64 - self.lent.sum(now);
+            if self.borrowers.is_empty() && 0.0 < unknown {
+                self.lent.add_spread(now, unknown);
+                self.tokens -= unknown;
+            }
+        }
         let borrower = self.borrowers.entry(pool.clone()).or_default();
         borrower.asked = now;
         // What was used since the last ask is the best guess of what will be used until the next.
@@ -105,6 +131,9 @@
         let tokens = part(self.tokens, wanted_tokens, all_tokens).min(wanted_tokens);
         self.requests -= requests;
         self.tokens -= tokens;
+        if limits.burst.is_some() {
+            self.lent.add(now, tokens);
+        }
         let concurrency = self.allot(limits.concurrency, pool);
         Slice { requests, tokens, concurrency, span: SLICE }
     }
--- a/crates/wasabi-admission/src/lib.rs
+++ b/crates/wasabi-admission/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod lender;
 pub mod limit;
 pub mod queue;
+pub mod window;
--- a/crates/wasabi-admission/src/limit.rs
+++ b/crates/wasabi-admission/src/limit.rs
@@ -6,10 +6,12 @@
 
 use wasabi_protocol::{
     clock::Millis,
-    contract::Limits,
+    contract::{Burst, Limits},
     rpc::{Slice, Usage},
 };
 
+use crate::window::Window;
+
 /// How long a slice lasts, in milliseconds.
 pub const SLICE: Millis = Millis(250);
 
@@ -40,8 +42,14 @@
     concurrency_ends: Millis,
     running: u32,
     used: Usage,
+    /// Tokens started in the window of a limit with a burst.
+    recent: Window,
     asked: Option<Millis>,
     refused: bool,
+    /// Tokens asked for last.
+    wanted: f64,
+    /// Whether the last slice was smaller than what was asked for.
+    is_scarce: bool,
 }
 
 impl Account {
@@ -56,14 +64,18 @@
             concurrency_ends: Millis::ZERO,
             running: 0,
             used: Usage::default(),
+            recent: Window::new(limits.burst.map_or(Millis::ZERO, |burst| burst.window)),
             asked: None,
             refused: false,
+            wanted: 0.0,
+            is_scarce: false,
         }
     }
 
     /// Follows a changed contract.
     pub fn change(&mut self, limits: Limits) {
         self.limits = limits;
+        self.recent.set_span(limits.burst.map_or(Millis::ZERO, |burst| burst.window));
     }
 
     /// Returns whether one more request may start, and remembers a refusal for the next ask.
@@ -77,17 +89,24 @@
         allowed
     }
 
-    /// Returns the time until one more request may start behind `waiting_tokens` of others, as the
-    /// limit alone allows.
-    pub fn wait(&self, waiting_tokens: u64) -> Millis {
-        let (_, tokens) = overdraft(&self.limits);
-        let owed = waiting_tokens as f64 - self.tokens - tokens;
+    /// Returns the time until one more request may start behind `waiting_tokens` of others, when
+    /// the limit on tokens is used up: the account is overdrawn and the lender had less to lend
+    /// than was asked for.
+    pub fn shortage(&self, waiting_tokens: u64) -> Option<Millis> {
+        let (_, overdraft) = overdraft(&self.limits);
+        let owed = waiting_tokens as f64 - self.tokens - overdraft;
+        if !self.is_scarce || owed < 0.0 {
+            return None;
+        }
         let rate = f64::from(self.limits.tokens_per_s.max(1));
-        Millis((owed.max(0.0) / rate * 1_000.0) as u64)
+        Some(Millis((owed / rate * 1_000.0) as u64).max(SLICE))
     }
 
     /// Charges a request that starts.
-    pub fn start(&mut self, tokens: u64) {
+    pub fn start(&mut self, now: Millis, tokens: u64) {
+        if self.limits.burst.is_some() {
+            self.recent.add(now, tokens as f64);
+        }
         self.requests -= 1.0;
         self.tokens -= tokens as f64;
         self.running += 1;
@@ -111,6 +130,7 @@
         self.requests += slice.requests.max(0.0);
         self.tokens += slice.tokens.max(0.0);
         self.credit_ends = now + slice.span;
+        self.is_scarce = slice.tokens + 1.0 < self.wanted;
         self.concurrency = slice.concurrency;
         // The lender forgets a pool that it has not heard for this time and lends its part anew.
         self.concurrency_ends = now + crate::lender::FORGET;
@@ -139,7 +159,9 @@
         self.asked = Some(now);
         self.refused = false;
         let used = std::mem::take(&mut self.used);
-        Some(Usage { running: self.running, waiting, waiting_tokens, ..used })
+        self.wanted = used.tokens as f64 + waiting_tokens as f64;
+        let recent_tokens = self.recent.sum(now) as u64;
+        Some(Usage { running: self.running, waiting, waiting_tokens, recent_tokens, ..used })
     }
 
     /// Returns whether nothing of the organisation runs or is owed here.
@@ -164,6 +186,11 @@
     }
 }
 
+/// Returns the tokens that a limit with a burst allows in one window.
+pub fn window_tokens(limits: &Limits, burst: &Burst) -> f64 {
+    f64::from(limits.tokens_per_s) * burst.window.seconds() + f64::from(burst.tokens)
+}
+
 /// Returns the requests and tokens of one whole slice of a contract.
 pub fn overdraft(limits: &Limits) -> (f64, f64) {
     let part = SLICE.seconds();
--- a/crates/wasabi-admission/tests/limit.rs
+++ b/crates/wasabi-admission/tests/limit.rs
@@ -14,7 +14,7 @@
 };
 
 const LIMITS: Limits =
-    Limits { requests_per_s: 400, tokens_per_s: 40_000, concurrency: 64, burst_tokens: 0 };
+    Limits { requests_per_s: 400, tokens_per_s: 40_000, concurrency: 64, burst: None };
 const LARGEST: u64 = 2_000;
 const DELAY: u64 = 5;
 
@@ -86,7 +86,7 @@
                 && site.account.may_start(Millis(now))
             {
                 site.queue.pop();
-                site.account.start(tokens);
+                site.account.start(Millis(now), tokens);
                 site.ends.push(now + rng.u64(50..2_000));
                 out.started.push(Started { at: now, tokens });
             }
@@ -196,7 +196,7 @@
     account.lend(Millis(1_000), &slice);
     let mut started = 0;
     while account.may_start(Millis(1_000) + SLICE) {
-        account.start(1_000);
+        account.start(Millis(1_000) + SLICE, 1_000);
         started += 1;
     }
     assert_eq!(started, 10, "the overdraft of 10,000 tokens is left");
--- a/crates/wasabi-bench/src/owner.rs
+++ b/crates/wasabi-bench/src/owner.rs
@@ -41,7 +41,7 @@
             requests_per_s: 5_000,
             tokens_per_s: 10_000_000,
             concurrency: 4_000,
-            burst_tokens: 0,
+            burst: None,
         };
         Self {
             pool: pool(Millis::ZERO, seed, &limits),
--- a/crates/wasabi-control/examples/measure/group.rs
+++ b/crates/wasabi-control/examples/measure/group.rs
@@ -167,7 +167,7 @@
         organisation: organisation.into(),
         token_digests: vec![fingerprint::token(organisation)],
         share: 1,
-        limits: Limits { requests_per_s: 10, tokens_per_s: 1_000, concurrency: 4, burst_tokens: 0 },
+        limits: Limits { requests_per_s: 10, tokens_per_s: 1_000, concurrency: 4, burst: None },
         routes: vec![route("query", 0), route("order", 1), route("summary", 3)],
     }
 }
--- a/crates/wasabi-control/tests/single.rs
+++ b/crates/wasabi-control/tests/single.rs
@@ -64,7 +64,7 @@
         organisation: "org".into(),
         token_digests: vec![fingerprint::token("secret")],
         share: 1,
-        limits: Limits { requests_per_s: 10, tokens_per_s: 1_000, concurrency: 4, burst_tokens: 0 },
+        limits: Limits { requests_per_s: 10, tokens_per_s: 1_000, concurrency: 4, burst: None },
         routes: vec![Route {
             name: "query".into(),
             tier: Tier::TOP,
--- a/crates/wasabi-control/tests/support/mod.rs
+++ b/crates/wasabi-control/tests/support/mod.rs
@@ -236,7 +236,7 @@
         organisation: organisation.into(),
         token_digests: vec![fingerprint::token("secret")],
         share,
-        limits: Limits { requests_per_s: 10, tokens_per_s: 1_000, concurrency: 4, burst_tokens: 0 },
+        limits: Limits { requests_per_s: 10, tokens_per_s: 1_000, concurrency: 4, burst: None },
         routes: vec![Route {
             name: "query".into(),
             tier: Tier::TOP,
--- a/crates/wasabi-entry/src/forward/call.rs
+++ b/crates/wasabi-entry/src/forward/call.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use wasabi_protocol::{
     clock::Millis,
-    contract::Tier,
+    contract::{TIERS, Tier},
     fault::{Fault, Kind},
     fingerprint, id, request,
     site::{Backend, Repeat, Route},
@@ -97,7 +97,7 @@
         let share = organisation.map_or(SHARE_UNLIMITED, |organisation| {
             (organisation.tokens_per_s / TOKENS_PER_SHARE).max(SHARE_UNLIMITED)
         });
-        let tier = organisation.and_then(|organisation| organisation.tier).unwrap_or(route.tier);
+        let tier = tier(organisation.and_then(|organisation| organisation.tier), route.tier);
         let name = organisation.map_or_else(|| "".into(), |one| one.name.clone());
         let passed = passed(headers, dialect);
         let (body_bytes, method) = (site.body_bytes, request.method().clone());
@@ -167,6 +167,18 @@
     }
 }
 
+/// Returns the tier of a request: that of its organisation goes first, that of its route orders the
+/// requests of organisations with the same one.
+fn tier(organisation: Option<Tier>, route: Tier) -> Tier {
+    const LAST: u8 = TIERS as u8 - 1;
+    match organisation {
+        None => route,
+        // Two tiers for the organisations that go before all others, three for the rest.
+        Some(Tier::TOP) => Tier(route.0 / 2).min(Tier(1)),
+        Some(_) => Tier(route.0.saturating_add(2).min(LAST)),
+    }
+}
+
 /// Returns the chained hashes of a prompt's blocks, longest prefix last. Two prompts share the
 /// hashes of the parts that they share.
 fn blocks(size: &Size) -> Vec<u64> {
--- a/crates/wasabi-entry/src/peers/table.rs
+++ b/crates/wasabi-entry/src/peers/table.rs
@@ -27,6 +27,8 @@
     revision: id::Revision,
     lost: Rc<Notify>,
     is_beating: bool,
+    /// Whether the last heartbeat was answered on neither of two connections.
+    is_down: bool,
 }
 
 /// The other entries of the view.
@@ -62,6 +64,7 @@
                 revision: id::Revision::default(),
                 lost: Rc::default(),
                 is_beating: false,
+                is_down: false,
             });
             if peer.address != entry.peer_address {
                 peer.address.clone_from(&entry.peer_address);
@@ -73,9 +76,9 @@
 
     /// Returns whether a peer may own pools.
     pub(crate) fn is_live(&self, now: Millis, name: &id::Entry) -> bool {
-        self.peers
-            .get(name)
-            .is_some_and(|peer| now.since(peer.heard.unwrap_or(peer.named)) < LIVE_FOR)
+        self.peers.get(name).is_some_and(|peer| {
+            !peer.is_down && now.since(peer.heard.unwrap_or(peer.named)) < LIVE_FOR
+        })
     }
 
     /// Returns the signal that a peer is lost.
@@ -106,9 +109,13 @@
     pub(crate) fn end_beat(&mut self, name: &id::Entry, answer: Option<(Millis, id::Revision)>) {
         let Some(peer) = self.peers.get_mut(name) else { return };
         peer.is_beating = false;
-        if let Some((sent, revision)) = answer {
-            peer.heard = peer.heard.max(Some(sent));
-            peer.revision = revision;
+        match answer {
+            Some((sent, revision)) => {
+                peer.heard = peer.heard.max(Some(sent));
+                peer.revision = revision;
+                peer.is_down = false;
+            }
+            None => peer.is_down = true,
         }
     }
 
--- a/crates/wasabi-entry/src/pools/follow.rs
+++ b/crates/wasabi-entry/src/pools/follow.rs
@@ -8,17 +8,19 @@
 
 use crate::shell::Shell;
 
+/// Entries that hear the announcements of a pool's endpoints: the owner and the one after it.
+const REGISTRIES: usize = 2;
+
 impl Shell {
     pub(crate) fn announce(self: &Rc<Self>, announcement: Announcement) {
         for pool in self.pools_of(&announcement.backend) {
-            match self.owner_of(&pool) {
-                Some(entry) if entry.name == self.shared.entry.name => {
+            // The next owner hears it too, so that it can take over at once.
+            for entry in self.owners_of(&pool, REGISTRIES) {
+                if entry.name == self.shared.entry.name {
                     self.announce_here(announcement.clone());
-                }
-                Some(entry) => {
+                } else {
                     self.tell(entry.name, method::ANNOUNCE, rpc_params![&announcement]);
                 }
-                None => {}
             }
         }
     }
@@ -26,6 +28,10 @@
     pub(crate) fn announce_here(self: &Rc<Self>, announcement: Announcement) {
         let now = self.now();
         for pool in self.pools_of(&announcement.backend) {
+            if !self.is_owner(&pool) {
+                self.standby.borrow_mut().announce(now, &pool, &announcement);
+                continue;
+            }
             self.own(&pool, &announcement.backend);
             let event = Event::Announce(announcement.clone());
             let effects = self.pools.borrow_mut().step(now, &pool, event);
@@ -43,6 +49,7 @@
 
     pub(crate) fn leave_here(self: &Rc<Self>, endpoint: &id::Endpoint) {
         let now = self.now();
+        self.standby.borrow_mut().leave(now, endpoint);
         let event = || Event::Leave { endpoint: endpoint.clone() };
         let effects = self.pools.borrow_mut().step_all(now, event);
         self.perform(effects);
@@ -63,9 +70,15 @@
         }
         let owned = self.pools.borrow().names();
         for pool in owned {
-            if !self.is_owner(&pool) {
-                self.pools.borrow_mut().disown(&pool, in_force.config.view.number);
+            let Some(owner) = self.owner_of(&pool).filter(|owner| owner.name != *own) else {
+                continue;
+            };
+            let endpoints = self.pools.borrow().endpoints_of(&pool);
+            for announcement in &endpoints {
+                self.tell(owner.name.clone(), method::ANNOUNCE, rpc_params![announcement]);
+                self.standby.borrow_mut().announce(self.now(), &pool, announcement);
             }
+            self.pools.borrow_mut().disown(&pool, in_force.config.view.number);
         }
         for (pool, backend) in wanted {
             let Some(owner) = self.owner_of(&pool) else { continue };
--- a/crates/wasabi-entry/src/pools/mod.rs
+++ b/crates/wasabi-entry/src/pools/mod.rs
@@ -5,3 +5,4 @@
 pub(crate) mod follow;
 pub(crate) mod holder;
 pub(crate) mod owner;
+pub(crate) mod standby;
--- a/crates/wasabi-entry/src/pools/owner.rs
+++ b/crates/wasabi-entry/src/pools/owner.rs
@@ -70,7 +70,7 @@
         owner: &id::Entry,
         config: &Config,
     ) {
-        if self.owned.contains_key(name) {
+        if self.owns(name) {
             return;
         }
         tracing::info!(pool = %name, "pool is owned here from now on");
@@ -81,6 +81,11 @@
         self.owned.insert(name.clone(), owned);
     }
 
+    /// Returns whether this entry owns a pool.
+    pub(crate) fn owns(&self, name: &id::Pool) -> bool {
+        self.owned.contains_key(name)
+    }
+
     /// Gives up a pool. Its waiting calls are asked again at the new owner.
     pub(crate) fn disown(&mut self, name: &id::Pool, view: id::View) {
         let Some(owned) = self.owned.remove(name) else { return };
@@ -168,6 +173,12 @@
         self.owned.values().flat_map(|owned| owned.pool.suspects(now)).collect()
     }
 
+    /// Returns the endpoints of one owned pool.
+    pub(crate) fn endpoints_of(&self, name: &id::Pool) -> Vec<Announcement> {
+        let owned = self.owned.get(name);
+        owned.map(|owned| owned.pool.endpoints().cloned().collect()).unwrap_or_default()
+    }
+
     /// Returns the endpoints of the owned pools.
     pub(crate) fn endpoints(&self) -> Vec<Announcement> {
         self.owned.values().flat_map(|owned| owned.pool.endpoints().cloned()).collect()
--- a/crates/wasabi-entry/src/shell.rs
+++ b/crates/wasabi-entry/src/shell.rs
@@ -29,6 +29,7 @@
         acquire,
         holder::Holder,
         owner::{self, Effect},
+        standby,
     },
     shared::{Mode, Shared},
 };
@@ -45,6 +46,8 @@
     pub(crate) pools: RefCell<owner::Table>,
     pub(crate) holder: RefCell<Holder>,
     pub(crate) peers: RefCell<table::Table>,
+    /// Endpoints of pools that other entries own.
+    pub(crate) standby: RefCell<standby::Table>,
     /// The budgets of the organisations that this entry owns.
     pub(crate) lender: RefCell<Lender>,
     pub(crate) control: Link,
@@ -65,6 +68,7 @@
             pools: RefCell::default(),
             holder: RefCell::default(),
             peers: RefCell::default(),
+            standby: RefCell::default(),
             lender: RefCell::default(),
             control,
             control_heard: Cell::new(None),
@@ -96,15 +100,24 @@
 
     /// Returns the entry that owns a pool: the first live one in rendezvous order.
     pub(crate) fn owner_of(&self, pool: &id::Pool) -> Option<Entry> {
+        self.owners_of(pool, 1).pop()
+    }
+
+    /// Returns the owner of a pool and the live entries after it in rendezvous order.
+    pub(crate) fn owners_of(&self, pool: &id::Pool, count: usize) -> Vec<Entry> {
         let in_force = self.shared.in_force();
         let (now, peers) = (self.now(), self.peers.borrow());
         let view = &in_force.config.view;
         let own = &self.shared.entry.name;
         let live = rendezvous::owners(pool, view)
             .into_iter()
-            .find(|entry| entry.name == *own || peers.is_live(now, &entry.name));
-        // An entry that drains as the last one still finishes what it has.
-        live.or_else(|| view.entries.iter().find(|entry| entry.name == *own)).cloned()
+            .filter(|entry| entry.name == *own || peers.is_live(now, &entry.name));
+        let mut owners: Vec<_> = live.take(count).cloned().collect();
+        if owners.is_empty() {
+            // An entry that drains as the last one still finishes what it has.
+            owners.extend(view.entries.iter().find(|entry| entry.name == *own).cloned());
+        }
+        owners
     }
 
     /// Returns the pools of a backend in this entry's region.
@@ -112,11 +125,27 @@
         acquire::pools_of(backend, &self.shared.entry.region)
     }
 
-    /// Makes this entry the owner of a pool.
-    pub(crate) fn own(&self, pool: &id::Pool, backend: &id::Backend) {
+    /// Makes this entry the owner of a pool, with the endpoints that it heard of so far.
+    pub(crate) fn own(self: &Rc<Self>, pool: &id::Pool, backend: &id::Backend) {
+        if self.pools.borrow().owns(pool) {
+            return;
+        }
         let in_force = self.shared.in_force();
         let own = &self.shared.entry.name;
-        self.pools.borrow_mut().own(self.now(), pool, backend, own, &in_force.config);
+        let now = self.now();
+        self.pools.borrow_mut().own(now, pool, backend, own, &in_force.config);
+        let known = self.standby.borrow_mut().take(now, pool);
+        tracing::info!(%pool, endpoints = known.len(), "taking over with what is known");
+        for known in known {
+            let endpoint = known.announcement.name.clone();
+            let event = Event::Announce(known.announcement);
+            let mut effects = self.pools.borrow_mut().step(now, pool, event);
+            if known.has_left {
+                let event = Event::Leave { endpoint };
+                effects.extend(self.pools.borrow_mut().step(now, pool, event));
+            }
+            self.perform(effects);
+        }
     }
 
     /// Does what the pools ask for.
@@ -312,6 +341,7 @@
         self.peers.borrow().wake_lost(now);
         self.note_live();
         self.lender.borrow_mut().sweep(now);
+        self.standby.borrow_mut().sweep(now);
         let open = i64::try_from(self.shared.open_count()).unwrap_or(i64::MAX);
         self.shared.metrics.open.set(open);
         self.settle_owners();
--- a/crates/wasabi-protocol/src/contract.rs
+++ b/crates/wasabi-protocol/src/contract.rs
@@ -58,10 +58,21 @@
     pub tokens_per_s: u32,
     /// Most requests running at one time.
     pub concurrency: u32,
-    /// Estimated tokens that may be started beyond `tokens_per_s` after quiet traffic; 0 means those
-    /// of a quarter of a second.
+    /// What may be started beyond `tokens_per_s` after quiet traffic; none means the tokens of a
+    /// quarter of a second.
     #[serde(default)]
-    pub burst_tokens: u32,
+    pub burst: Option<Burst>,
+}
+
+/// A burst of tokens in a sliding window.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Burst {
+    /// Tokens that may be started in any window beyond `tokens_per_s` times its length.
+    pub tokens: u32,
+    /// The length of the window, in milliseconds.
+    pub window: Millis,
 }
 
 /// One kind of request within a contract.
--- a/crates/wasabi-protocol/src/site.rs
+++ b/crates/wasabi-protocol/src/site.rs
@@ -151,8 +151,8 @@
     pub tier: Option<Tier>,
     /// Most tokens started in one second over all entries; zero means no limit.
     pub tokens_per_s: u32,
-    /// Tokens that may be started beyond that after quiet traffic.
-    pub burst_tokens: u32,
+    /// Tokens that may be started beyond that in a window.
+    pub burst: Option<contract::Burst>,
     /// Tokens that a request without a stated size counts as.
     pub plain_tokens: u32,
 }
@@ -214,7 +214,7 @@
             requests_per_s: REQUESTS_UNBOUND,
             tokens_per_s: self.tokens_per_s,
             concurrency: REQUESTS_UNBOUND,
-            burst_tokens: self.burst_tokens,
+            burst: self.burst,
         })
     }
 }
--- a/crates/wasabi-routing/src/pace.rs
+++ b/crates/wasabi-routing/src/pace.rs
@@ -224,9 +224,12 @@
         record.per_token.recent.or_else(|| self.medians.get(&record.kind)?.per_token)
     }
 
-    /// Returns the median time per output token of the endpoint's kind, in milliseconds.
-    pub fn kind_per_token_ms(&self, endpoint: &id::Endpoint) -> Option<f64> {
-        self.medians.get(&self.endpoints.get(endpoint)?.kind)?.per_token
+    /// Returns the time per output token that is usual for the endpoint, in milliseconds.
+    pub fn usual_per_token_ms(&self, endpoint: &id::Endpoint) -> Option<f64> {
+        let record = self.endpoints.get(endpoint)?;
+        let median = self.medians.get(&record.kind)?;
+        let kind = median.per_token?;
+        record.reference(2, Some(kind), record.per_token.settled)
     }
 
     /// Returns the prompt tokens that the endpoint reads in a millisecond, or its kind's median.
@@ -253,8 +256,8 @@
             .map_or(BETWEEN_UNKNOWN, |per_token| bound(BETWEEN_FACTOR * per_token, BETWEEN_FLOOR))
     }
 
-    /// Returns the time within which a running request should end at the pace of the endpoint's
-    /// kind, with [`BAD_RATIO`] allowed.
+    /// Returns the time within which a running request should end at the pace that is usual for the
+    /// endpoint, with [`BAD_RATIO`] allowed.
     ///
     /// A grant that is older is a bad sample already before it ends.
     pub fn overdue_after(
@@ -263,9 +266,12 @@
         prefill_tokens: u32,
         output_tokens: u32,
     ) -> Option<Millis> {
-        let median = self.medians.get(&self.endpoints.get(endpoint)?.kind)?;
-        let prefill = f64::from(prefill_tokens.max(PREFILL_TOKENS_MIN)) * median.per_prompt_token?;
-        let stream = f64::from(output_tokens) * median.per_token?;
+        let record = self.endpoints.get(endpoint)?;
+        let median = self.medians.get(&record.kind)?;
+        let usual = |kind: Option<f64>, own: Average| record.reference(2, Some(kind?), own.settled);
+        let per_prompt_token = usual(median.per_prompt_token, record.per_prompt_token)?;
+        let prefill = f64::from(prefill_tokens.max(PREFILL_TOKENS_MIN)) * per_prompt_token;
+        let stream = f64::from(output_tokens) * usual(median.per_token, record.per_token)?;
         Some(Millis((BAD_RATIO * (prefill + stream)).ceil() as u64))
     }
 
@@ -314,9 +320,8 @@
         if sample.silent {
             return f64::INFINITY;
         }
-        let has_peers = 2 <= median.measured;
         let against = |value: Option<f64>, kind: Option<f64>, own: Option<f64>| {
-            let reference = if has_peers { kind } else { own };
+            let reference = self.reference(median.measured, kind, own);
             Some(value? / reference?.max(f64::MIN_POSITIVE))
         };
         [
@@ -332,6 +337,20 @@
         .fold(0.0, f64::max)
     }
 
+    /// Returns the pace that a sample is compared with.
+    ///
+    /// Without measured peers it is the endpoint's own long average. Endpoints that announce no
+    /// hardware may be of unlike speeds, so they are only bad when they are slower than their peers
+    /// and than themselves: peers alone would condemn each slow engine for good, and its own past
+    /// alone would condemn all engines in a burst.
+    fn reference(&self, measured: usize, kind: Option<f64>, own: Option<f64>) -> Option<f64> {
+        match (measured, self.kind.hardware.is_empty()) {
+            (0 | 1, _) => own,
+            (_, true) => kind.map(|kind| own.map_or(kind, |own| kind.max(own))),
+            (_, false) => kind,
+        }
+    }
+
     fn judge(&mut self, now: Millis, ratio: f64) {
         if BAD_RATIO < ratio {
             self.bad += 1;
--- a/crates/wasabi-scheduler/src/pool/budget.rs
+++ b/crates/wasabi-scheduler/src/pool/budget.rs
@@ -41,15 +41,20 @@
         self.account(organisation).is_none_or(|account| account.may_start(now))
     }
 
-    /// Returns the time until the organisation may start one more request behind those that wait.
-    pub(super) fn wait(&mut self, organisation: &id::Organisation, queue: &Queue) -> Millis {
+    /// Returns the time until the organisation may start one more request behind those that wait,
+    /// when its limit on tokens is used up.
+    pub(super) fn shortage(
+        &mut self,
+        organisation: &id::Organisation,
+        queue: &Queue,
+    ) -> Option<Millis> {
         let (_, tokens) = queue.backlog(organisation);
-        self.account(organisation).map_or(Millis::ZERO, |account| account.wait(tokens))
+        self.account(organisation)?.shortage(tokens)
     }
 
-    pub(super) fn start(&mut self, request: &Request) {
+    pub(super) fn start(&mut self, now: Millis, request: &Request) {
         if let Some(account) = self.account(&request.organisation) {
-            account.start(request.tokens());
+            account.start(now, request.tokens());
         }
     }
 
--- a/crates/wasabi-scheduler/src/pool/dispatch.rs
+++ b/crates/wasabi-scheduler/src/pool/dispatch.rs
@@ -165,7 +165,7 @@
             return refuse(actions, ticket, Kind::Internal, message);
         }
         let Some(item) = self.queue.start(ticket) else { return };
-        self.budgets.start(&request);
+        self.budgets.start(now, &request);
         if how.mark == Mark::Alone {
             self.suspects.started_alone(request.fingerprint, request.attempt);
         }
--- a/crates/wasabi-scheduler/src/pool/owner.rs
+++ b/crates/wasabi-scheduler/src/pool/owner.rs
@@ -38,10 +38,6 @@
 /// Time after which a new owner stops waiting for reports of running grants.
 const TAKEOVER: Millis = Millis(500);
 
-/// Wait for an organisation's budget up to which a request is queued in any case, in milliseconds:
-/// a slice comes within this time.
-const LIMIT_WAIT_MIN: Millis = Millis(250);
-
 /// The owner of one pool.
 #[derive(Debug)]
 pub struct Pool {
@@ -213,8 +209,7 @@
             let message = "the retry budget is used up; this attempt was not run";
             return refuse(actions, ticket, Kind::Overloaded, message);
         }
-        let wait = self.budgets.wait(&request.organisation, &self.queue);
-        if request.first_token.max(LIMIT_WAIT_MIN) < wait {
+        if let Some(wait) = self.budgets.shortage(&request.organisation, &self.queue) {
             let message = "a limit of the contract is used up; wait, or change the contract";
             let fault = Fault::new(Kind::LimitReached, message).after(wait);
             actions.push(Action::Refuse { ticket, fault });
--- a/crates/wasabi-scheduler/src/pool/release.rs
+++ b/crates/wasabi-scheduler/src/pool/release.rs
@@ -66,7 +66,7 @@
         self.board.sample(now, name, sample);
         // Single streams differ by more than the tolerance through the prompts read beside them,
         // so the endpoint's average is compared.
-        let pace = (self.board.per_token_ms(name), self.board.kind_per_token_ms(name));
+        let pace = (self.board.per_token_ms(name), self.board.usual_per_token_ms(name));
         let Some(slot) = self.endpoints.get_mut(name) else { return };
         slot.sampled = now;
         slot.refresh(now, &self.board);
--- a/crates/wasabi-scheduler/tests/urgency.rs
+++ b/crates/wasabi-scheduler/tests/urgency.rs
@@ -118,7 +118,7 @@
     let mut pool = ready(4, 64);
     let mut config = config(1, &["e1"]);
     let limits =
-        Limits { requests_per_s: 40, tokens_per_s: 1_000_000, concurrency: 200, burst_tokens: 0 };
+        Limits { requests_per_s: 40, tokens_per_s: 1_000_000, concurrency: 200, burst: None };
     config.contracts = vec![contract("org", limits)];
     pool.step(Millis(1_000), Event::Config(&config));
     let mut granted = 0;
