admission: an overdraft is paid although nothing starts

Change: an account states what it owes, and a refusal asks the lender again. Two tests in virtual time, both seen to fail before: service after a burst (0 of 50,000 tokens), and windows that hold about the limit.

--- a/crates/wasabi-admission/src/lender.rs
+++ b/crates/wasabi-admission/src/lender.rs
@@ -117,7 +117,9 @@
         borrower.asked = now;
         // What was used since the last ask is the best guess of what will be used until the next.
         borrower.requests = used.requests as f64 + f64::from(used.waiting) + 1.0;
-        borrower.tokens = used.tokens as f64 + used.waiting_tokens as f64 + 1.0;
+        // An overdraft must be paid also when nothing was started since the last ask.
+        let started = used.tokens.max(used.owed_tokens);
+        borrower.tokens = started as f64 + used.waiting_tokens as f64 + 1.0;
         borrower.running = used.running;
         borrower.wanted = used.running + used.waiting + 1;
         let (wanted_requests, wanted_tokens) = (borrower.requests, borrower.tokens);
--- a/crates/wasabi-admission/src/limit.rs
+++ b/crates/wasabi-admission/src/limit.rs
@@ -92,12 +92,14 @@
     /// Returns the time until one more request may start behind `waiting_tokens` of others, when
     /// the limit on tokens is used up: the account is overdrawn and the lender had less to lend
     /// than was asked for.
-    pub fn shortage(&self, waiting_tokens: u64) -> Option<Millis> {
+    pub fn shortage(&mut self, waiting_tokens: u64) -> Option<Millis> {
         let (_, overdraft) = overdraft(&self.limits);
         let owed = waiting_tokens as f64 - self.tokens - overdraft;
         if !self.is_scarce || owed < 0.0 {
             return None;
         }
+        // The next ask shows whether the lender has more by now.
+        self.refused = true;
         let rate = f64::from(self.limits.tokens_per_s.max(1));
         Some(Millis((owed / rate * 1_000.0) as u64).max(SLICE))
     }
@@ -159,9 +161,11 @@
         self.asked = Some(now);
         self.refused = false;
         let used = std::mem::take(&mut self.used);
-        self.wanted = used.tokens as f64 + waiting_tokens as f64;
+        let owed_tokens = (-self.tokens).max(0.0) as u64;
+        self.wanted = used.tokens.max(owed_tokens) as f64 + waiting_tokens as f64;
         let recent_tokens = self.recent.sum(now) as u64;
-        Some(Usage { running: self.running, waiting, waiting_tokens, recent_tokens, ..used })
+        let running = self.running;
+        Some(Usage { running, waiting, waiting_tokens, owed_tokens, recent_tokens, ..used })
     }
 
     /// Returns whether nothing of the organisation runs or is owed here.
--- a/crates/wasabi-admission/tests/limit.rs
+++ b/crates/wasabi-admission/tests/limit.rs
@@ -8,7 +8,7 @@
 };
 use wasabi_protocol::{
     clock::Millis,
-    contract::Limits,
+    contract::{Burst, Limits},
     id,
     rpc::{Slice, Usage},
 };
@@ -231,3 +231,56 @@
     let second = ask("b").concurrency;
     assert!(LIMITS.concurrency / 8 <= second, "pool b may start {second}");
 }
+
+/// A limit with a burst in a sliding window, as operators of a site state it.
+const WINDOWED: Limits = Limits {
+    requests_per_s: 1 << 20,
+    tokens_per_s: 10_000,
+    concurrency: 1 << 20,
+    burst: Some(Burst { tokens: 10_000, window: Millis(8_000) }),
+};
+
+/// Runs an organisation that wants `demand` tokens a second against a windowed limit, refused when
+/// the account says so, and returns the tokens started in each 100 ms.
+fn windowed(demand: impl Fn(u64) -> u64, span: u64) -> Vec<u64> {
+    let (mut lender, mut account) = (Lender::new(), Account::new(WINDOWED));
+    let organisation: id::Organisation = "org".into();
+    let mut started = vec![0; span as usize / 100];
+    for now in 0..span {
+        let at = Millis(now);
+        if now % 20 == 0 {
+            let tokens = demand(now) / 50;
+            if 0 < tokens && account.shortage(0).is_none() && account.may_start(at) {
+                account.start(at, tokens);
+                started[now as usize / 100] += tokens;
+                account.end();
+            }
+        }
+        if let Some(used) = account.ask(at, 0, 0) {
+            let slice = lender.lend(at, &organisation, &WINDOWED, &"pool".into(), &used);
+            account.lend(at, &slice);
+        }
+    }
+    started
+}
+
+/// Guards against an organisation that is refused for good after it once went past its limit: with
+/// nothing started there was nothing to pay its overdraft for.
+#[test]
+fn an_organisation_below_its_limit_is_served_again_after_a_burst() {
+    let started = windowed(|now| if now < 8_000 { 80_000 } else { 5_000 }, 30_000);
+    let later: u64 = started[200..].iter().sum();
+    assert!(45_000 <= later, "{later} of 50,000 tokens were started in the last 10 s");
+}
+
+/// Guards against windows that hold more than the limit and against ones that are left half used.
+#[test]
+fn each_window_holds_about_the_limit() {
+    let started = windowed(|_| 80_000, 40_000);
+    let most: u64 = 90_000;
+    for window in started.windows(80).skip(80) {
+        let sum: u64 = window.iter().sum();
+        assert!(sum <= most + 10_000, "{sum} tokens in a window of {most}");
+        assert!(most * 8 / 10 <= sum, "{sum} tokens in a window of {most}");
+    }
+}
--- a/crates/wasabi-protocol/src/rpc/pool.rs
+++ b/crates/wasabi-protocol/src/rpc/pool.rs
@@ -161,6 +161,9 @@
     pub waiting: u32,
     /// Estimated tokens of the requests that wait for budget.
     pub waiting_tokens: u64,
+    /// Tokens that the account is overdrawn by.
+    #[serde(default)]
+    pub owed_tokens: u64,
     /// Estimated tokens started in the last window of a limit with a burst, so that a new lender
     /// knows what its predecessor lent.
     #[serde(default)]
