admission: a limit that is used up goes to the urgent tiers of its organisation first

Cause: a limit was spent in the order of arrival.

Change: slices state which part of the limit is not lent yet. Requests that are one tier behind the organisation's most urgent one are refused when less than 8 in 100 is left, others below 20 in 100. An organisation at its usual load leaves about half of its limit free, so nothing changes there.

--- a/crates/wasabi-admission/src/lender.rs
+++ b/crates/wasabi-admission/src/lender.rs
@@ -137,7 +137,11 @@
             self.lent.add(now, tokens);
         }
         let concurrency = self.allot(limits.concurrency, pool);
-        Slice { requests, tokens, concurrency, span: SLICE }
+        let headroom = match limits.burst {
+            Some(_) => (self.tokens / self.window_limit.max(1.0)).clamp(0.0, 1.0),
+            None => 1.0,
+        };
+        Slice { requests, tokens, concurrency, headroom, span: SLICE }
     }
 
     /// Allots concurrency: as much as is wanted while there is enough, and in proportion to what
--- a/crates/wasabi-admission/src/limit.rs
+++ b/crates/wasabi-admission/src/limit.rs
@@ -6,7 +6,7 @@
 
 use wasabi_protocol::{
     clock::Millis,
-    contract::{Burst, Limits},
+    contract::{Burst, Limits, TIERS, Tier},
     rpc::{Slice, Usage},
 };
 
@@ -31,6 +31,13 @@
 /// second.
 const CONCURRENCY_ADVANCE: u32 = 4;
 
+/// Part of a limit with a burst that is kept for more urgent tiers of the organisation, by how many
+/// tiers a request is behind its most urgent one.
+///
+/// First come, first served would spend a limit that is used up on whatever comes most often. An
+/// organisation at its usual load leaves about half of its limit free.
+const KEPT_FOR_URGENT: [f64; 3] = [0.0, 0.08, 0.2];
+
 /// An organisation's account at one pool.
 #[derive(Debug, Clone)]
 pub struct Account {
@@ -50,6 +57,10 @@
     wanted: f64,
     /// Whether the last slice was smaller than what was asked for.
     is_scarce: bool,
+    /// Part of the limit on tokens that the lender still had.
+    headroom: f64,
+    /// The most urgent tier of the organisation's requests here.
+    top: Tier,
 }
 
 impl Account {
@@ -69,6 +80,8 @@
             refused: false,
             wanted: 0.0,
             is_scarce: false,
+            headroom: 1.0,
+            top: Tier(TIERS as u8 - 1),
         }
     }
 
@@ -89,15 +102,24 @@
         allowed
     }
 
-    /// Returns the time until one more request may start behind `waiting_tokens` of others, when
-    /// the limit on tokens is used up: the account is overdrawn and the lender had less to lend
-    /// than was asked for.
-    pub fn shortage(&mut self, waiting_tokens: u64) -> Option<Millis> {
+    /// Returns the time until one more request of a tier may start behind `waiting_tokens` of
+    /// others, when the limit on tokens is used up for it: the account is overdrawn and the lender
+    /// had less to lend than was asked for, or what is left is kept for more urgent tiers of the
+    /// organisation.
+    pub fn shortage(&mut self, tier: Tier, waiting_tokens: u64) -> Option<Millis> {
+        self.top = self.top.min(tier);
+        let rank = tier.index() - self.top.index();
+        let kept = KEPT_FOR_URGENT[rank.min(KEPT_FOR_URGENT.len() - 1)];
+        let missing = self.limits.burst.map_or(0.0, |burst| {
+            (kept - self.headroom).max(0.0) * window_tokens(&self.limits, &burst)
+        });
         let (_, overdraft) = overdraft(&self.limits);
         let owed = waiting_tokens as f64 - self.tokens - overdraft;
-        if !self.is_scarce || owed < 0.0 {
+        let is_overdrawn = self.is_scarce && 0.0 <= owed;
+        if !is_overdrawn && missing <= 0.0 {
             return None;
         }
+        let owed = if is_overdrawn { owed.max(missing) } else { missing };
         // The next ask shows whether the lender has more by now.
         self.refused = true;
         let rate = f64::from(self.limits.tokens_per_s.max(1));
@@ -133,6 +155,7 @@
         self.tokens += slice.tokens.max(0.0);
         self.credit_ends = now + slice.span;
         self.is_scarce = slice.tokens + 1.0 < self.wanted;
+        self.headroom = slice.headroom;
         self.concurrency = slice.concurrency;
         // The lender forgets a pool that it has not heard for this time and lends its part anew.
         self.concurrency_ends = now + crate::lender::FORGET;
--- a/crates/wasabi-admission/tests/limit.rs
+++ b/crates/wasabi-admission/tests/limit.rs
@@ -8,7 +8,7 @@
 };
 use wasabi_protocol::{
     clock::Millis,
-    contract::{Burst, Limits},
+    contract::{Burst, Limits, Tier},
     id,
     rpc::{Slice, Usage},
 };
@@ -192,7 +192,7 @@
 #[test]
 fn forgets_a_slice_that_was_not_used() {
     let mut account = Account::new(LIMITS);
-    let slice = Slice { requests: 100.0, tokens: 1e6, concurrency: 64, span: SLICE };
+    let slice = Slice { requests: 100.0, tokens: 1e6, concurrency: 64, headroom: 1.0, span: SLICE };
     account.lend(Millis(1_000), &slice);
     let mut started = 0;
     while account.may_start(Millis(1_000) + SLICE) {
@@ -250,7 +250,7 @@
         let at = Millis(now);
         if now % 20 == 0 {
             let tokens = demand(now) / 50;
-            if 0 < tokens && account.shortage(0).is_none() && account.may_start(at) {
+            if 0 < tokens && account.shortage(Tier::TOP, 0).is_none() && account.may_start(at) {
                 account.start(at, tokens);
                 started[now as usize / 100] += tokens;
                 account.end();
@@ -284,3 +284,30 @@
         assert!(most * 8 / 10 <= sum, "{sum} tokens in a window of {most}");
     }
 }
+
+/// Guards against a limit that is used up by the least urgent requests of an organisation, which
+/// come most often, while its urgent ones are refused.
+#[test]
+fn a_limit_that_is_used_up_goes_to_the_urgent_tier_first() {
+    let (mut lender, mut account) = (Lender::new(), Account::new(WINDOWED));
+    let organisation: id::Organisation = "org".into();
+    let mut served = [0_u32; 2];
+    for now in 0..24_000 {
+        let at = Millis(now);
+        // Each tier alone wants four fifths of the limit.
+        for (tier, served) in served.iter_mut().enumerate() {
+            let tier = Tier(2 * tier as u8);
+            if now % 50 == 0 && account.shortage(tier, 0).is_none() && account.may_start(at) {
+                account.start(at, 400);
+                account.end();
+                *served += u32::from(8_000 <= now);
+            }
+        }
+        if let Some(used) = account.ask(at, 0, 0) {
+            let slice = lender.lend(at, &organisation, &WINDOWED, &"pool".into(), &used);
+            account.lend(at, &slice);
+        }
+    }
+    assert!(300 <= served[0], "{} of 320 urgent requests were served", served[0]);
+    assert!(0 < served[1], "the rest of the limit is left for the others");
+}
--- a/crates/wasabi-protocol/src/rpc/pool.rs
+++ b/crates/wasabi-protocol/src/rpc/pool.rs
@@ -143,6 +143,8 @@
     pub tokens: f64,
     /// Requests that may run at one time while the slice lasts.
     pub concurrency: u32,
+    /// Part of the limit on tokens that is not lent, from 0 to 1.
+    pub headroom: f64,
     /// How long the slice lasts, in milliseconds.
     pub span: Millis,
 }
--- a/crates/wasabi-scheduler/src/pool/budget.rs
+++ b/crates/wasabi-scheduler/src/pool/budget.rs
@@ -41,15 +41,11 @@
         self.account(organisation).is_none_or(|account| account.may_start(now))
     }
 
-    /// Returns the time until the organisation may start one more request behind those that wait,
-    /// when its limit on tokens is used up.
-    pub(super) fn shortage(
-        &mut self,
-        organisation: &id::Organisation,
-        queue: &Queue,
-    ) -> Option<Millis> {
-        let (_, tokens) = queue.backlog(organisation);
-        self.account(organisation)?.shortage(tokens)
+    /// Returns the time until the organisation may start the request behind those that wait, when
+    /// its limit on tokens is used up for it.
+    pub(super) fn shortage(&mut self, request: &Request, queue: &Queue) -> Option<Millis> {
+        let (_, tokens) = queue.backlog(&request.organisation);
+        self.account(&request.organisation)?.shortage(request.tier, tokens)
     }
 
     pub(super) fn start(&mut self, now: Millis, request: &Request) {
--- a/crates/wasabi-scheduler/src/pool/owner.rs
+++ b/crates/wasabi-scheduler/src/pool/owner.rs
@@ -209,7 +209,7 @@
             let message = "the retry budget is used up; this attempt was not run";
             return refuse(actions, ticket, Kind::Overloaded, message);
         }
-        if let Some(wait) = self.budgets.shortage(&request.organisation, &self.queue) {
+        if let Some(wait) = self.budgets.shortage(&request, &self.queue) {
             let message = "a limit of the contract is used up; wait, or change the contract";
             let fault = Fault::new(Kind::LimitReached, message).after(wait);
             actions.push(Action::Refuse { ticket, fault });
