entry, control: coordinators carry pools, budgets and heartbeats of large views

Cause: heartbeats ran between all entries.

Change: in views of more than 12 entries the 12 with the most processor time are coordinators. They own pools and budgets and are the ones that all others exchange heartbeats with; an entry serves on without control while it hears most of them, and control judges silent entries by the same set. Check-ins name the site version that an entry has, so that a change of the view is sent without the site. A budget's owner is the first live one in order, not the first of the view.

Ruled out: slower heartbeats between all (half the load, twice the time to notice a loss), and a gossip over random pairs (the pool owners need to be known as live within a second).

--- a/crates/wasabi-control/src/liveness.rs
+++ b/crates/wasabi-control/src/liveness.rs
@@ -9,6 +9,7 @@
     id,
     rpc::{Checkin, EntryStatus, Force, Standing, Suspect},
 };
+use wasabi_routing::rendezvous;
 
 /// Silence after which an entry has stopped serving, in milliseconds: its serving time of 2 s
 /// plus 25% for clock drift and for the time that reports of peers travel.
@@ -57,7 +58,9 @@
         for entry in &view.entries {
             self.entries.entry(entry.name.clone()).or_default();
         }
-        let names: BTreeSet<_> = view.entries.iter().map(|entry| entry.name.clone()).collect();
+        // Entries serve on without control when they hear most of the coordinators.
+        let coordinators = rendezvous::coordinators(view);
+        let names: BTreeSet<_> = coordinators.into_iter().map(|one| one.name.clone()).collect();
         if self.views.last().is_some_and(|(_, last)| *last == names) {
             return;
         }
--- a/crates/wasabi-control/src/serve.rs
+++ b/crates/wasabi-control/src/serve.rs
@@ -114,11 +114,18 @@
         if !self.leads() {
             return Checked::NotLeader { leader: self.leader_address() };
         }
-        let held = checkin.revision;
+        let (held, held_site) = (checkin.revision, checkin.site);
         self.add_evidence(&checkin);
         self.liveness.check_in(self.clock.now(), checkin);
         let revision = self.machine.revision();
-        let config = (held < revision).then(|| Box::new(self.machine.config()));
+        let site = self.machine.site().map(|site| site.config.version);
+        let config = (held < revision).then(|| {
+            let mut config = Box::new(self.machine.config());
+            if held_site.is_some() && held_site == site {
+                config.site = None;
+            }
+            config
+        });
         let mut members = self.member_addresses();
         members.push(self.options.listen.to_string());
         Checked::Heard { revision, config, members }
--- a/crates/wasabi-control/tests/entries.rs
+++ b/crates/wasabi-control/tests/entries.rs
@@ -44,12 +44,14 @@
             peer_address: "127.0.0.1:2".to_owned(),
             data_centre: "a".into(),
             region: "r".into(),
+            capacity: 1_000,
             started: Millis::ZERO,
             duty: Duty::Serving,
         };
         let checkin = Checkin {
             entry,
             revision: id::Revision(0),
+            site: None,
             known: Vec::new(),
             evidence: Vec::new(),
             endpoints: Vec::new(),
--- a/crates/wasabi-control/tests/liveness.rs
+++ b/crates/wasabi-control/tests/liveness.rs
@@ -16,6 +16,7 @@
         peer_address: "127.0.0.1:2".to_owned(),
         data_centre: "a".into(),
         region: "r".into(),
+        capacity: 1_000,
         started: Millis::ZERO,
         duty: Duty::Serving,
     }
@@ -31,6 +32,7 @@
     Checkin {
         entry: entry(name),
         revision: id::Revision(revision),
+        site: None,
         known: known.collect(),
         evidence: Vec::new(),
         endpoints: Vec::new(),
--- a/crates/wasabi-entry/src/control/checkin.rs
+++ b/crates/wasabi-entry/src/control/checkin.rs
@@ -30,7 +30,10 @@
     match shell.control.check_in(&checkin).await {
         Some(Checked::Heard { config, members, .. }) => {
             shell.control.learn(members);
-            if let Some(config) = config {
+            if let Some(mut config) = config {
+                if config.site.is_none() {
+                    config.site.clone_from(&shell.shared.in_force().config.site);
+                }
                 shell.apply(&config);
             }
             shell.control_heard.set(Some(sent));
@@ -57,6 +60,7 @@
     Checkin {
         entry: shell.shared.checked_entry(),
         revision: shell.shared.in_force().config.revision,
+        site: shell.shared.in_force().config.site.as_ref().map(|site| site.version),
         known: shell.peers.borrow().known(now),
         evidence,
         endpoints: pools.endpoints(),
--- a/crates/wasabi-entry/src/daemon.rs
+++ b/crates/wasabi-entry/src/daemon.rs
@@ -120,6 +120,7 @@
             peer_address: peers.to_string(),
             data_centre: settings.data_centre.as_str().into(),
             region: settings.region.as_str().into(),
+            capacity: *settings.capacity,
             started: unix_now(),
             duty: Duty::Serving,
         };
--- a/crates/wasabi-entry/src/peers/table.rs
+++ b/crates/wasabi-entry/src/peers/table.rs
@@ -5,6 +5,7 @@
 use jsonrpsee::ws_client::WsClient;
 use tokio::sync::Notify;
 use wasabi_protocol::{clock::Millis, command::View, id};
+use wasabi_routing::rendezvous;
 
 /// Silence after which a peer's pools move to the next entry.
 pub(crate) const LIVE_FOR: Millis = Millis::from_secs(1);
@@ -27,6 +28,8 @@
     revision: id::Revision,
     lost: Rc<Notify>,
     is_beating: bool,
+    /// Whether heartbeats are exchanged with it; of the others only the view tells.
+    is_coordinator: bool,
     /// Whether the last heartbeat was answered on neither of two connections.
     is_down: bool,
 }
@@ -35,6 +38,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Table {
     peers: HashMap<id::Entry, Peer>,
+    /// Whether this entry is a coordinator.
+    is_coordinator: bool,
 }
 
 impl Table {
@@ -54,6 +59,9 @@
                 peer.lost.notify_waiters();
             }
         }
+        let coordinators: Vec<_> =
+            rendezvous::coordinators(view).into_iter().map(|entry| &entry.name).collect();
+        self.is_coordinator = coordinators.contains(&own);
         for entry in view.entries.iter().filter(|entry| entry.name != *own) {
             let peer = self.peers.entry(entry.name.clone()).or_insert_with(|| Peer {
                 address: entry.peer_address.clone(),
@@ -64,12 +72,14 @@
                 revision: id::Revision::default(),
                 lost: Rc::default(),
                 is_beating: false,
+                is_coordinator: false,
                 is_down: false,
             });
             if peer.address != entry.peer_address {
                 peer.address.clone_from(&entry.peer_address);
                 peer.client = None;
             }
+            peer.is_coordinator = coordinators.contains(&&entry.name);
         }
         gone
     }
@@ -77,7 +87,8 @@
     /// Returns whether a peer may own pools.
     pub(crate) fn is_live(&self, now: Millis, name: &id::Entry) -> bool {
         self.peers.get(name).is_some_and(|peer| {
-            !peer.is_down && now.since(peer.heard.unwrap_or(peer.named)) < LIVE_FOR
+            let silent = now.since(peer.heard.unwrap_or(peer.named));
+            !peer.is_coordinator || (!peer.is_down && silent < LIVE_FOR)
         })
     }
 
@@ -97,7 +108,8 @@
 
     /// Returns the peers that are due for a heartbeat, and marks them as being asked.
     pub(crate) fn start_beats(&mut self) -> Vec<id::Entry> {
-        let due = self.peers.iter_mut().filter(|(_, peer)| !peer.is_beating);
+        let peers = self.peers.iter_mut();
+        let due = peers.filter(|(_, peer)| peer.is_coordinator && !peer.is_beating);
         due.map(|(name, peer)| {
             peer.is_beating = true;
             name.clone()
@@ -144,14 +156,18 @@
         heard.map(|(name, peer)| (name.clone(), peer.revision)).collect()
     }
 
-    /// Returns the moment at which most entries of the view, this one included, had been heard,
+    /// Returns the moment at which most coordinators of the view, this entry included, had been heard,
     /// and the highest revision among them.
     pub(crate) fn majority(&self, now: Millis) -> Option<(Millis, id::Revision)> {
-        let mut heard: Vec<_> = self.peers.values().filter_map(|peer| peer.heard).collect();
-        heard.push(now);
+        let coordinators = || self.peers.values().filter(|peer| peer.is_coordinator);
+        let mut heard: Vec<_> = coordinators().filter_map(|peer| peer.heard).collect();
+        if self.is_coordinator {
+            heard.push(now);
+        }
         heard.sort_unstable_by(|left, right| right.cmp(left));
-        // Half of all entries, rounded down, plus one; the entry itself is not among the peers.
-        let needed = self.peers.len().div_ceil(2) + 1;
+        // The entry itself is not among the peers.
+        let count = coordinators().count() + usize::from(self.is_coordinator);
+        let needed = count / 2 + 1;
         let at = *heard.get(needed - 1)?;
         let revision = self.peers.values().map(|peer| peer.revision).max().unwrap_or_default();
         Some((at, revision))
--- a/crates/wasabi-entry/src/pools/budget.rs
+++ b/crates/wasabi-entry/src/pools/budget.rs
@@ -16,7 +16,11 @@
     /// Gets a slice from the organisation's owner and hands it to the pool.
     pub(crate) fn ask_for_slice(self: &Rc<Self>, lend: Lend) {
         let in_force = self.shared.in_force();
-        let owner = rendezvous::budget_owner(&lend.organisation, &in_force.config.view);
+        let (now, own) = (self.now(), &self.shared.entry.name);
+        let owners = rendezvous::budget_owners(&lend.organisation, &in_force.config.view);
+        let owner = owners
+            .into_iter()
+            .find(|entry| entry.name == *own || self.peers.borrow().is_live(now, &entry.name));
         let Some(owner) = owner else { return };
         if owner.name == self.shared.entry.name {
             if let Some(slice) = self.lend(&lend) {
--- a/crates/wasabi-entry/src/pools/follow.rs
+++ b/crates/wasabi-entry/src/pools/follow.rs
@@ -4,6 +4,7 @@
 
 use jsonrpsee::rpc_params;
 use wasabi_protocol::{endpoint::Announcement, id, rpc::method};
+use wasabi_routing::rendezvous;
 use wasabi_scheduler::pool::Event;
 
 use crate::shell::Shell;
@@ -39,11 +40,14 @@
         }
     }
 
-    /// Tells every entry that an endpoint leaves, since only its name is known and not its pool.
+    /// Tells every coordinator that an endpoint leaves, since only its name is known and not its pool.
     pub(crate) fn leave(self: &Rc<Self>, endpoint: &id::Endpoint) {
         self.leave_here(endpoint);
-        for entry in self.shared.others() {
-            self.tell(entry.name, method::LEAVE, rpc_params![endpoint]);
+        let in_force = self.shared.in_force();
+        for entry in rendezvous::coordinators(&in_force.config.view) {
+            if entry.name != self.shared.entry.name {
+                self.tell(entry.name.clone(), method::LEAVE, rpc_params![endpoint]);
+            }
         }
     }
 
--- a/crates/wasabi-entry/src/shared.rs
+++ b/crates/wasabi-entry/src/shared.rs
@@ -30,12 +30,12 @@
     /// The position of the contract for each token digest.
     tokens: HashMap<String, usize>,
     /// The routes and keys of the site.
-    pub(crate) site: Option<site::Index>,
+    pub(crate) site: Option<Arc<site::Index>>,
 }
 
 impl InForce {
-    /// Returns the index of a configuration.
-    pub(crate) fn new(config: Config) -> Self {
+    /// Returns the index of a configuration that follows `before`.
+    pub(crate) fn new(config: Config, before: &Self) -> Self {
         let tokens = config
             .contracts
             .iter()
@@ -44,7 +44,11 @@
                 contract.token_digests.iter().map(move |digest| (digest.clone(), index))
             })
             .collect();
-        let site = config.site.as_ref().map(site::Index::new);
+        let is_same = config.site == before.config.site;
+        let site = match &before.site {
+            Some(site) if is_same => Some(Arc::clone(site)),
+            _ => config.site.as_ref().map(|site| Arc::new(site::Index::new(site))),
+        };
         Self { config, tokens, site }
     }
 
@@ -123,7 +127,7 @@
         if config.revision <= current.config.revision {
             return false;
         }
-        *current = Arc::new(InForce::new(config.clone()));
+        *current = Arc::new(InForce::new(config.clone(), &current));
         self.metrics.revision.set(i64::try_from(config.revision.0).unwrap_or(i64::MAX));
         true
     }
--- a/crates/wasabi-protocol/src/command.rs
+++ b/crates/wasabi-protocol/src/command.rs
@@ -34,6 +34,8 @@
     pub data_centre: id::DataCentre,
     /// The region.
     pub region: id::Region,
+    /// Processor time that its host gives it, in thousandths of a core.
+    pub capacity: u32,
     /// When its process started, in milliseconds since the Unix epoch; tells a restarted process
     /// from the one before.
     pub started: Millis,
--- a/crates/wasabi-protocol/src/rpc/entry.rs
+++ b/crates/wasabi-protocol/src/rpc/entry.rs
@@ -52,6 +52,8 @@
     pub entry: Entry,
     /// The revision in force at the entry.
     pub revision: id::Revision,
+    /// The version of the site configuration in force at the entry, if it has one.
+    pub site: Option<u64>,
     /// Revisions that it knows to be in force at its peers.
     pub known: Vec<(id::Entry, id::Revision)>,
     /// Evidence about moves, collected by the pools that it owns.
@@ -72,7 +74,7 @@
     Heard {
         /// The revision in force.
         revision: id::Revision,
-        /// The configuration, when the entry's is older.
+        /// The configuration, when the entry's is older; without the site when the entry has it.
         config: Option<Box<Config>>,
         /// The addresses of the control members.
         members: Vec<String>,
--- a/crates/wasabi-routing/src/rendezvous.rs
+++ b/crates/wasabi-routing/src/rendezvous.rs
@@ -14,13 +14,18 @@
 /// Fewest entries that an organisation is given while the view has as many.
 pub const ORGANISATION_ENTRIES_MIN: usize = 2;
 
+/// Most coordinators of a view. With all of six or eight hosts of more capacity down, some remain.
+pub const COORDINATORS_MAX: usize = 12;
+
+/// The key by which coordinators of equal capacity are ranked.
+const COORDINATOR: &str = "coordinator";
+
 /// Most endpoints of one pool.
-pub const POOL_ENDPOINTS_MAX: usize = 64;
+pub const POOL_ENDPOINTS_MAX: usize = 128;
 
 /// Mean endpoints per pool that the number of shards aims at.
 ///
-/// Hashing spreads endpoints unevenly; with a mean of 36 a pool exceeds 64 endpoints with a
-/// probability of about 1e-5.
+/// Hashing spreads endpoints unevenly; with a mean of 36 a pool hardly ever exceeds twice as many.
 pub const POOL_ENDPOINTS_MEAN: usize = 36;
 
 /// An entry that an organisation's callers may use.
@@ -37,16 +42,36 @@
     xxh3_64_with_seed(member.as_bytes(), xxh3_64_with_seed(key.as_bytes(), 0))
 }
 
-/// Returns the serving entries in the order in which they own the pool.
+/// Returns the entries that own pools and budgets, and that all others exchange heartbeats with.
+///
+/// In a small view these are all that serve. In a large one, heartbeats between all of them would
+/// take more processor time than the requests (84 entries on 0.12 of a core each were busy with
+/// nothing else), so they are the ones with the most capacity.
+pub fn coordinators(view: &View) -> Vec<&Entry> {
+    let mut ranked = serving(view).collect::<Vec<_>>();
+    if COORDINATORS_MAX < ranked.len() {
+        ranked.sort_by_cached_key(|entry| {
+            let name = entry.name.as_str();
+            (Reverse(entry.capacity), Reverse(score(COORDINATOR, name)), entry.name.clone())
+        });
+        ranked.truncate(COORDINATORS_MAX);
+    }
+    ranked
+}
+
+/// Returns the coordinators in the order in which they own the pool.
 ///
 /// Entries of the pool's region come first, so that a pool leaves its region only when no entry
-/// of the region serves.
+/// of the region serves; in a large view those with more capacity come first among them.
 pub fn owners<'a>(pool: &id::Pool, view: &'a View) -> Vec<&'a Entry> {
     let region = pool_region(pool);
-    let mut ranked = serving(view).collect::<Vec<_>>();
+    let is_large = COORDINATORS_MAX < serving(view).count();
+    let mut ranked = coordinators(view);
     ranked.sort_by_cached_key(|entry| {
         let foreign = region.is_some_and(|region| entry.region.as_str() != region);
-        (foreign, Reverse(score(pool.as_str(), entry.name.as_str())), entry.name.clone())
+        let capacity = if is_large { entry.capacity } else { 0 };
+        let score = score(pool.as_str(), entry.name.as_str());
+        (foreign, Reverse(capacity), Reverse(score), entry.name.clone())
     });
     ranked
 }
@@ -56,11 +81,18 @@
     owners(pool, view).first().copied()
 }
 
+/// Returns the coordinators in the order in which they lease the organisation's budget slices.
+pub fn budget_owners<'a>(organisation: &id::Organisation, view: &'a View) -> Vec<&'a Entry> {
+    let mut ranked = coordinators(view);
+    ranked.sort_by_cached_key(|entry| {
+        (Reverse(score(organisation.as_str(), entry.name.as_str())), entry.name.clone())
+    });
+    ranked
+}
+
 /// Returns the entry that leases the organisation's budget slices in this view.
 pub fn budget_owner<'a>(organisation: &id::Organisation, view: &'a View) -> Option<&'a Entry> {
-    serving(view).max_by_key(|entry| {
-        (score(organisation.as_str(), entry.name.as_str()), Reverse(&entry.name))
-    })
+    budget_owners(organisation, view).first().copied()
 }
 
 /// Returns the entries that callers of an organisation use.
--- a/crates/wasabi-routing/tests/rendezvous.rs
+++ b/crates/wasabi-routing/tests/rendezvous.rs
@@ -17,6 +17,7 @@
         peer_address: String::new(),
         data_centre: format!("dc-{centre}").into(),
         region: region.into(),
+        capacity: 1_000,
         started: Millis::ZERO,
         duty: Duty::Serving,
     }
--- a/crates/wasabi-scheduler/tests/kit/mod.rs
+++ b/crates/wasabi-scheduler/tests/kit/mod.rs
@@ -83,6 +83,7 @@
             peer_address: "10.0.0.1:2".to_owned(),
             data_centre: "dc1".into(),
             region: "north".into(),
+            capacity: 1_000,
             started: Millis::ZERO,
             duty: Duty::Serving,
         })
--- a/crates/wasabi-settings/src/entry.rs
+++ b/crates/wasabi-settings/src/entry.rs
@@ -10,7 +10,7 @@
 use crate::{log::Log, scalar::Scalar, tls::Tls};
 
 /// Settings of `wasabi-entryd`.
-#[derive(Debug, Clone, PartialEq, Default)]
+#[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(default)]
 pub struct Settings {
@@ -22,6 +22,9 @@
     pub data_centre: String,
     /// Where the entry listens.
     pub listen: Listen,
+    /// Processor time that the host gives the entry, in thousandths of a core. Entries with more own
+    /// the pools where there are many entries.
+    pub capacity: Scalar<u32>,
     /// Addresses of the control daemons; none means stand-alone mode with `contracts`.
     pub control: Vec<Scalar<SocketAddr>>,
     /// A YAML file with a list of contracts, for stand-alone mode only.
@@ -118,6 +121,25 @@
     }
 }
 
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            name: String::new(),
+            region: String::new(),
+            data_centre: String::new(),
+            listen: Listen::default(),
+            capacity: Scalar::new(1_000),
+            control: Vec::new(),
+            contracts: None,
+            callers: Callers::default(),
+            drain: Drain::default(),
+            tls: None,
+            traffic_threads: Threads::default(),
+            log: Log::default(),
+        }
+    }
+}
+
 impl Validate for Settings {
     type Context = ();
 
@@ -140,6 +162,7 @@
         if let Some(tls) = &self.tls {
             tls.validate_into(context, &mut || parent().join("tls"), report);
         }
+        self.capacity.validate_into(context, &mut || parent().join("capacity"), report);
         let threads = &self.traffic_threads.0;
         threads.validate_into(context, &mut || parent().join("traffic_threads"), report);
         if **threads == 0 {
--- a/crates/wasabi-state/tests/support/mod.rs
+++ b/crates/wasabi-state/tests/support/mod.rs
@@ -58,6 +58,7 @@
         peer_address: "127.0.0.1:2".to_owned(),
         data_centre: "a".into(),
         region: "r".into(),
+        capacity: 1_000,
         started: Millis::ZERO,
         duty: Duty::Serving,
     }
