control: hosts without a disk observe, members outlast a full disk, lenders that take turns agree

Causes: - Two losses of six hosts with a disk need five members or more, so control runs on two hosts of a data centre.

Changes: a host without a disk runs an observer; members introduce themselves to every address that they are given, which follows the settings file. A member that repairs itself starts anew from its disk in the same process, as a new process would. Pools are owned by rank over all entries again, so that a lost entry moves only its own pools; heartbeats go to the coordinators and to the first three owners of each pool.

Ruled out: one member a data centre (two lost disks of three lose what was acknowledged).

--- a/crates/wasabi-admission/src/lender.rs
+++ b/crates/wasabi-admission/src/lender.rs
@@ -9,7 +9,7 @@
 
 use wasabi_protocol::{
     clock::Millis,
-    contract::Limits,
+    contract::{Burst, Limits},
     id,
     rpc::{Slice, Usage},
 };
@@ -38,6 +38,8 @@
     /// Tokens lent in the window of a limit with a burst, and the limit that they count against.
     lent: Window,
     window_limit: f64,
+    /// The part of it that each pool got.
+    lent_to: HashMap<id::Pool, Window>,
     borrowers: HashMap<id::Pool, Borrower>,
 }
 
@@ -72,6 +74,7 @@
             filled: now,
             lent: Window::default(),
             window_limit: 0.0,
+            lent_to: HashMap::new(),
             borrowers: HashMap::new(),
         });
         purse.fill(now, limits);
@@ -106,12 +109,8 @@
     }
 
     fn lend(&mut self, now: Millis, limits: &Limits, pool: &id::Pool, used: &Usage) -> Slice {
-        if limits.burst.is_some() && !self.borrowers.contains_key(pool) {
-            let unknown = used.recent_tokens as f64 - self.lent.sum(now);
-            if self.borrowers.is_empty() && 0.0 < unknown {
-                self.lent.add_spread(now, unknown);
-                self.tokens -= unknown;
-            }
+        if let Some(burst) = &limits.burst {
+            self.learn(now, burst, pool, used);
         }
         let borrower = self.borrowers.entry(pool.clone()).or_default();
         borrower.asked = now;
@@ -135,6 +134,7 @@
         self.tokens -= tokens;
         if limits.burst.is_some() {
             self.lent.add(now, tokens);
+            self.lent_to.entry(pool.clone()).or_default().add(now, tokens);
         }
         let concurrency = self.allot(limits.concurrency, pool);
         let headroom = match limits.burst {
@@ -144,6 +144,20 @@
         Slice { requests, tokens, concurrency, headroom, span: SLICE }
     }
 
+    /// Counts what a pool started in the window without this lender: before it was the lender, or
+    /// while the pool took another entry for it. Two entries that take turns as lenders, as they do
+    /// when a link loses packets, would otherwise each lend the whole limit.
+    fn learn(&mut self, now: Millis, burst: &Burst, pool: &id::Pool, used: &Usage) {
+        let lent = self.lent_to.entry(pool.clone()).or_insert_with(|| Window::new(burst.window));
+        lent.set_span(burst.window);
+        let unknown = used.recent_tokens as f64 - used.owed_tokens as f64 - lent.sum(now);
+        if 0.0 < unknown {
+            lent.add_spread(now, unknown);
+            self.lent.add_spread(now, unknown);
+            self.tokens -= unknown;
+        }
+    }
+
     /// Allots concurrency: as much as is wanted while there is enough, and in proportion to what
     /// each pool wants otherwise. What other pools hold or run is never allotted twice.
     fn allot(&mut self, limit: u32, pool: &id::Pool) -> u32 {
--- a/crates/wasabi-admission/tests/limit.rs
+++ b/crates/wasabi-admission/tests/limit.rs
@@ -311,3 +311,29 @@
     assert!(300 <= served[0], "{} of 320 urgent requests were served", served[0]);
     assert!(0 < served[1], "the rest of the limit is left for the others");
 }
+
+/// Guards against two entries that take turns as lenders, as on a link that loses packets, and lend
+/// the whole limit each.
+#[test]
+fn lenders_that_take_turns_hold_one_limit() {
+    let (mut lenders, mut account) = ([Lender::new(), Lender::new()], Account::new(WINDOWED));
+    let organisation: id::Organisation = "org".into();
+    let mut started = vec![0_u64; 400];
+    for now in 0..40_000_u64 {
+        let at = Millis(now);
+        if now % 20 == 0 && account.shortage(Tier::TOP, 0).is_none() && account.may_start(at) {
+            account.start(at, 1_000);
+            account.end();
+            started[now as usize / 100] += 1_000;
+        }
+        if let Some(used) = account.ask(at, 0, 0) {
+            let lender = &mut lenders[now as usize / 700 % 2];
+            let slice = lender.lend(at, &organisation, &WINDOWED, &"pool".into(), &used);
+            account.lend(at, &slice);
+        }
+    }
+    for window in started.windows(80) {
+        let sum: u64 = window.iter().sum();
+        assert!(sum <= 100_000, "{sum} tokens in a window of 90,000");
+    }
+}
--- a/crates/wasabi-control/src/founding.rs
+++ b/crates/wasabi-control/src/founding.rs
@@ -64,6 +64,29 @@
     },
 }
 
+impl Error {
+    /// Returns whether the disk refused an operation, which may be over soon.
+    pub(crate) const fn is_of_disk(&self) -> bool {
+        match self {
+            Self::Log { source } => matches!(source, wasabi_wal::Error::Io { .. }),
+            Self::File { .. } => true,
+            Self::Lost { .. } => false,
+        }
+    }
+}
+
+/// Returns what a member starts from whose folder was in use before.
+///
+/// # Errors
+///
+/// Returns an error when the folder cannot be used.
+pub(crate) fn reopen(options: &Options) -> Result<Start, Error> {
+    let identity =
+        identity::load_or_create(&options.data, options.name.as_str()).context(LogSnafu)?;
+    let (log, restored) = open(&options.data)?;
+    Ok(Start { name: identity.member, log, restored })
+}
+
 /// Returns what the member starts from. A founder waits here until every other founder answered.
 ///
 /// # Errors
--- a/crates/wasabi-control/src/join.rs
+++ b/crates/wasabi-control/src/join.rs
@@ -34,6 +34,9 @@
 /// Silence after which a member is removed when the group is larger than it was founded. A host that restarts is back within this time as a rule.
 const REMOVE_AFTER: Millis = Millis(4_000);
 
+/// Members that a group of at least so many voters keeps.
+const FOUNDERS_MIN: usize = 3;
+
 /// Silence after which a member is removed when another one serves its address: a process that
 /// lives answers heartbeats far sooner.
 const REPLACED_AFTER: Millis = Millis(1_000);
@@ -49,7 +52,8 @@
             None => return,
         };
         let mut is_in = false;
-        for address in leader.take().into_iter().chain(known).chain(options.contacts.clone()) {
+        let contacts = options.contacts.get();
+        for address in leader.take().into_iter().chain(known.clone()).chain(contacts.clone()) {
             let Some(joined) = ask(&address, &join).await else { continue };
             match joined {
                 Joined::Member => is_in = true,
@@ -67,6 +71,12 @@
             was_in = is_in;
             info!(member = %join.member, is_in, "place in the control group");
         }
+        // A contact that is no member can only name members that it heard of.
+        for address in contacts.iter().filter(|contact| !known.contains(contact)) {
+            if *address != join.address {
+                let _ = ask(address, &join).await;
+            }
+        }
         actix_rt::time::sleep(if is_in { CONFIRM_EVERY } else { ASK_EVERY }).await;
     }
 }
@@ -123,7 +133,7 @@
             address(member).is_some()
                 && others.into_iter().any(|other| address(other) == address(member))
         };
-        let founders = self.options.members.len().max(self.options.contacts.len());
+        let founders = self.options.members.len().max(FOUNDERS_MIN);
         let is_large = founders < membership.voters.len();
         let led = now.since(self.duties.since);
         let gone = self.group.members(now).into_iter().find(|status| {
--- a/crates/wasabi-control/src/options.rs
+++ b/crates/wasabi-control/src/options.rs
@@ -1,6 +1,10 @@
 //! What a member needs to know at its start.
 
-use std::{net::SocketAddr, path::PathBuf};
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    sync::{Arc, PoisonError, RwLock},
+};
 
 use wasabi_protocol::{fingerprint, id};
 use wasabi_settings::control::Settings;
@@ -18,9 +22,9 @@
     pub data: PathBuf,
     /// The members of a new group with their addresses; empty when the member waits to be added.
     pub members: Vec<(id::Member, String)>,
-    /// Addresses that are asked to be taken into the group; none means that an operator adds this
-    /// member.
-    pub contacts: Vec<String>,
+    /// Addresses that are asked to be taken into the group; none at the start means that an operator
+    /// adds this member.
+    pub contacts: Contacts,
     /// Whether members that are gone are removed without an operator.
     pub self_repair: bool,
     /// SHA-256 digests of the operators' credentials.
@@ -42,6 +46,29 @@
     }
 }
 
+/// Addresses of control hosts, which may be exchanged while the member runs.
+#[derive(Debug, Clone, Default)]
+pub struct Contacts {
+    addresses: Arc<RwLock<Vec<String>>>,
+}
+
+impl Contacts {
+    /// Returns these addresses.
+    pub fn new(addresses: Vec<String>) -> Self {
+        Self { addresses: Arc::new(RwLock::new(addresses)) }
+    }
+
+    /// Returns the addresses in use.
+    pub fn get(&self) -> Vec<String> {
+        self.addresses.read().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Replaces the addresses.
+    pub fn set(&self, addresses: Vec<String>) {
+        *self.addresses.write().unwrap_or_else(PoisonError::into_inner) = addresses;
+    }
+}
+
 /// Whether proposals share a sync.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Batching {
@@ -61,7 +88,7 @@
             listen: *settings.listen,
             data: settings.data.clone(),
             members: settings.members.iter().map(member).collect(),
-            contacts: Vec::new(),
+            contacts: Contacts::default(),
             self_repair: false,
             operator_digests: settings.operator_digests.clone(),
             snapshot_every: *settings.snapshot_every,
--- a/crates/wasabi-control/src/relay.rs
+++ b/crates/wasabi-control/src/relay.rs
@@ -8,7 +8,7 @@
     ws_client::{WsClient, WsClientBuilder},
 };
 use serde::Serialize;
-use wasabi_protocol::{endpoint::Announcement, id, rpc::method};
+use wasabi_protocol::{command::View, endpoint::Announcement, id, rpc::method};
 
 use crate::Local;
 
@@ -21,14 +21,15 @@
 /// The way to the entries: the one of the own host first, then others of the view.
 #[derive(Debug)]
 pub struct Relay {
-    local: Local,
+    local: Option<Local>,
     own: String,
     open: RefCell<Option<(String, Arc<WsClient>)>>,
 }
 
 impl Relay {
     /// Returns the way to the entries; `own` is where the entry of this host listens for peers.
-    pub fn new(local: Local, own: SocketAddr) -> Self {
+    /// Without a control member on this host that is the only one.
+    pub fn new(local: Option<Local>, own: SocketAddr) -> Self {
         Self { local, own: own.to_string(), open: RefCell::default() }
     }
 
@@ -63,7 +64,10 @@
     }
 
     async fn candidates(&self) -> Vec<String> {
-        let view = self.local.view().await;
+        let view = match &self.local {
+            Some(local) => local.view().await,
+            None => View::default(),
+        };
         let others = view.entries.into_iter().map(|entry| entry.peer_address);
         let others = others.filter(|address| *address != self.own);
         std::iter::once(self.own.clone()).chain(others).take(TRIED_MAX).collect()
--- a/crates/wasabi-control/src/server.rs
+++ b/crates/wasabi-control/src/server.rs
@@ -4,6 +4,7 @@
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError, mpsc},
     thread,
+    time::Duration,
 };
 
 use jsonrpsee::{
@@ -16,7 +17,8 @@
 };
 use serde::{Serialize, de::DeserializeOwned};
 use snafu::{ResultExt as _, Snafu};
-use tokio::sync::{oneshot, watch};
+use tokio::sync::{mpsc::UnboundedSender, oneshot, watch};
+use tracing::{error, warn};
 use wasabi_protocol::{
     id,
     rpc::{Hello, Join, Met, Step, method},
@@ -27,6 +29,7 @@
     heard::Heard,
     input::{self, Input},
     join, link,
+    link::Parcel,
     local::Local,
     member::{self, Member},
     options::Options,
@@ -35,12 +38,16 @@
 /// Most connections at one time: entries, members and operators.
 const CONNECTIONS_MAX: u32 = 4_096;
 
+/// Pause before a disk that refused a write is used again.
+const DISK_AGAIN_AFTER: Duration = Duration::from_millis(300);
+
 /// Longest message, in bytes.
 const MESSAGE_BYTES_MAX: u32 = 64 * 1024 * 1024;
 
 /// Why a member cannot start or had to end.
 #[derive(Debug)]
 #[derive(Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum Error {
     /// The address cannot be bound. Remedy: correct `listen`, or end the process that uses it.
     #[snafu(display("cannot listen on {address}: {source}"))]
@@ -122,20 +129,30 @@
         };
         let server = server.start(methods(shared).context(MethodsSnafu)?);
         // Founders answer each other's questions while each of them waits here.
-        let start = founding::start(&options, &heard).await.context(FolderSnafu)?;
+        let start = loop {
+            match founding::start(&options, &heard).await {
+                Ok(start) => break start,
+                // A disk that is full or stalled takes writes again; nobody else repairs it.
+                Err(error) if options.self_repair && error.is_of_disk() => {
+                    warn!(%error, "the folder cannot be used now; trying again");
+                    actix_rt::time::sleep(DISK_AGAIN_AFTER).await;
+                }
+                Err(error) => return Err(error).context(FolderSnafu),
+            }
+        };
         let _ = known.send(Some(start.name.clone()));
         let (parcels, outgoing) = tokio::sync::mpsc::unbounded_channel();
         let own = options.members.iter().find(|(name, _)| *name == start.name);
         let own = own.map_or_else(|| address.to_string(), |(_, address)| address.clone());
         actix_rt::spawn(link::run(start.name.clone(), own, options.proofs(), outgoing));
-        if !options.contacts.is_empty() {
+        if !options.contacts.get().is_empty() {
             actix_rt::spawn(join::run(start.name.clone(), options.clone(), inputs.clone()));
         }
         let (end, ended) = oneshot::channel();
         thread::Builder::new()
             .name("control".to_owned())
             .spawn(move || {
-                let _ = end.send(Member::new(options, start, heard, parcels).run(&receiver));
+                let _ = end.send(run(&options, start, &heard, &parcels, &receiver));
             })
             .context(ThreadSnafu)?;
         Ok(Self { address, server, inputs, ended })
@@ -171,6 +188,34 @@
     }
 }
 
+/// Runs the member. One that repairs itself starts anew from its disk after an error of the disk,
+/// as a new process would: nothing in memory is trusted any more.
+fn run(
+    options: &Options,
+    mut start: founding::Start,
+    heard: &Arc<Mutex<Heard>>,
+    parcels: &UnboundedSender<Parcel>,
+    inputs: &mpsc::Receiver<Input>,
+) -> Result<(), member::Error> {
+    loop {
+        let member = Member::new(options.clone(), start, Arc::clone(heard), parcels.clone());
+        let error = match member.run(inputs) {
+            Err(error @ member::Error::Disk { .. }) if options.self_repair => error,
+            end => return end,
+        };
+        error!(%error, "the member starts anew from its disk");
+        start = loop {
+            // Whoever waits is answered that nothing is known.
+            while inputs.try_recv().is_ok() {}
+            thread::sleep(DISK_AGAIN_AFTER);
+            match founding::reopen(options) {
+                Ok(start) => break start,
+                Err(error) => warn!(%error, "the folder cannot be used now; trying again"),
+            }
+        };
+    }
+}
+
 /// What connections need.
 #[derive(Debug, Clone)]
 struct Shared {
--- a/crates/wasabi-control/tests/single.rs
+++ b/crates/wasabi-control/tests/single.rs
@@ -7,7 +7,7 @@
     ws_client::{WsClient, WsClientBuilder},
 };
 use serde::{Serialize, de::DeserializeOwned};
-use wasabi_control::{Batching, Options, Running};
+use wasabi_control::{Batching, Contacts, Options, Running};
 use wasabi_protocol::{
     clock::Millis,
     command::{Command, Duty, Entry, Key, Order, Outcome},
@@ -26,7 +26,7 @@
         listen: ([127, 0, 0, 1], 0).into(),
         data: data.to_owned(),
         members: vec![("m1".into(), "127.0.0.1:1".to_owned())],
-        contacts: Vec::new(),
+        contacts: Contacts::default(),
         self_repair: false,
         operator_digests: vec![fingerprint::token(CREDENTIAL)],
         snapshot_every: 100,
--- a/crates/wasabi-entry/src/peers/table.rs
+++ b/crates/wasabi-entry/src/peers/table.rs
@@ -1,6 +1,10 @@
 //! What is known of the other entries.
 
-use std::{collections::HashMap, rc::Rc, sync::Arc};
+use std::{
+    collections::{HashMap, HashSet},
+    rc::Rc,
+    sync::Arc,
+};
 
 use jsonrpsee::ws_client::WsClient;
 use tokio::sync::Notify;
@@ -13,6 +17,10 @@
 /// Silence after which a peer does not count for this entry's own serving.
 const HEARD_FOR: Millis = Millis::from_secs(2);
 
+/// Owners of a pool, in order, that heartbeats are exchanged with: with the first two down, the
+/// third takes over.
+const OWNERS: usize = 3;
+
 /// One other entry.
 #[derive(Debug)]
 struct Peer {
@@ -28,8 +36,10 @@
     revision: id::Revision,
     lost: Rc<Notify>,
     is_beating: bool,
-    /// Whether heartbeats are exchanged with it; of the others only the view tells.
+    /// Whether it counts when this entry serves on without control.
     is_coordinator: bool,
+    /// Whether heartbeats are exchanged with it; of the others only the view tells.
+    is_tracked: bool,
     /// Whether the last heartbeat was answered on neither of two connections.
     is_down: bool,
 }
@@ -44,7 +54,15 @@
 
 impl Table {
     /// Takes over a view and returns the entries that left it or whose process is a new one.
-    pub(crate) fn set_view(&mut self, now: Millis, view: &View, own: &id::Entry) -> Vec<id::Entry> {
+    ///
+    /// Heartbeats are exchanged with the coordinators and with the first owners of `pools`.
+    pub(crate) fn set_view<'a>(
+        &mut self,
+        now: Millis,
+        view: &View,
+        own: &id::Entry,
+        pools: impl Iterator<Item = &'a id::Pool>,
+    ) -> Vec<id::Entry> {
         let is_same = |name: &id::Entry, peer: &Peer| {
             view.entries.iter().any(|entry| entry.name == *name && entry.started == peer.started)
         };
@@ -62,6 +80,8 @@
         let coordinators: Vec<_> =
             rendezvous::coordinators(view).into_iter().map(|entry| &entry.name).collect();
         self.is_coordinator = coordinators.contains(&own);
+        let owners = pools.flat_map(|pool| rendezvous::owners(pool, view).into_iter().take(OWNERS));
+        let owners: HashSet<_> = owners.map(|entry| &entry.name).collect();
         for entry in view.entries.iter().filter(|entry| entry.name != *own) {
             let peer = self.peers.entry(entry.name.clone()).or_insert_with(|| Peer {
                 address: entry.peer_address.clone(),
@@ -73,6 +93,7 @@
                 lost: Rc::default(),
                 is_beating: false,
                 is_coordinator: false,
+                is_tracked: false,
                 is_down: false,
             });
             if peer.address != entry.peer_address {
@@ -80,6 +101,7 @@
                 peer.client = None;
             }
             peer.is_coordinator = coordinators.contains(&&entry.name);
+            peer.is_tracked = peer.is_coordinator || owners.contains(&entry.name);
         }
         gone
     }
@@ -88,7 +110,7 @@
     pub(crate) fn is_live(&self, now: Millis, name: &id::Entry) -> bool {
         self.peers.get(name).is_some_and(|peer| {
             let silent = now.since(peer.heard.unwrap_or(peer.named));
-            !peer.is_coordinator || (!peer.is_down && silent < LIVE_FOR)
+            !peer.is_tracked || (!peer.is_down && silent < LIVE_FOR)
         })
     }
 
@@ -109,7 +131,7 @@
     /// Returns the peers that are due for a heartbeat, and marks them as being asked.
     pub(crate) fn start_beats(&mut self) -> Vec<id::Entry> {
         let peers = self.peers.iter_mut();
-        let due = peers.filter(|(_, peer)| peer.is_coordinator && !peer.is_beating);
+        let due = peers.filter(|(_, peer)| peer.is_tracked && !peer.is_beating);
         due.map(|(name, peer)| {
             peer.is_beating = true;
             name.clone()
--- a/crates/wasabi-entry/src/pools/follow.rs
+++ b/crates/wasabi-entry/src/pools/follow.rs
@@ -59,19 +59,26 @@
         self.perform(effects);
     }
 
-    /// Follows changes of pool owners: gives up pools, takes pools over, reports what runs.
-    pub(crate) fn settle_owners(self: &Rc<Self>) {
+    /// Returns the pools of the models and services that the configuration in force names.
+    pub(crate) fn wanted_pools(&self) -> HashMap<id::Pool, id::Backend> {
         let in_force = self.shared.in_force();
-        let own = &self.shared.entry.name;
         let contracts = in_force.config.contracts.iter().flat_map(|contract| &contract.routes);
         let of_contracts = contracts.map(|route| route.target.backend());
         let of_site = in_force.config.site.iter().flat_map(|site| &site.backends);
         let mut wanted = HashMap::new();
         for backend in of_contracts.chain(of_site.map(|backend| &backend.name)) {
             for pool in self.pools_of(backend) {
-                wanted.entry(pool).or_insert(backend);
+                wanted.entry(pool).or_insert_with(|| backend.clone());
             }
         }
+        wanted
+    }
+
+    /// Follows changes of pool owners: gives up pools, takes pools over, reports what runs.
+    pub(crate) fn settle_owners(self: &Rc<Self>) {
+        let in_force = self.shared.in_force();
+        let own = &self.shared.entry.name;
+        let wanted = self.wanted_pools();
         let owned = self.pools.borrow().names();
         for pool in owned {
             let Some(owner) = self.owner_of(&pool).filter(|owner| owner.name != *own) else {
@@ -92,7 +99,7 @@
             }
             let holdings = self.holder.borrow().holdings(self.now(), &pool, own);
             if owner.name == *own {
-                self.own(&pool, backend);
+                self.own(&pool, &backend);
                 let now = self.now();
                 let event = Event::Holdings(holdings);
                 let effects = self.pools.borrow_mut().step(now, &pool, event);
--- a/crates/wasabi-entry/src/shell.rs
+++ b/crates/wasabi-entry/src/shell.rs
@@ -199,7 +199,8 @@
         tracing::info!(revision = %config.revision, view = %config.view.number, "in force");
         let now = self.now();
         let own = &self.shared.entry.name;
-        let gone = self.peers.borrow_mut().set_view(now, &config.view, own);
+        let pools = self.wanted_pools();
+        let gone = self.peers.borrow_mut().set_view(now, &config.view, own, pools.keys());
         let mut effects = self.pools.borrow_mut().step_all(now, || Event::Config(config));
         for name in gone {
             effects.extend(self.pools.borrow_mut().lose_holder(now, &name));
--- a/crates/wasabi-routing/src/rendezvous.rs
+++ b/crates/wasabi-routing/src/rendezvous.rs
@@ -42,7 +42,8 @@
     xxh3_64_with_seed(member.as_bytes(), xxh3_64_with_seed(key.as_bytes(), 0))
 }
 
-/// Returns the entries that own pools and budgets, and that all others exchange heartbeats with.
+/// Returns the entries that own budgets, and that all others exchange heartbeats with beside the
+/// owners of pools.
 ///
 /// In a small view these are all that serve. In a large one, heartbeats between all of them would
 /// take more processor time than the requests (84 entries on 0.12 of a core each were busy with
@@ -59,14 +60,14 @@
     ranked
 }
 
-/// Returns the coordinators in the order in which they own the pool.
+/// Returns the serving entries in the order in which they own the pool.
 ///
 /// Entries of the pool's region come first, so that a pool leaves its region only when no entry
 /// of the region serves; in a large view those with more capacity come first among them.
 pub fn owners<'a>(pool: &id::Pool, view: &'a View) -> Vec<&'a Entry> {
     let region = pool_region(pool);
     let is_large = COORDINATORS_MAX < serving(view).count();
-    let mut ranked = coordinators(view);
+    let mut ranked = serving(view).collect::<Vec<_>>();
     ranked.sort_by_cached_key(|entry| {
         let foreign = region.is_some_and(|region| entry.region.as_str() != region);
         let capacity = if is_large { entry.capacity } else { 0 };
--- a/crates/wasabi-scheduler/src/pool/release.rs
+++ b/crates/wasabi-scheduler/src/pool/release.rs
@@ -3,6 +3,7 @@
 use wasabi_protocol::{
     clock::Millis,
     contract::Tier,
+    endpoint::Kind,
     request::{End, Report},
     rpc::Release,
 };
@@ -63,6 +64,12 @@
         }
         let Some(sample) = Sample::of(report, running.prefill_tokens) else { return };
         let name = &running.endpoint;
+        let slot = self.endpoints.get_mut(name);
+        if slot.is_some_and(|slot| slot.announcement.kind == Kind::Service) && !sample.silent {
+            // Calls of a plain service take as long as their work; three long ones in a row say
+            // nothing about the endpoint.
+            return;
+        }
         self.board.sample(now, name, sample);
         // Single streams differ by more than the tolerance through the prompts read beside them,
         // so the endpoint's average is compared.
