--- a/crates/wasabi-control/src/founding.rs
+++ b/crates/wasabi-control/src/founding.rs
@@ -94,6 +94,7 @@
 /// Returns an error when the folder cannot be used.
 pub(crate) async fn start(options: &Options, heard: &Mutex<Heard>) -> Result<Start, Error> {
     let folder = &options.data;
+    std::fs::create_dir_all(folder).context(FileSnafu { folder })?;
     let is_blank = !folder.join(identity::FILE_NAME).exists();
     let founds = options.members.iter().any(|(name, _)| *name == options.name);
     if is_blank && founds && is_first_start(options).await {
--- a/crates/wasabi-entry/src/forward/send.rs
+++ b/crates/wasabi-entry/src/forward/send.rs
@@ -112,9 +112,13 @@
     }
     let is_sized = headers.contains_key(header::CONTENT_LENGTH)
         || headers.contains_key(header::TRANSFER_ENCODING);
-    // A body without a length ends with its connection.
-    let body = if is_sized { connect::checked(response) } else { response.boxed_local() };
-    Ok(Opened { status, headers, body })
+    if !is_sized && !is_bodiless(status) {
+        // The HTTP library takes such an answer for an empty one.
+        let message =
+            "the endpoint's answer states no length, so that it cannot be passed on whole";
+        return Err(Failure::new(End::Failed, Kind::EndpointFailed, message));
+    }
+    Ok(Opened { status, headers, body: connect::checked(response) })
 }
 
 /// Returns the next bytes of an answer, within a bound on progress.
@@ -162,6 +166,11 @@
     Ok(body.freeze())
 }
 
+/// Returns whether answers with this status never have a body.
+fn is_bodiless(status: StatusCode) -> bool {
+    matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
+}
+
 fn failed(error: &SendRequestError) -> Failure {
     // A kept connection that closes before the answer counts as `Disconnected`, so only the other
     // connect errors prove that nothing was sent.
--- a/crates/wasabi-entry/src/pools/follow.rs
+++ b/crates/wasabi-entry/src/pools/follow.rs
@@ -16,7 +16,12 @@
     pub(crate) fn announce(self: &Rc<Self>, announcement: Announcement) {
         for pool in self.pools_of(&announcement.backend) {
             // The next owner hears it too, so that it can take over at once.
-            for entry in self.owners_of(&pool, REGISTRIES) {
+            let owners = self.owners_of(&pool, REGISTRIES);
+            if owners.is_empty() {
+                // Before the first view names an entry, this one keeps it for whoever takes over.
+                self.standby.borrow_mut().announce(self.now(), &pool, &announcement);
+            }
+            for entry in owners {
                 if entry.name == self.shared.entry.name {
                     self.announce_here(announcement.clone());
                 } else {
