--- a/crates/wasabi-routing/tests/pace.rs
+++ b/crates/wasabi-routing/tests/pace.rs
@@ -165,3 +165,25 @@
     }
     assert_eq!(board.standing(&"a".into()), Standing::Probation, "a real delay is still seen");
 }
+
+/// Guards against engines of unlike speed that announce no hardware: judged by the median of all,
+/// each slow one would be on probation for good.
+#[test]
+fn a_slow_engine_of_unknown_hardware_is_no_straggler_until_it_slows_down() {
+    let mut board = Board::default();
+    let paces = [("a", 10.0), ("b", 10.0), ("c", 10.0), ("slow", 30.0)];
+    for (name, pace) in paces {
+        board.join(&name.into(), kind(""));
+        for _ in 0..20 {
+            assert_eq!(board.sample(Millis(0), &name.into(), at(pace)), Standing::Normal);
+        }
+    }
+    // A burst slows all of them alike.
+    for (name, pace) in paces {
+        for _ in 0..BAD_IN_A_ROW {
+            assert_eq!(board.sample(Millis(1), &name.into(), at(pace * 1.8)), Standing::Normal);
+        }
+    }
+    let standings = [(); 3].map(|()| board.sample(Millis(2), &"slow".into(), at(120.0)));
+    assert_eq!(standings[2], Standing::Probation);
+}
--- a/crates/wasabi-state/tests/rules.rs
+++ b/crates/wasabi-state/tests/rules.rs
@@ -6,7 +6,8 @@
 use wasabi_protocol::{
     clock::Millis,
     command::{Command, KEPT_BODY_BYTES_MAX, KEY_RETENTION, Outcome, Stage},
-    id,
+    contract::Tier,
+    endpoint, id, site,
 };
 use wasabi_state::{ENDED_MOVES_MAX, Machine, STORE_BYTES_MAX};
 
@@ -178,3 +179,56 @@
         Outcome::Done
     ));
 }
+
+fn site(version: u64, host: &str) -> Command {
+    let config = site::Config {
+        version,
+        routes: vec![site::Route {
+            name: "r".into(),
+            host: host.to_owned(),
+            path_prefix: "/".to_owned(),
+            repeat: site::Repeat::Once,
+            tier: Tier::TOP,
+            timeout: Millis(1_000),
+            first_event: Millis(100),
+            between_events: Millis::ZERO,
+            attempts_max: 1,
+            is_open: true,
+            targets: vec![site::Target { backend: "app".into(), weight: 1 }],
+        }],
+        backends: vec![site::Backend {
+            name: "app".into(),
+            kind: endpoint::Kind::Service,
+            tokens_per_event: 1,
+        }],
+        ..site::Config::default()
+    };
+    Command::PutSite(Box::new(site::Document { config, source: format!("{version} {host}") }))
+}
+
+/// Guards against an older site that takes effect, against other content under the version held,
+/// and against a site that a snapshot loses.
+#[test]
+fn the_highest_version_of_a_site_is_in_force() {
+    let mut machine = Machine::new();
+    assert_eq!(run(&mut machine, &[(1, site(7, "a"))]), accepted(1));
+    assert_eq!(run(&mut machine, &[(2, site(7, "b"))]), Outcome::Done);
+    assert_eq!(run(&mut machine, &[(3, site(5, "c"))]), Outcome::Done);
+    let source = |machine: &Machine| machine.site().map(|site| site.source.clone());
+    assert_eq!(source(&machine).as_deref(), Some("7 a"));
+    assert_eq!(run(&mut machine, &[(4, site(9, "d"))]), accepted(2));
+    let restored = Machine::restore(&machine.snapshot().unwrap()).unwrap();
+    assert_eq!(source(&restored).as_deref(), Some("9 d"));
+    assert_eq!(restored.config(), machine.config());
+}
+
+/// Guards against a site with a fault that comes into force past the check at the border.
+#[test]
+fn a_site_with_a_fault_is_refused() {
+    let mut machine = Machine::new();
+    let Command::PutSite(mut document) = site(7, "a") else { panic!("a site") };
+    document.config.routes[0].timeout = Millis::ZERO;
+    let outcome = run(&mut machine, &[(1, Command::PutSite(document))]);
+    assert!(matches!(outcome, Outcome::Refused { .. }), "{outcome:?}");
+    assert_eq!(machine.site(), None);
+}
