telemetry: logs go to standard output through a thread of their own

Cause: lines were written by the thread that had the event, so a reader that stalled stopped the process, and they went to standard error.

Change: a library's writer thread takes the lines; up to 8,192 wait, later ones are dropped and counted by it. Not shown yet: processor time of logging as a share, and a test with a stalled reader.

--- a/crates/wasabi-control/src/main.rs
+++ b/crates/wasabi-control/src/main.rs
@@ -41,10 +41,13 @@
     if arguments.check {
         return ExitCode::SUCCESS;
     }
-    if let Err(error) = log::start(&settings.log) {
-        eprintln!("{error}");
-        return ExitCode::from(2);
-    }
+    let _logs = match log::start(&settings.log) {
+        Ok(logs) => logs,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(2);
+        }
+    };
     actix_rt::System::new().block_on(run(&settings, arguments.without_batching))
 }
 
--- a/crates/wasabi-entry/src/main.rs
+++ b/crates/wasabi-entry/src/main.rs
@@ -38,7 +38,7 @@
     if arguments.check {
         return Ok(());
     }
-    log::start(&settings.log)?;
+    let _logs = log::start(&settings.log)?;
     let daemon = Daemon::start(settings)?;
     tracing::info!(
         callers = %daemon.callers(),
--- a/crates/wasabi-telemetry/src/log.rs
+++ b/crates/wasabi-telemetry/src/log.rs
@@ -8,6 +8,7 @@
 };
 
 use snafu::{ResultExt as _, Snafu};
+use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::{
     EnvFilter, Layer as _,
     filter::{ParseError, filter_fn},
@@ -44,18 +45,36 @@
     Started,
 }
 
-/// Starts logs to standard error and, when the settings name a file, span lines to that file.
+/// Lines that wait for the reader of standard output; later ones are dropped and counted.
+const WAITING_MAX: usize = 8_192;
+
+/// Running logs. Dropping them writes what waits.
+#[derive(Debug)]
+#[must_use]
+pub struct Guard {
+    _writer: WorkerGuard,
+}
+
+/// Starts logs to standard output and, when the settings name a file, span lines to that file.
+///
+/// A thread of its own writes the lines, so that nothing else waits for their reader.
 ///
 /// # Errors
 ///
 /// Returns an error when the level or the file is wrong, or when logging was already started.
-pub fn start(settings: &Log) -> Result<(), Error> {
+pub fn start(settings: &Log) -> Result<Guard, Error> {
     let level = &settings.level;
     let filter = EnvFilter::try_new(level).context(LevelSnafu { level })?;
+    let (writer, guard) = NonBlockingBuilder::default()
+        .lossy(true)
+        .buffered_lines_limit(WAITING_MAX)
+        .thread_name("logs")
+        .finish(io::stdout());
     let logs = layer()
         .event_format(tracing_logfmt::EventsFormatter::default())
         .fmt_fields(tracing_logfmt::FieldsFormatter::default())
-        .with_writer(io::stderr)
+        .with_ansi(false)
+        .with_writer(writer)
         .with_filter(filter)
         .with_filter(filter_fn(|event| event.target() != trace::TARGET));
     let spans = settings.traces.as_ref().map(open).transpose()?.map(|file| {
@@ -65,7 +84,9 @@
             .with_writer(Arc::new(file))
             .with_filter(filter_fn(|event| event.target() == trace::TARGET))
     });
-    tracing_subscriber::registry().with(logs).with(spans).try_init().map_err(|_| Error::Started)
+    let registry = tracing_subscriber::registry().with(logs).with(spans);
+    registry.try_init().map_err(|_| Error::Started)?;
+    Ok(Guard { _writer: guard })
 }
 
 fn open(path: &PathBuf) -> Result<File, Error> {
--- a/crates/wasabi-telemetry/tests/trace.rs
+++ b/crates/wasabi-telemetry/tests/trace.rs
@@ -34,7 +34,7 @@
 fn hops_share_a_trace_and_name_their_parent() {
     let folder = tempfile::tempdir().unwrap();
     let path = folder.path().join("traces");
-    log::start(&Log { level: "info".to_owned(), traces: Some(path.clone()) }).unwrap();
+    let _logs = log::start(&Log { level: "info".to_owned(), traces: Some(path.clone()) }).unwrap();
 
     let caller = Context::root();
     let entry = Span::start("entry", Some(caller));
