scheduler: a plain service is not taken for an engine that reads prompts

With one endpoint of the plain service left, everything on it expired in the queue. Its calls count as 200 prompt tokens each, and the rate of an unknown engine made that 50 ms of reading one after the other, so 20 calls a second; since single calls no longer teach a pace, the rate was never learned.

Ruled out: probation (no silent samples), a reserve held for a suspect (no crash in the log), leaked places (grants were released). Seen with a new line, "endpoints of the pool".

Change: a plain service has a rate at which reading takes no time. The test fails with the old rate.

--- a/crates/wasabi-entry/src/pools/owner.rs
+++ b/crates/wasabi-entry/src/pools/owner.rs
@@ -51,6 +51,8 @@
     pool: Pool,
     waiting: HashMap<u64, Waiting>,
     holders: HashMap<id::Attempt, id::Entry>,
+    /// The number of endpoints as it was logged last.
+    endpoints: usize,
 }
 
 /// The owned pools.
@@ -77,7 +79,7 @@
         let seed = fastrand::u64(..);
         let mut pool = Pool::new(name.clone(), backend.clone(), owner.clone(), seed);
         pool.step(now, Event::Config(config));
-        let owned = Owned { pool, waiting: HashMap::new(), holders: HashMap::new() };
+        let owned = Owned { pool, waiting: HashMap::new(), holders: HashMap::new(), endpoints: 0 };
         self.owned.insert(name.clone(), owned);
     }
 
@@ -197,6 +199,7 @@
         }
         let mut effects = Vec::new();
         let mut actions = self.pool.step(now, event);
+        self.note_endpoints();
         while !actions.is_empty() {
             let mut follow = Vec::new();
             for action in actions {
@@ -230,6 +233,15 @@
         }
     }
 
+    /// Logs a change of the number of endpoints.
+    fn note_endpoints(&mut self) {
+        let count = self.pool.endpoints().count();
+        if count != self.endpoints {
+            let before = std::mem::replace(&mut self.endpoints, count);
+            tracing::info!(pool = %self.pool_name(), count, before, "endpoints of the pool");
+        }
+    }
+
     fn pool_name(&self) -> id::Pool {
         // The pool states its own name with its load.
         self.pool.pressure(Millis::ZERO).pool
--- a/crates/wasabi-scheduler/src/pool/endpoint.rs
+++ b/crates/wasabi-scheduler/src/pool/endpoint.rs
@@ -6,7 +6,7 @@
 use wasabi_protocol::{
     clock::Millis,
     contract::Tier,
-    endpoint::{Announcement, SILENT_AFTER},
+    endpoint::{Announcement, Kind, SILENT_AFTER},
     fingerprint::PREFIX_BLOCK_BYTES,
     id,
     request::Request,
@@ -38,6 +38,10 @@
 /// millisecond.
 pub(super) const PREFILL_RATE_UNKNOWN: f64 = 4.0;
 
+/// Rate that stands for an endpoint which reads no prompt. With the rate of an engine, a plain
+/// service was taken to serve 20 calls a second whatever its concurrency.
+const PREFILL_RATE_PLAIN: f64 = 1e6;
+
 /// Time per token of a short stream relative to the endpoint's mean, when the endpoint reads a long
 /// prompt beside it.
 const PACE_MARGIN: f64 = 1.75;
@@ -79,6 +83,7 @@
 impl Slot {
     fn new(now: Millis, announcement: Announcement) -> Self {
         let bound = Bound::new(announcement.concurrency);
+        let prefill_rate = assumed_rate(&announcement);
         Self {
             announcement,
             heard: now,
@@ -90,7 +95,7 @@
             crashed: None,
             prefilled_at: now,
             offer: Offer::Never,
-            prefill_rate: PREFILL_RATE_UNKNOWN,
+            prefill_rate,
             sampled: now,
             per_token_ms: 0.0,
             standing: Standing::Normal,
@@ -138,7 +143,8 @@
     /// Copies what the pace board says.
     pub(super) fn refresh(&mut self, now: Millis, board: &Board) {
         let name = &self.announcement.name;
-        self.prefill_rate = board.prefill_rate(name).unwrap_or(PREFILL_RATE_UNKNOWN);
+        let learned = board.prefill_rate(name);
+        self.prefill_rate = learned.unwrap_or_else(|| assumed_rate(&self.announcement));
         self.per_token_ms = board.per_token_ms(name).unwrap_or(0.0);
         self.standing = board.standing(name);
         self.probe_due = self.standing == Standing::Probation && board.probe_due(now, name);
@@ -155,6 +161,14 @@
     }
 }
 
+/// Returns the prefill rate that is assumed before an endpoint has shown one.
+fn assumed_rate(announcement: &Announcement) -> f64 {
+    match announcement.kind {
+        Kind::Model => PREFILL_RATE_UNKNOWN,
+        Kind::Service => PREFILL_RATE_PLAIN,
+    }
+}
+
 /// Returns whether a request may only meet endpoints that are not in doubt: it is urgent, or its
 /// call may run once only.
 pub(super) fn is_careful(request: &Request) -> bool {
--- a/crates/wasabi-scheduler/tests/pool.rs
+++ b/crates/wasabi-scheduler/tests/pool.rs
@@ -2,13 +2,14 @@
 
 mod kit;
 
-use kit::{acquire, announcement, config, grants, ready, refusals, release, request};
+use kit::{acquire, announcement, config, grants, pool, ready, refusals, release, request};
 use wasabi_protocol::{
     clock::Millis,
+    endpoint::{self, Announcement},
     fault::{Kind, Ran},
     id,
     request::End,
-    rpc::{Holdings, Running},
+    rpc::{Grant, Holdings, Running},
 };
 use wasabi_scheduler::pool::{Action, Event};
 
@@ -159,3 +160,42 @@
     assert_eq!(refusals(&actions), [(5_001, Kind::Overloaded)]);
     assert!(!actions.iter().any(|action| matches!(action, Action::Grant { .. })));
 }
+
+/// Guards against a plain service that is taken for an engine which reads prompts one after the
+/// other: it then got 20 calls a second, whatever its concurrency, and the rest waited in vain.
+#[test]
+fn a_plain_service_gets_as_many_calls_as_it_runs_at_one_time() {
+    let mut pool = pool();
+    pool.step(Millis::ZERO, Event::Tick);
+    let service = Announcement { kind: endpoint::Kind::Service, ..announcement("a", 6) };
+    pool.step(Millis(1_000), Event::Announce(service));
+    let mut refused = 0;
+    let mut running: Vec<(u64, u64, Grant)> = Vec::new();
+    for now in 2_000..6_000_u64 {
+        let mut actions = Vec::new();
+        if now % 10 == 0 {
+            let mut request = request(now, 1);
+            request.prompt_tokens = 200;
+            request.output_tokens = 0;
+            request.remaining = Millis(500);
+            request.first_token = Millis(150);
+            actions = pool.step(Millis(now), Event::Acquire { ticket: now, request });
+        }
+        if now % 50 == 0 {
+            actions.extend(pool.step(Millis(now), Event::Tick));
+        }
+        if now % 1_000 == 0 {
+            let service = Announcement { kind: endpoint::Kind::Service, ..announcement("a", 6) };
+            actions.extend(pool.step(Millis(now), Event::Announce(service)));
+        }
+        let ended: Vec<_> = running.extract_if(.., |(end, ..)| *end <= now).collect();
+        for (_, ticket, grant) in ended {
+            let attempt = id::Attempt(u128::from(ticket) + 1);
+            actions.extend(pool.step(Millis(now), release(&grant, attempt, End::Finished)));
+        }
+        refused += refusals(&actions).len();
+        let granted = grants(&actions).into_iter();
+        running.extend(granted.map(|(ticket, grant)| (now + 30, ticket, grant)));
+    }
+    assert_eq!(refused, 0, "100 calls a second of 30 ms each need 3 of 6 places");
+}
