entry: a refusal with another request's id promises nothing

Found on reading the change: an answer that says "not executed" was believed without its id, so a late refusal on a kept connection made a request "not run" that may have run.

Change: a refusal may come without an id, but not with another one. The test got 503 before and gets 502 now.

--- a/crates/wasabi-entry/src/forward/send.rs
+++ b/crates/wasabi-entry/src/forward/send.rs
@@ -96,7 +96,10 @@
     let (status, headers) = (response.status(), response.headers().clone());
     let echoed = headers.get(&dialect.request).and_then(|value| value.to_str().ok());
     let is_refusal = headers.contains_key(&dialect.not_run) || status.as_u16() == 421;
-    if !is_refusal && echoed != Some(call.id.as_str()) {
+    // A refusal may come without an id; one with another id is a late answer and says nothing of
+    // this request.
+    let is_own = echoed.map_or(is_refusal, |echoed| echoed == call.id);
+    if !is_own {
         tracing::warn!(
             request = call.id, endpoint = %grant.endpoint, ?echoed,
             "dropped an answer that belongs to another request"
