admission: a limit in a window holds when the owners of pool and budget are lost together

Cause: the next lender learns what was started in the window from the pools that ask it. When the owner of the pool and that of the budget were replaced together, neither knew, and the limit was lent a second time. A lender also forgot its window when nothing was asked for 2.5 s, and a pool forgot an account that was paid, both long before the window of 8 s had passed. Ruled out: overdrafts (at most one slice and one request a pool), two lenders that take turns (they learn from the pool; its test holds). Change: heartbeats carry what an entry lent, by organisation, pool and age; the next lender starts from it. A lender of a process younger than the window that hears no report assumes that the limit was used, evenly. Windows are kept until they have passed. Conclusion: what remains is a kill of every process right after a limit was spent at once: the rate of the limit goes on.

--- a/crates/wasabi-admission/src/lender.rs
+++ b/crates/wasabi-admission/src/lender.rs
@@ -5,13 +5,13 @@
 //! with a burst are counted in its sliding window instead; a new lender learns from the borrowers
 //! what they started in it.
 
-use std::collections::HashMap;
+use std::{cmp::Reverse, collections::HashMap};
 
 use wasabi_protocol::{
     clock::Millis,
-    contract::{Burst, Limits},
+    contract::Limits,
     id,
-    rpc::{Slice, Usage},
+    rpc::{Lent, Slice, Usage},
 };
 
 use crate::{
@@ -24,10 +24,23 @@
 /// Accounts in use ask at least once a second; the rest allows for one lost ask.
 pub const FORGET: Millis = Millis(2_500);
 
+/// Time after which a report of another lender is dropped, in milliseconds.
+const REPORT_KEPT: Millis = Millis::from_secs(30);
+
 /// The budgets that one entry owns.
 #[derive(Debug, Default)]
 pub struct Lender {
     purses: HashMap<id::Organisation, Purse>,
+    /// What other entries lent, by their last reports.
+    reports: HashMap<id::Entry, Report>,
+    /// When the process started, if what was lent before may be unknown.
+    restarted: Option<Millis>,
+}
+
+#[derive(Debug)]
+struct Report {
+    at: Millis,
+    lent: Vec<Lent>,
 }
 
 #[derive(Debug)]
@@ -38,6 +51,8 @@
     /// Tokens lent in the window of a limit with a burst, and the limit that they count against.
     lent: Window,
     window_limit: f64,
+    /// Tokens that may have been lent before this process started.
+    assumed: Window,
     /// The part of it that each pool got.
     lent_to: HashMap<id::Pool, Window>,
     borrowers: HashMap<id::Pool, Borrower>,
@@ -59,6 +74,11 @@
         Self::default()
     }
 
+    /// Returns a lender of a process that started at `now` and does not know what was lent before.
+    pub fn restarted(now: Millis) -> Self {
+        Self { restarted: Some(now), ..Self::default() }
+    }
+
     /// Returns the next slice for a pool that asks.
     pub fn lend(
         &mut self,
@@ -68,26 +88,90 @@
         pool: &id::Pool,
         used: &Usage,
     ) -> Slice {
-        let purse = self.purses.entry(organisation.clone()).or_insert_with(|| Purse {
-            requests: 0.0,
-            tokens: 0.0,
-            filled: now,
-            lent: Window::default(),
-            window_limit: 0.0,
-            lent_to: HashMap::new(),
-            borrowers: HashMap::new(),
-        });
+        if !self.purses.contains_key(organisation) {
+            let purse = self.open(now, organisation, limits);
+            self.purses.insert(organisation.clone(), purse);
+        }
+        let Some(purse) = self.purses.get_mut(organisation) else {
+            return Slice::default();
+        };
         purse.fill(now, limits);
         purse.lend(now, limits, pool, used)
     }
 
+    /// Returns what was lent in the windows of limits with a burst, for the other entries.
+    pub fn lent(&mut self, now: Millis) -> Vec<Lent> {
+        let mut all = Vec::new();
+        for (organisation, purse) in &mut self.purses {
+            for (pool, window) in &mut purse.lent_to {
+                let tokens: Vec<_> = window.by_age(now).iter().map(|sum| *sum as u64).collect();
+                if !tokens.is_empty() {
+                    let (organisation, pool) = (organisation.clone(), pool.clone());
+                    all.push(Lent { organisation, pool, tokens });
+                }
+            }
+        }
+        all
+    }
+
+    /// Takes over what another entry reports to have lent, for the case that this one follows it.
+    pub fn hear(&mut self, now: Millis, from: &id::Entry, lent: &[Lent]) {
+        for one in lent {
+            if let Some(purse) = self.purses.get_mut(&one.organisation)
+                && 0.0 < purse.assumed.sum(now)
+            {
+                let span = purse.assumed.span();
+                purse.assumed = Window::default();
+                purse.inherit(now, span, one);
+            }
+        }
+        self.reports.insert(from.clone(), Report { at: now, lent: lent.to_vec() });
+    }
+
+    /// Returns a purse in which what is known of earlier lenders counts.
+    fn open(&self, now: Millis, organisation: &id::Organisation, limits: &Limits) -> Purse {
+        let mut purse = Purse::new(now);
+        let Some(burst) = &limits.burst else { return purse };
+        let fresh = self.reports.values().filter(|report| now.since(report.at) < burst.window);
+        let lent = fresh.flat_map(|report| report.lent.iter().map(|one| (report.at, one)));
+        let mut lent: Vec<_> = lent.filter(|(_, one)| one.organisation == *organisation).collect();
+        // Of two entries that report for the same pool the one that lent more counts.
+        lent.sort_unstable_by_key(|(_, one)| Reverse(one.tokens.iter().sum::<u64>()));
+        for (at, one) in &lent {
+            purse.inherit(*at, burst.window, one);
+        }
+        let is_reported = !lent.is_empty();
+        let is_new = self.restarted.is_some_and(|at| now.since(at) < burst.window);
+        if is_new && !is_reported {
+            purse.assumed = Window::new(burst.window);
+            purse.assumed.add_spread(now, window_tokens(limits, burst));
+        }
+        purse
+    }
+
     /// Forgets budgets of which nothing was asked for a while; called now and then.
     pub fn sweep(&mut self, now: Millis) {
-        self.purses.retain(|_, purse| now.since(purse.filled) < FORGET);
+        // What was lent counts until its window has passed, however long nothing is asked for.
+        self.purses
+            .retain(|_, purse| now.since(purse.filled) < FORGET || 0.0 < purse.lent.sum(now));
+        self.reports.retain(|_, report| now.since(report.at) < REPORT_KEPT);
     }
 }
 
 impl Purse {
+    fn new(now: Millis) -> Self {
+        Self {
+            requests: 0.0,
+            tokens: 0.0,
+            filled: now,
+            lent: Window::default(),
+            window_limit: 0.0,
+            assumed: Window::default(),
+            lent_to: HashMap::new(),
+            borrowers: HashMap::new(),
+        }
+    }
+
     fn fill(&mut self, now: Millis, limits: &Limits) {
         let elapsed = now.since(self.filled).seconds();
         self.filled = self.filled.max(now);
@@ -104,13 +188,14 @@
                 self.lent.scale(most / self.window_limit);
             }
             self.window_limit = most;
-            self.tokens = most - self.lent.sum(now);
+            self.tokens = most - self.lent.sum(now) - self.assumed.sum(now);
         }
     }
 
     fn lend(&mut self, now: Millis, limits: &Limits, pool: &id::Pool, used: &Usage) -> Slice {
         if let Some(burst) = &limits.burst {
-            self.learn(now, burst, pool, used);
+            let started = used.recent_tokens as f64 - used.owed_tokens as f64;
+            self.tokens -= self.learn(now, burst.window, pool, started);
         }
         let borrower = self.borrowers.entry(pool.clone()).or_default();
         borrower.asked = now;
@@ -138,24 +223,47 @@
         }
         let concurrency = self.allot(limits.concurrency, pool);
         let headroom = match limits.burst {
-            Some(_) => (self.tokens / self.window_limit.max(1.0)).clamp(0.0, 1.0),
+            // What is only assumed to be used holds no tier back.
+            Some(_) => {
+                let left = self.tokens + self.assumed.sum(now);
+                (left / self.window_limit.max(1.0)).clamp(0.0, 1.0)
+            }
             None => 1.0,
         };
         Slice { requests, tokens, concurrency, headroom, span: SLICE }
     }
 
+    /// Counts what another lender reported at `at` to have lent to a pool, as far as it is more than
+    /// what counts already.
+    fn inherit(&mut self, at: Millis, span: Millis, report: &Lent) {
+        let tokens: Vec<_> = report.tokens.iter().map(|tokens| *tokens as f64).collect();
+        let total: f64 = tokens.iter().sum();
+        let lent = self.lent_to.entry(report.pool.clone()).or_insert_with(|| Window::new(span));
+        let known = lent.sum(at);
+        if total <= known {
+            return;
+        }
+        let mut unknown = Window::aged(at, span, &tokens);
+        unknown.scale((total - known) / total);
+        lent.merge(&unknown);
+        self.lent.set_span(span);
+        self.lent.merge(&unknown);
+    }
+
     /// Counts what a pool started in the window without this lender: before it was the lender, or
     /// while the pool took another entry for it. Two entries that take turns as lenders, as they do
-    /// when a link loses packets, would otherwise each lend the whole limit.
-    fn learn(&mut self, now: Millis, burst: &Burst, pool: &id::Pool, used: &Usage) {
-        let lent = self.lent_to.entry(pool.clone()).or_insert_with(|| Window::new(burst.window));
-        lent.set_span(burst.window);
-        let unknown = used.recent_tokens as f64 - used.owed_tokens as f64 - lent.sum(now);
+    /// when a link loses packets, would otherwise each lend the whole limit. Returns the tokens that
+    /// were not counted before.
+    fn learn(&mut self, now: Millis, span: Millis, pool: &id::Pool, started: f64) -> f64 {
+        let lent = self.lent_to.entry(pool.clone()).or_insert_with(|| Window::new(span));
+        lent.set_span(span);
+        self.lent.set_span(span);
+        let unknown = (started - lent.sum(now)).max(0.0);
         if 0.0 < unknown {
             lent.add_spread(now, unknown);
             self.lent.add_spread(now, unknown);
-            self.tokens -= unknown;
         }
+        unknown
     }
 
     /// Allots concurrency: as much as is wanted while there is enough, and in proportion to what
--- a/crates/wasabi-admission/src/limit.rs
+++ b/crates/wasabi-admission/src/limit.rs
@@ -191,9 +191,10 @@
         Some(Usage { running, waiting, waiting_tokens, owed_tokens, recent_tokens, ..used })
     }
 
-    /// Returns whether nothing of the organisation runs or is owed here.
-    pub fn is_settled(&self, now: Millis) -> bool {
+    /// Returns whether nothing of the organisation runs, is owed or counts in a window here.
+    pub fn is_settled(&mut self, now: Millis) -> bool {
         self.running == 0
+            && self.recent.sum(now) <= 0.0
             && self.used.requests == 0
             && 0.0 <= self.requests
             && 0.0 <= self.tokens
--- a/crates/wasabi-admission/src/window.rs
+++ b/crates/wasabi-admission/src/window.rs
@@ -7,6 +7,9 @@
 /// Length of the parts that the window is counted in, in milliseconds.
 const PART: Millis = Millis(250);
 
+/// Most seconds whose amounts are told apart.
+const AGES_MAX: usize = 64;
+
 /// Amounts of the last [`Window::span`] milliseconds, in parts of a quarter of a second. An amount
 /// counts until its whole part has left the window.
 #[derive(Debug, Clone, Default)]
@@ -22,6 +25,11 @@
         Self { span, ..Self::default() }
     }
 
+    /// Returns the length, in milliseconds.
+    pub fn span(&self) -> Millis {
+        self.span
+    }
+
     /// Follows a change of the length.
     pub fn set_span(&mut self, span: Millis) {
         self.span = span;
@@ -43,16 +51,47 @@
         let last = now.0 / PART.0;
         let first = last.saturating_sub(count - 1);
         let each = amount / (last - first + 1) as f64;
-        let mut sums: VecDeque<_> = (first..=last).map(|part| (part, each)).collect();
-        for (part, sum) in self.parts.drain(..) {
-            match sums.iter_mut().find(|(other, _)| *other == part) {
-                Some((_, held)) => *held += sum,
-                None => sums.push_front((part, sum)),
+        let parts = (first..=last).map(|part| (part, each)).collect();
+        self.merge(&Self { span: self.span, parts, total: amount });
+    }
+
+    /// Returns the amounts of the window that ends now by their age in whole seconds, the latest
+    /// first.
+    pub fn by_age(&mut self, now: Millis) -> Vec<f64> {
+        self.sum(now);
+        let mut ages = Vec::new();
+        for (part, sum) in self.parts.iter().rev() {
+            let age = now.since(Millis(part * PART.0)).0 / 1_000;
+            let index = usize::try_from(age).unwrap_or(usize::MAX).min(AGES_MAX - 1);
+            if ages.len() <= index {
+                ages.resize(index + 1, 0.0);
             }
+            ages[index] += sum;
+        }
+        ages
+    }
+
+    /// Returns a window with amounts that were given by their age at `now`.
+    pub fn aged(now: Millis, span: Millis, ages: &[f64]) -> Self {
+        let mut window = Self::new(span);
+        for (age, amount) in ages.iter().enumerate().take(AGES_MAX).rev() {
+            let at = now - Millis::from_secs(age as u64);
+            if 0.0 < *amount {
+                window.add(at, *amount);
+            }
+        }
+        window
+    }
+
+    /// Adds the amounts of another window.
+    pub fn merge(&mut self, other: &Self) {
+        for (part, sum) in &other.parts {
+            match self.parts.binary_search_by_key(part, |(held, _)| *held) {
+                Ok(index) => self.parts[index].1 += sum,
+                Err(index) => self.parts.insert(index, (*part, *sum)),
+            }
+            self.total += sum;
         }
-        sums.make_contiguous().sort_unstable_by_key(|(part, _)| *part);
-        self.parts = sums;
-        self.total += amount;
     }
 
     /// Returns the sum of the window that ends now.
--- a/crates/wasabi-admission/tests/limit.rs
+++ b/crates/wasabi-admission/tests/limit.rs
@@ -337,3 +337,95 @@
         assert!(sum <= 100_000, "{sum} tokens in a window of 90,000");
     }
 }
+
+/// Starts what an account allows from `from` to `to`, in requests of 1,000 tokens every 20 ms, and
+/// adds what was started to the 100 ms in which it was.
+fn press(
+    lender: &mut Lender,
+    account: &mut Account,
+    (from, to): (u64, u64),
+    started: &mut [u64],
+) {
+    let organisation: id::Organisation = "org".into();
+    for now in from..to {
+        let at = Millis(now);
+        if now % 20 == 0 && account.shortage(Tier::TOP, 0).is_none() && account.may_start(at) {
+            account.start(at, 1_000);
+            account.end();
+            started[now as usize / 100] += 1_000;
+        }
+        if let Some(used) = account.ask(at, 0, 0) {
+            let slice = lender.lend(at, &organisation, &WINDOWED, &"pool".into(), &used);
+            account.lend(at, &slice);
+        }
+    }
+}
+
+/// Most tokens in a window of [`WINDOWED`] after a take-over: a tenth over the limit, and the 72,000
+/// tokens that the users allow besides to an organisation with 115,000 tokens a second, in
+/// proportion.
+const WINDOW_MOST: u64 = 99_000 + 72_000 * 10_000 / 115_000;
+
+fn assert_one_limit(started: &[u64]) {
+    for window in started.windows(80) {
+        let sum: u64 = window.iter().sum();
+        assert!(sum <= WINDOW_MOST, "{sum} tokens in a window of 90,000");
+    }
+}
+
+/// Guards against a limit that is lent twice when the owners of the pool and of the budget are lost
+/// together: neither successor knew what was started in the window.
+#[test]
+fn successors_of_both_owners_hold_one_limit() {
+    let (mut first, mut account) = (Lender::new(), Account::new(WINDOWED));
+    let mut started = vec![0; 400];
+    press(&mut first, &mut account, (0, 9_000), &mut started);
+    let mut next = Lender::new();
+    // The last heartbeat of the lost entry is half a second old.
+    next.hear(Millis(8_500), &"first".into(), &first.lent(Millis(8_500)));
+    let mut account = Account::new(WINDOWED);
+    press(&mut next, &mut account, (9_000, 40_000), &mut started);
+    assert_one_limit(&started);
+}
+
+/// Guards against a limit that is lent twice when every process is killed, so that nobody knows
+/// what was started, and against an organisation that gets nothing after it.
+#[test]
+fn a_lender_that_knows_nothing_assumes_that_the_limit_was_used() {
+    let (mut first, mut account) = (Lender::new(), Account::new(WINDOWED));
+    let mut started = vec![0; 400];
+    press(&mut first, &mut account, (0, 1_500), &mut started);
+    let (mut next, mut account) = (Lender::restarted(Millis(3_000)), Account::new(WINDOWED));
+    press(&mut next, &mut account, (3_000, 40_000), &mut started);
+    let after: u64 = started[30..110].iter().sum();
+    assert!(70_000 <= after, "{after} tokens were started in the window after the restart");
+    let most: u64 = started[15..].windows(80).map(|window| window.iter().sum()).max().unwrap();
+    assert!(most <= WINDOW_MOST, "{most} tokens in a window of 90,000 after the restart");
+    // Nobody knows that all of it was started just before the kill; the rate of the limit goes on.
+    let across: u64 = started[..80].iter().sum();
+    assert!(across <= 75_000 + 5 * 90_000 / 8 + 1_000, "{across} tokens in the window of the kill");
+}
+
+/// Guards against a window that is forgotten when an organisation is quiet for less than the
+/// window: it then starts its limit twice.
+#[test]
+fn a_quiet_organisation_keeps_its_window() {
+    let (mut lender, mut account) = (Lender::new(), Account::new(WINDOWED));
+    let mut started = vec![0; 400];
+    press(&mut lender, &mut account, (0, 1_500), &mut started);
+    // What the account owes is paid, then nothing is asked for.
+    for now in 1_500..3_000 {
+        if let Some(used) = account.ask(Millis(now), 0, 0) {
+            let organisation = "org".into();
+            let slice = lender.lend(Millis(now), &organisation, &WINDOWED, &"pool".into(), &used);
+            account.lend(Millis(now), &slice);
+        }
+    }
+    lender.sweep(Millis(5_500));
+    // The pool drops accounts that are settled.
+    if account.is_settled(Millis(5_500)) {
+        account = Account::new(WINDOWED);
+    }
+    press(&mut lender, &mut account, (5_500, 40_000), &mut started);
+    assert_one_limit(&started);
+}
--- a/crates/wasabi-entry/src/peers/heartbeat.rs
+++ b/crates/wasabi-entry/src/peers/heartbeat.rs
@@ -64,6 +64,7 @@
 pub(crate) fn heard(shell: &Rc<Shell>, heartbeat: &Heartbeat) {
     shell.extend_by_majority();
     let now = shell.now();
+    shell.lender.borrow_mut().hear(now, &heartbeat.from, &heartbeat.lent);
     if !heartbeat.suspects.is_empty() {
         let suspects = &heartbeat.suspects;
         let effects = shell.pools.borrow_mut().step_all(now, || Event::Suspects(suspects));
--- a/crates/wasabi-entry/src/shell.rs
+++ b/crates/wasabi-entry/src/shell.rs
@@ -63,13 +63,14 @@
 impl Shell {
     /// Returns the state of a control thread.
     pub(crate) fn new(shared: Arc<Shared>, control: Link, drain: drain::Start) -> Rc<Self> {
+        let lender = Lender::restarted(shared.clock.now());
         Rc::new(Self {
             shared,
             pools: RefCell::default(),
             holder: RefCell::default(),
             peers: RefCell::default(),
             standby: RefCell::default(),
-            lender: RefCell::default(),
+            lender: RefCell::new(lender),
             control,
             control_heard: Cell::new(None),
             unsent: RefCell::default(),
@@ -230,6 +231,7 @@
             known: self.peers.borrow().known(now),
             pools: pools.pressure(now),
             suspects: pools.suspects(now),
+            lent: self.lender.borrow_mut().lent(now),
         }
     }
 
--- a/crates/wasabi-protocol/src/rpc/entry.rs
+++ b/crates/wasabi-protocol/src/rpc/entry.rs
@@ -7,7 +7,7 @@
     command::{Command, Config, Entry, Outcome},
     endpoint::Announcement,
     fingerprint, id,
-    rpc::Pressure,
+    rpc::{Lent, Pressure},
 };
 
 /// A request fingerprint that crashed endpoints.
@@ -42,6 +42,10 @@
     pub pools: Vec<Pressure>,
     /// Suspects and quarantined requests.
     pub suspects: Vec<Suspect>,
+    /// What the sender lent in the windows of limits with a burst, so that the next lender of an
+    /// organisation does not lend it again.
+    #[serde(default)]
+    pub lent: Vec<Lent>,
 }
 
 /// What an entry tells the control leader.
--- a/crates/wasabi-protocol/src/rpc/pool.rs
+++ b/crates/wasabi-protocol/src/rpc/pool.rs
@@ -134,7 +134,7 @@
 }
 
 /// Part of an organisation's budget, lent to one pool owner for a short time.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
 #[derive(Serialize, Deserialize)]
 pub struct Slice {
     /// Requests that may be started while the slice lasts.
@@ -172,6 +172,18 @@
     pub recent_tokens: u64,
 }
 
+/// Tokens that an entry lent to a pool in the window of an organisation's limit.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Lent {
+    /// The organisation.
+    pub organisation: id::Organisation,
+    /// The pool.
+    pub pool: id::Pool,
+    /// Tokens by the age in seconds at which they were lent, the latest first.
+    pub tokens: Vec<u64>,
+}
+
 /// Asks the owner of an organisation's budget for the next slice.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
