--- a/crates/wasabi-admission/src/lender.rs
+++ b/crates/wasabi-admission/src/lender.rs
@@ -27,6 +27,12 @@
 /// Time after which a report of another lender is dropped, in milliseconds.
 const REPORT_KEPT: Millis = Millis::from_secs(30);
 
+/// Part of a window that counts as lent before the process started when nobody reports it.
+///
+/// An organisation at its usual load leaves about half of its limit free, so that it is not held
+/// back. The whole window would refuse most requests in the seconds after a loss of power.
+const ASSUMED_PART: f64 = 0.5;
+
 /// The budgets that one entry owns.
 #[derive(Debug, Default)]
 pub struct Lender {
@@ -141,10 +147,13 @@
             purse.inherit(*at, burst.window, one);
         }
         let is_reported = !lent.is_empty();
-        let is_new = self.restarted.is_some_and(|at| now.since(at) < burst.window);
-        if is_new && !is_reported {
+        if let Some(restarted) = self.restarted
+            && now.since(restarted) < burst.window
+            && !is_reported
+        {
+            let assumed = ASSUMED_PART * window_tokens(limits, burst);
             purse.assumed = Window::new(burst.window);
-            purse.assumed.add_spread(now, window_tokens(limits, burst));
+            purse.assumed.add_spread(restarted, assumed);
         }
         purse
     }
--- a/crates/wasabi-protocol/src/rpc/mod.rs
+++ b/crates/wasabi-protocol/src/rpc/mod.rs
@@ -13,5 +13,6 @@
     MemberStatus, MembersChanged, Operate, Operated, Role, Source, Standing, Status,
 };
 pub use pool::{
-    Acquire, Acquired, Grant, Holdings, Lend, Lent, Preempt, Pressure, Release, Running, Slice, Usage,
+    Acquire, Acquired, Grant, Holdings, Lend, Lent, Preempt, Pressure, Release, Running, Slice,
+    Usage,
 };
