admission: slices that nothing was started with do not use up a limit in a window

Cause: requests that wait for an endpoint ask for budget like those that wait for the limit. What was lent to them ended unused after 250 ms and still counted in the window of 8 s, again with each ask, so that organisations were refused (429) with a half of their limit unused. Change: pools tell what they started in the window, since when they count it and what they still hold; the lender lowers what it counts as lent to that. Waiting requests ask for one slice or twice what was started last.

--- a/crates/wasabi-admission/src/lender.rs
+++ b/crates/wasabi-admission/src/lender.rs
@@ -15,7 +15,7 @@
 };
 
 use crate::{
-    limit::{SLICE, overdraft, window_tokens},
+    limit::{SLICE, overdraft, wanted_tokens, window_tokens},
     window::Window,
 };
 
@@ -27,6 +27,10 @@
 /// Time after which a report of another lender is dropped, in milliseconds.
 const REPORT_KEPT: Millis = Millis::from_secs(30);
 
+/// Age at which a slice has either been used or ended, in milliseconds: its answer and the next ask
+/// take up to a slice.
+const SETTLED_AFTER: Millis = Millis(2 * SLICE.0);
+
 /// Part of a window that counts as lent before the process started when nobody reports it.
 ///
 /// An organisation at its usual load leaves about half of its limit free, so that it is not held
@@ -54,12 +58,11 @@
     requests: f64,
     tokens: f64,
     filled: Millis,
-    /// Tokens lent in the window of a limit with a burst, and the limit that they count against.
-    lent: Window,
+    /// The tokens that one window of a limit with a burst allows.
     window_limit: f64,
     /// Tokens that may have been lent before this process started.
     assumed: Window,
-    /// The part of it that each pool got.
+    /// Tokens lent to each pool in the window.
     lent_to: HashMap<id::Pool, Window>,
     borrowers: HashMap<id::Pool, Borrower>,
 }
@@ -161,8 +164,7 @@
     /// Forgets budgets of which nothing was asked for a while; called now and then.
     pub fn sweep(&mut self, now: Millis) {
         // What was lent counts until its window has passed, however long nothing is asked for.
-        self.purses
-            .retain(|_, purse| now.since(purse.filled) < FORGET || 0.0 < purse.lent.sum(now));
+        self.purses.retain(|_, purse| now.since(purse.filled) < FORGET || 0.0 < purse.lent(now));
         self.reports.retain(|_, report| now.since(report.at) < REPORT_KEPT);
     }
 }
@@ -173,7 +175,6 @@
             requests: 0.0,
             tokens: 0.0,
             filled: now,
-            lent: Window::default(),
             window_limit: 0.0,
             assumed: Window::default(),
             lent_to: HashMap::new(),
@@ -190,29 +191,33 @@
         self.borrowers.retain(|_, borrower| now.since(borrower.asked) < FORGET);
         if let Some(burst) = &limits.burst {
             let most = window_tokens(limits, burst);
-            self.lent.set_span(burst.window);
             // After a change the organisation has used the same part of the new limit as of the old
             // one. Counted in full, a lowered limit would refuse everything for a window.
             if 0.0 < self.window_limit && self.window_limit != most {
-                self.lent.scale(most / self.window_limit);
+                for lent in self.lent_to.values_mut() {
+                    lent.scale(most / self.window_limit);
+                }
             }
             self.window_limit = most;
-            self.tokens = most - self.lent.sum(now) - self.assumed.sum(now);
+            self.tokens = most - self.lent(now) - self.assumed.sum(now);
         }
     }
 
+    /// Returns what was lent in the window.
+    fn lent(&mut self, now: Millis) -> f64 {
+        self.lent_to.values_mut().map(|lent| lent.sum(now)).sum()
+    }
+
     fn lend(&mut self, now: Millis, limits: &Limits, pool: &id::Pool, used: &Usage) -> Slice {
         if let Some(burst) = &limits.burst {
-            let started = used.recent_tokens as f64 - used.owed_tokens as f64;
-            self.tokens -= self.learn(now, burst.window, pool, started);
+            self.learn(now, burst.window, pool, used);
+            self.tokens = self.window_limit - self.lent(now) - self.assumed.sum(now);
         }
         let borrower = self.borrowers.entry(pool.clone()).or_default();
         borrower.asked = now;
         // What was used since the last ask is the best guess of what will be used until the next.
         borrower.requests = used.requests as f64 + f64::from(used.waiting) + 1.0;
-        // An overdraft must be paid also when nothing was started since the last ask.
-        let started = used.tokens.max(used.owed_tokens);
-        borrower.tokens = started as f64 + used.waiting_tokens as f64 + 1.0;
+        borrower.tokens = wanted_tokens(limits, used) + 1.0;
         borrower.running = used.running;
         borrower.wanted = used.running + used.waiting + 1;
         let (wanted_requests, wanted_tokens) = (borrower.requests, borrower.tokens);
@@ -227,7 +232,6 @@
         self.requests -= requests;
         self.tokens -= tokens;
         if limits.burst.is_some() {
-            self.lent.add(now, tokens);
             self.lent_to.entry(pool.clone()).or_default().add(now, tokens);
         }
         let concurrency = self.allot(limits.concurrency, pool);
@@ -255,24 +259,23 @@
         let mut unknown = Window::aged(at, span, &tokens);
         unknown.scale((total - known) / total);
         lent.merge(&unknown);
-        self.lent.set_span(span);
-        self.lent.merge(&unknown);
     }
 
-    /// Counts what a pool started in the window without this lender: before it was the lender, or
-    /// while the pool took another entry for it. Two entries that take turns as lenders, as they do
-    /// when a link loses packets, would otherwise each lend the whole limit. Returns the tokens that
-    /// were not counted before.
-    fn learn(&mut self, now: Millis, span: Millis, pool: &id::Pool, started: f64) -> f64 {
+    /// Counts what a pool started in the window, where it differs from what this lender lent to it.
+    ///
+    /// It is more when the pool had another lender: before this one, or while it took another entry
+    /// for its lender. Two entries that take turns as lenders, as they do when a link loses packets,
+    /// would otherwise each lend the whole limit. It is less when slices ended unused or were lost.
+    fn learn(&mut self, now: Millis, span: Millis, pool: &id::Pool, used: &Usage) {
         let lent = self.lent_to.entry(pool.clone()).or_insert_with(|| Window::new(span));
         lent.set_span(span);
-        self.lent.set_span(span);
-        let unknown = (started - lent.sum(now)).max(0.0);
+        let unknown = used.recent_tokens as f64 - used.owed_tokens as f64 - lent.sum(now);
         if 0.0 < unknown {
             lent.add_spread(now, unknown);
-            self.lent.add_spread(now, unknown);
         }
-        unknown
+        // An owner of the pool before this one may have started what was lent earlier.
+        let (counted, settled) = (now - used.counted + SETTLED_AFTER, now - SETTLED_AFTER);
+        lent.cap(counted, settled, used.recent_tokens as f64);
     }
 
     /// Allots concurrency: as much as is wanted while there is enough, and in proportion to what
--- a/crates/wasabi-admission/src/limit.rs
+++ b/crates/wasabi-admission/src/limit.rs
@@ -38,6 +38,14 @@
 /// organisation at its usual load leaves about half of its limit free.
 const KEPT_FOR_URGENT: [f64; 3] = [0.0, 0.08, 0.2];
 
+/// Most tokens that waiting requests ask for under a limit with a burst, in slices of the limit or
+/// in what was started since the last ask.
+///
+/// Requests may wait for an endpoint and not for the limit. What is lent to them and not used in
+/// time is missing until the lender learns that it was not started.
+const WAITING_SLICES: f64 = 1.0;
+const WAITING_STARTS: f64 = 2.0;
+
 /// An organisation's account at one pool.
 #[derive(Debug, Clone)]
 pub struct Account {
@@ -51,6 +59,8 @@
     used: Usage,
     /// Tokens started in the window of a limit with a burst.
     recent: Window,
+    /// When the account began to count them.
+    opened: Millis,
     asked: Option<Millis>,
     refused: bool,
     /// Tokens asked for last.
@@ -65,7 +75,7 @@
 
 impl Account {
     /// Returns an account that was lent nothing yet.
-    pub fn new(limits: Limits) -> Self {
+    pub fn new(now: Millis, limits: Limits) -> Self {
         Self {
             limits,
             requests: 0.0,
@@ -76,6 +86,7 @@
             running: 0,
             used: Usage::default(),
             recent: Window::new(limits.burst.map_or(Millis::ZERO, |burst| burst.window)),
+            opened: now,
             asked: None,
             refused: false,
             wanted: 0.0,
@@ -183,12 +194,27 @@
         }
         self.asked = Some(now);
         self.refused = false;
-        let used = std::mem::take(&mut self.used);
-        let owed_tokens = (-self.tokens).max(0.0) as u64;
-        self.wanted = used.tokens.max(owed_tokens) as f64 + waiting_tokens as f64;
-        let recent_tokens = self.recent.sum(now) as u64;
-        let running = self.running;
-        Some(Usage { running, waiting, waiting_tokens, owed_tokens, recent_tokens, ..used })
+        self.expire(now);
+        let started = std::mem::take(&mut self.used);
+        let waiting_tokens = match self.limits.burst {
+            None => waiting_tokens,
+            Some(_) => {
+                let most = (WAITING_SLICES * tokens).max(WAITING_STARTS * started.tokens as f64);
+                waiting_tokens.min(most as u64)
+            }
+        };
+        let used = Usage {
+            running: self.running,
+            waiting,
+            waiting_tokens,
+            owed_tokens: (-self.tokens).max(0.0) as u64,
+            recent_tokens: self.recent.sum(now) as u64,
+            counted: now.since(self.opened).min(self.recent.span()),
+            credit_tokens: self.tokens.max(0.0) as u64,
+            ..started
+        };
+        self.wanted = wanted_tokens(&self.limits, &used);
+        Some(used)
     }
 
     /// Returns whether nothing of the organisation runs, is owed or counts in a window here.
@@ -214,6 +240,16 @@
     }
 }
 
+/// Returns the tokens that a pool asks for.
+pub fn wanted_tokens(limits: &Limits, used: &Usage) -> f64 {
+    // An overdraft must be paid also when nothing was started since the last ask.
+    let wanted = used.tokens.max(used.owed_tokens) + used.waiting_tokens;
+    match limits.burst {
+        None => wanted as f64,
+        Some(_) => wanted.saturating_sub(used.credit_tokens) as f64,
+    }
+}
+
 /// Returns the tokens that a limit with a burst allows in one window.
 pub fn window_tokens(limits: &Limits, burst: &Burst) -> f64 {
     f64::from(limits.tokens_per_s) * burst.window.seconds() + f64::from(burst.tokens)
--- a/crates/wasabi-admission/src/window.rs
+++ b/crates/wasabi-admission/src/window.rs
@@ -83,6 +83,24 @@
         window
     }
 
+    /// Lowers the amounts from `from` up to `to` so that they add up to at most `most`.
+    pub fn cap(&mut self, from: Millis, to: Millis, most: f64) {
+        let covered = from.0.div_ceil(PART.0)..to.0 / PART.0;
+        let sum: f64 = self
+            .parts
+            .iter()
+            .filter(|(part, _)| covered.contains(part))
+            .map(|(_, amount)| amount)
+            .sum();
+        if sum <= most {
+            return;
+        }
+        for (_, amount) in self.parts.iter_mut().filter(|(part, _)| covered.contains(part)) {
+            *amount *= most / sum;
+        }
+        self.total -= sum - most;
+    }
+
     /// Adds the amounts of another window.
     pub fn merge(&mut self, other: &Self) {
         for (part, sum) in &other.parts {
--- a/crates/wasabi-admission/tests/limit.rs
+++ b/crates/wasabi-admission/tests/limit.rs
@@ -59,7 +59,11 @@
     let mut rng = Rng::with_seed(seed);
     let organisation: id::Organisation = "org".into();
     let mut lender = Lender::new();
-    let new = || Site { account: Account::new(LIMITS), queue: Vec::new(), ends: Vec::new() };
+    let new = || Site {
+        account: Account::new(Millis::ZERO, LIMITS),
+        queue: Vec::new(),
+        ends: Vec::new(),
+    };
     let mut sites: Vec<_> = (0..pools).map(|_| new()).collect();
     let mut out = Run { started: Vec::new(), accounts: vec![0; pools], most_running: 0 };
     let mut asks: Vec<(u64, usize, Usage)> = Vec::new();
@@ -191,7 +195,7 @@
 /// Guards against unused slices that add up to a burst later on.
 #[test]
 fn forgets_a_slice_that_was_not_used() {
-    let mut account = Account::new(LIMITS);
+    let mut account = Account::new(Millis::ZERO, LIMITS);
     let slice = Slice { requests: 100.0, tokens: 1e6, concurrency: 64, headroom: 1.0, span: SLICE };
     account.lend(Millis(1_000), &slice);
     let mut started = 0;
@@ -243,7 +247,7 @@
 /// Runs an organisation that wants `demand` tokens a second against a windowed limit, refused when
 /// the account says so, and returns the tokens started in each 100 ms.
 fn windowed(demand: impl Fn(u64) -> u64, span: u64) -> Vec<u64> {
-    let (mut lender, mut account) = (Lender::new(), Account::new(WINDOWED));
+    let (mut lender, mut account) = (Lender::new(), Account::new(Millis::ZERO, WINDOWED));
     let organisation: id::Organisation = "org".into();
     let mut started = vec![0; span as usize / 100];
     for now in 0..span {
@@ -289,7 +293,7 @@
 /// come most often, while its urgent ones are refused.
 #[test]
 fn a_limit_that_is_used_up_goes_to_the_urgent_tier_first() {
-    let (mut lender, mut account) = (Lender::new(), Account::new(WINDOWED));
+    let (mut lender, mut account) = (Lender::new(), Account::new(Millis::ZERO, WINDOWED));
     let organisation: id::Organisation = "org".into();
     let mut served = [0_u32; 2];
     for now in 0..24_000 {
@@ -316,7 +320,8 @@
 /// the whole limit each.
 #[test]
 fn lenders_that_take_turns_hold_one_limit() {
-    let (mut lenders, mut account) = ([Lender::new(), Lender::new()], Account::new(WINDOWED));
+    let (mut lenders, mut account) =
+        ([Lender::new(), Lender::new()], Account::new(Millis::ZERO, WINDOWED));
     let organisation: id::Organisation = "org".into();
     let mut started = vec![0_u64; 400];
     for now in 0..40_000_u64 {
@@ -372,13 +377,13 @@
 /// together: neither successor knew what was started in the window.
 #[test]
 fn successors_of_both_owners_hold_one_limit() {
-    let (mut first, mut account) = (Lender::new(), Account::new(WINDOWED));
+    let (mut first, mut account) = (Lender::new(), Account::new(Millis::ZERO, WINDOWED));
     let mut started = vec![0; 400];
     press(&mut first, &mut account, (0, 9_000), &mut started);
     let mut next = Lender::new();
     // The last heartbeat of the lost entry is half a second old.
     next.hear(Millis(8_500), &"first".into(), &first.lent(Millis(8_500)));
-    let mut account = Account::new(WINDOWED);
+    let mut account = Account::new(Millis(9_000), WINDOWED);
     press(&mut next, &mut account, (9_000, 40_000), &mut started);
     assert_one_limit(&started);
 }
@@ -388,11 +393,12 @@
 /// its usual load after the kill.
 #[test]
 fn a_lender_that_knows_nothing_assumes_that_half_of_the_limit_was_used() {
-    let (mut first, mut account) = (Lender::new(), Account::new(WINDOWED));
+    let (mut first, mut account) = (Lender::new(), Account::new(Millis::ZERO, WINDOWED));
     let mut started = vec![0; 400];
     press(&mut first, &mut account, (0, 1_500), &mut started);
     let before: u64 = started.iter().sum();
-    let (mut next, mut account) = (Lender::restarted(Millis(3_000)), Account::new(WINDOWED));
+    let (mut next, mut account) =
+        (Lender::restarted(Millis(3_000)), Account::new(Millis(3_000), WINDOWED));
     press(&mut next, &mut account, (3_000, 40_000), &mut started);
     let usual: u64 = started[30..110].iter().sum();
     assert!(45_000 <= usual, "{usual} tokens were started in the window after the restart");
@@ -406,7 +412,7 @@
 /// window: it then starts its limit twice.
 #[test]
 fn a_quiet_organisation_keeps_its_window() {
-    let (mut lender, mut account) = (Lender::new(), Account::new(WINDOWED));
+    let (mut lender, mut account) = (Lender::new(), Account::new(Millis::ZERO, WINDOWED));
     let mut started = vec![0; 400];
     press(&mut lender, &mut account, (0, 1_500), &mut started);
     // What the account owes is paid, then nothing is asked for.
@@ -420,8 +426,36 @@
     lender.sweep(Millis(5_500));
     // The pool drops accounts that are settled.
     if account.is_settled(Millis(5_500)) {
-        account = Account::new(WINDOWED);
+        account = Account::new(Millis(5_500), WINDOWED);
     }
     press(&mut lender, &mut account, (5_500, 40_000), &mut started);
     assert_one_limit(&started);
 }
+
+/// Guards against a limit that is used up by slices that nothing was started with: requests that
+/// wait for an endpoint ask for budget too, and were refused later as beyond a limit of which their
+/// organisation had used a half.
+#[test]
+fn requests_that_wait_for_an_endpoint_do_not_use_up_the_limit() {
+    let (mut lender, mut account) = (Lender::new(), Account::new(Millis::ZERO, WINDOWED));
+    let organisation: id::Organisation = "org".into();
+    let (mut refused, mut started) = (0, 0);
+    for now in 0..30_000 {
+        let at = Millis(now);
+        // The endpoints take half of what the limit allows; 200 requests wait for them.
+        if now % 100 == 0 {
+            refused += u32::from(account.shortage(Tier(4), 200_000).is_some());
+            if account.may_start(at) {
+                account.start(at, 500);
+                account.end();
+                started += 1;
+            }
+        }
+        if let Some(used) = account.ask(at, 200, 200_000) {
+            let slice = lender.lend(at, &organisation, &WINDOWED, &"pool".into(), &used);
+            account.lend(at, &slice);
+        }
+    }
+    assert!(295 <= started, "{started} of 300 requests were started");
+    assert_eq!(refused, 0, "no request is beyond the limit");
+}
--- a/crates/wasabi-protocol/src/rpc/pool.rs
+++ b/crates/wasabi-protocol/src/rpc/pool.rs
@@ -170,6 +170,12 @@
     /// knows what its predecessor lent.
     #[serde(default)]
     pub recent_tokens: u64,
+    /// How long `recent_tokens` has been counted, at most the window, in milliseconds.
+    #[serde(default)]
+    pub counted: Millis,
+    /// Tokens that were lent and may still be started.
+    #[serde(default)]
+    pub credit_tokens: u64,
 }
 
 /// Tokens that an entry lent to a pool in the window of an organisation's limit.
--- a/crates/wasabi-scheduler/src/pool/budget.rs
+++ b/crates/wasabi-scheduler/src/pool/budget.rs
@@ -38,24 +38,29 @@
     /// Returns whether the organisation may start one more request. Without a contract in force
     /// there is no limit; entries refuse callers without one.
     pub(super) fn may_start(&mut self, now: Millis, organisation: &id::Organisation) -> bool {
-        self.account(organisation).is_none_or(|account| account.may_start(now))
+        self.account(now, organisation).is_none_or(|account| account.may_start(now))
     }
 
     /// Returns the time until the organisation may start the request behind those that wait, when
     /// its limit on tokens is used up for it.
-    pub(super) fn shortage(&mut self, request: &Request, queue: &Queue) -> Option<Millis> {
+    pub(super) fn shortage(
+        &mut self,
+        now: Millis,
+        request: &Request,
+        queue: &Queue,
+    ) -> Option<Millis> {
         let (_, tokens) = queue.backlog(&request.organisation);
-        self.account(&request.organisation)?.shortage(request.tier, tokens)
+        self.account(now, &request.organisation)?.shortage(request.tier, tokens)
     }
 
     pub(super) fn start(&mut self, now: Millis, request: &Request) {
-        if let Some(account) = self.account(&request.organisation) {
+        if let Some(account) = self.account(now, &request.organisation) {
             account.start(now, request.tokens());
         }
     }
 
-    pub(super) fn adopt(&mut self, organisation: &id::Organisation) {
-        if let Some(account) = self.account(organisation) {
+    pub(super) fn adopt(&mut self, now: Millis, organisation: &id::Organisation) {
+        if let Some(account) = self.account(now, organisation) {
             account.adopt();
         }
     }
@@ -67,12 +72,12 @@
     }
 
     pub(super) fn lend(&mut self, now: Millis, organisation: &id::Organisation, slice: &Slice) {
-        if let Some(account) = self.account(organisation) {
+        if let Some(account) = self.account(now, organisation) {
             account.lend(now, slice);
         }
     }
 
-    /// Returns the slices to ask for, and forgets the accounts that owe nothing.
+    /// Returns the slices to ask for, and forgets the accounts without a contract that owe nothing.
     pub(super) fn asks(&mut self, now: Millis, queue: &Queue) -> Vec<(id::Organisation, Usage)> {
         let mut asks = Vec::new();
         self.accounts.retain(|organisation, account| {
@@ -80,7 +85,8 @@
             if let Some(used) = account.ask(now, waiting, tokens) {
                 asks.push((organisation.clone(), used));
             }
-            0 < waiting || !account.is_settled(now)
+            let is_named = self.limits.contains_key(organisation);
+            is_named || 0 < waiting || !account.is_settled(now)
         });
         // The order of the map differs from process to process.
         asks.sort_unstable_by(|one, other| one.0.cmp(&other.0));
@@ -98,10 +104,10 @@
         self.accounts.get_mut(organisation)?.ask(now, waiting, tokens)
     }
 
-    fn account(&mut self, organisation: &id::Organisation) -> Option<&mut Account> {
+    fn account(&mut self, now: Millis, organisation: &id::Organisation) -> Option<&mut Account> {
         if !self.accounts.contains_key(organisation) {
             let limits = self.limits.get(organisation)?;
-            self.accounts.insert(organisation.clone(), Account::new(*limits));
+            self.accounts.insert(organisation.clone(), Account::new(now, *limits));
         }
         self.accounts.get_mut(organisation)
     }
--- a/crates/wasabi-scheduler/src/pool/owner.rs
+++ b/crates/wasabi-scheduler/src/pool/owner.rs
@@ -209,7 +209,7 @@
             let message = "the retry budget is used up; this attempt was not run";
             return refuse(actions, ticket, Kind::Overloaded, message);
         }
-        if let Some(wait) = self.budgets.shortage(&request, &self.queue) {
+        if let Some(wait) = self.budgets.shortage(now, &request, &self.queue) {
             let message = "a limit of the contract is used up; wait, or change the contract";
             let fault = Fault::new(Kind::LimitReached, message).after(wait);
             actions.push(Action::Refuse { ticket, fault });
@@ -258,7 +258,7 @@
             if self.running.is_known(attempt) {
                 continue;
             }
-            self.budgets.adopt(&held.request.organisation);
+            self.budgets.adopt(now, &held.request.organisation);
             if let Some(slot) = self.endpoints.get_mut(&held.endpoint) {
                 slot.running.push(attempt);
                 slot.urgent += u32::from(held.request.tier == Tier::TOP);
