scheduler: requests that would wait too long behind others are refused on arrival, with the time of the queue

Change: the pool forecasts the wait from the attempts ahead, their mean time and the places. A request for which it is longer than two first-token targets and than a quarter of its time is refused on arrival; those that have waited that long are refused while the queue is still that long.

--- a/crates/wasabi-scheduler/src/pool/forecast.rs
+++ b/crates/wasabi-scheduler/src/pool/forecast.rs
@@ -37,6 +37,8 @@
     last_end: Millis,
     end_gap: f64,
     per_token_ms: f64,
+    /// Mean time from the start to the end of an attempt; none ended while this is zero.
+    service_ms: f64,
     /// By route: output as a part of the output asked for, at the quantile.
     lengths: HashMap<id::Route, f64>,
 }
@@ -47,6 +49,7 @@
             last_end: Millis::ZERO,
             end_gap: GAP_UNKNOWN,
             per_token_ms: 0.0,
+            service_ms: 0.0,
             lengths: HashMap::new(),
         }
     }
@@ -58,6 +61,9 @@
         let gap = now.since(self.last_end).0 as f64;
         self.last_end = now;
         self.end_gap += SAMPLE_WEIGHT * (gap.min(GAP_MAX) - self.end_gap);
+        let service = now.since(running.started).0 as f64;
+        let weight = if self.service_ms == 0.0 { 1.0 } else { SAMPLE_WEIGHT };
+        self.service_ms += weight * (service - self.service_ms);
         if report.end != End::Finished {
             return;
         }
@@ -82,6 +88,12 @@
         Millis((2.0 * self.end_gap) as u64) + TICK
     }
 
+    /// Returns the time until a request behind `ahead` others may start when `capacity` attempts run
+    /// at a time.
+    pub(super) fn wait(&self, ahead: usize, capacity: u32) -> Millis {
+        Millis((ahead as f64 * self.service_ms / f64::from(capacity.max(1))) as u64)
+    }
+
     /// Returns the time from the first to the last token of a request, at the pool's mean pace.
     pub(super) fn stream(&self, request: &Request) -> Millis {
         Millis((self.output_tokens(request) * self.per_token_ms) as u64)
--- a/crates/wasabi-scheduler/src/pool/mod.rs
+++ b/crates/wasabi-scheduler/src/pool/mod.rs
@@ -3,6 +3,7 @@
 mod announce;
 mod budget;
 mod choice;
+mod crowd;
 mod dispatch;
 mod endpoint;
 mod event;
--- a/crates/wasabi-scheduler/src/pool/owner.rs
+++ b/crates/wasabi-scheduler/src/pool/owner.rs
@@ -215,6 +215,12 @@
             actions.push(Action::Refuse { ticket, fault });
             return;
         }
+        if let Some(wait) = self.crowded(now, &request) {
+            let message = "too much work that is at least as urgent waits; come back later";
+            let fault = Fault::new(Kind::Overloaded, message).after(wait);
+            actions.push(Action::Refuse { ticket, fault });
+            return;
+        }
         let item = self.item(now, ticket, &request);
         match self.queue.push(item) {
             Pushed::Queued => {}
--- a/crates/wasabi-scheduler/src/pool/tick.rs
+++ b/crates/wasabi-scheduler/src/pool/tick.rs
@@ -1,6 +1,10 @@
 //! What is due with time: expiry, refusals, budgets, samples of overdue attempts.
 
-use wasabi_protocol::{clock::Millis, endpoint::SILENT_AFTER, fault::Kind};
+use wasabi_protocol::{
+    clock::Millis,
+    endpoint::SILENT_AFTER,
+    fault::{Fault, Kind},
+};
 use wasabi_routing::pace::{Sample, Standing};
 
 use super::{
@@ -72,6 +76,7 @@
         self.expire_endpoints(now);
         self.expire_reserve(now);
         self.refuse_expired(now, actions);
+        self.refuse_crowded(now, actions);
         self.refuse_without_endpoint(now, actions);
         if SWEEP_EVERY <= now.since(self.timers.last_sweep) {
             self.timers.last_sweep = now;
@@ -96,7 +101,12 @@
         for item in self.queue.expire(now) {
             self.requests.remove(&item.ticket);
             let message = "the request waited until too little time was left to run; nothing ran";
-            refuse(actions, item.ticket, Kind::DeadlineInQueue, message);
+            let fault = Fault::new(Kind::DeadlineInQueue, message);
+            let fault = match self.wait(item.tier) {
+                Millis::ZERO => fault,
+                wait => fault.after(wait),
+            };
+            actions.push(Action::Refuse { ticket: item.ticket, fault });
         }
         let lead = self.forecast.patience() + self.forecast.patience();
         for ticket in self.queue.age(now, lead) {
