scheduler: callers of streams are answered before they leave

Cause: callers abandon a stream that shows nothing for a while (2.4 to 3.2 s on the two sites), long before their deadline. The queue kept their requests for up to half of the deadline, so that they failed without an answer, and with nothing that would have let them come back. Ruled out: the forecast of the queue alone; it does not see requests held back for a better endpoint. Change: a route states after which silence its callers leave; requests expire before it, less the prefill, and wait for half of it when the queue is longer.

--- a/crates/wasabi-bench/src/traffic.rs
+++ b/crates/wasabi-bench/src/traffic.rs
@@ -153,6 +153,7 @@
         remaining: profile.deadline,
         first_token: profile.first_token,
         between_tokens: profile.between_tokens,
+        leaves_after: Millis::ZERO,
         avoid: Vec::new(),
     };
     Job { request, arrived, output, poison: false }
--- a/crates/wasabi-entry/src/callers/call.rs
+++ b/crates/wasabi-entry/src/callers/call.rs
@@ -129,6 +129,7 @@
             remaining: self.deadline.since(now),
             first_token: self.route.first_token_ms,
             between_tokens: self.route.between_tokens_ms,
+            leaves_after: Millis::ZERO,
             avoid: avoid.to_vec(),
         }
     }
--- a/crates/wasabi-entry/src/forward/call.rs
+++ b/crates/wasabi-entry/src/forward/call.rs
@@ -162,6 +162,7 @@
             remaining: self.deadline.since(now),
             first_token: self.route.first_event,
             between_tokens: between,
+            leaves_after: self.route.leaves_after,
             avoid: avoid.to_vec(),
         }
     }
--- a/crates/wasabi-protocol/src/request.rs
+++ b/crates/wasabi-protocol/src/request.rs
@@ -38,6 +38,10 @@
     pub first_token: Millis,
     /// Target for the time between tokens, in milliseconds.
     pub between_tokens: Millis,
+    /// Time after which its caller leaves when no token came, counted from its arrival, in
+    /// milliseconds; zero when it stays until the deadline.
+    #[serde(default)]
+    pub leaves_after: Millis,
     /// Endpoints that this request already met and must not meet again.
     pub avoid: Vec<id::Endpoint>,
 }
--- a/crates/wasabi-protocol/src/site.rs
+++ b/crates/wasabi-protocol/src/site.rs
@@ -63,6 +63,10 @@
     pub first_event: Millis,
     /// Target for the time between two events, in milliseconds; zero when the answer is no stream.
     pub between_events: Millis,
+    /// Time after which callers leave when no event came, in milliseconds; zero when they stay
+    /// until the timeout.
+    #[serde(default)]
+    pub leaves_after: Millis,
     /// Most endpoints that one request may run on.
     pub attempts_max: u32,
     /// Whether callers need no key.
--- a/crates/wasabi-routing/tests/retry.rs
+++ b/crates/wasabi-routing/tests/retry.rs
@@ -30,6 +30,7 @@
         remaining: Millis(1_000),
         first_token: Millis(100),
         between_tokens: Millis(10),
+        leaves_after: Millis::ZERO,
         avoid: Vec::new(),
     }
 }
--- a/crates/wasabi-scheduler/src/pool/crowd.rs
+++ b/crates/wasabi-scheduler/src/pool/crowd.rs
@@ -15,6 +15,10 @@
 /// Part of a request's whole time that it may wait, if that is more.
 const PATIENCE_PART: u64 = 4;
 
+/// Part of the time until its caller leaves that a request may wait: the first token takes its
+/// time too, and the forecast may be wrong by half.
+const LEAVING_PART: u64 = 2;
+
 impl Pool {
     /// Returns the time after which there should be room for a request that would wait too long:
     /// its caller learns so at once and has most of its time left to come back, instead of waiting
@@ -67,5 +71,9 @@
 /// Returns the longest time that a request waits for an endpoint, from its first arrival.
 fn patience(request: &Request) -> Millis {
     let whole = request.waited + request.remaining;
-    Millis((PATIENCE_TARGETS * request.first_token.0).max(whole.0 / PATIENCE_PART))
+    let patience = (PATIENCE_TARGETS * request.first_token.0).max(whole.0 / PATIENCE_PART);
+    match request.leaves_after {
+        Millis::ZERO => Millis(patience),
+        Millis(after) => Millis(patience.min(after / LEAVING_PART)),
+    }
 }
--- a/crates/wasabi-scheduler/src/pool/owner.rs
+++ b/crates/wasabi-scheduler/src/pool/owner.rs
@@ -35,6 +35,10 @@
 /// Most waiting requests of one pool.
 const WAITING_MAX: usize = 4_096;
 
+/// Time before its caller leaves at which a request is refused, so that the refusal is read, in
+/// milliseconds: a tick and the way back.
+const LEAVING_MARGIN: Millis = Millis(200);
+
 /// Time after which a new owner stops waiting for reports of running grants.
 const TAKEOVER: Millis = Millis(500);
 
@@ -243,6 +247,10 @@
         let fastest = rates.reduce(f64::max).unwrap_or(PREFILL_RATE_UNKNOWN);
         let prefill = Millis((f64::from(request.prompt_tokens) / fastest) as u64);
         let span = self.forecast.stream(request) + prefill;
+        let leaves = match request.leaves_after {
+            Millis::ZERO => now + request.remaining,
+            after => arrived + after,
+        };
         // A forecast may be wrong, so it never takes more than half of the time that is left.
         let half = Millis(request.remaining.0 / 2);
         Item {
@@ -253,7 +261,8 @@
             tokens: request.tokens(),
             arrived,
             start_by: arrived + (request.first_token - prefill),
-            expires: now + (request.remaining - span.min(half)),
+            expires: (now + (request.remaining - span.min(half)))
+                .min(leaves - prefill - LEAVING_MARGIN),
             deadline: now + request.remaining,
         }
     }
--- a/crates/wasabi-scheduler/tests/kit/mod.rs
+++ b/crates/wasabi-scheduler/tests/kit/mod.rs
@@ -70,6 +70,7 @@
         remaining: Millis(60_000),
         first_token: Millis(5_000),
         between_tokens: Millis(100),
+        leaves_after: Millis::ZERO,
         avoid: Vec::new(),
     }
 }
--- a/crates/wasabi-state/tests/rules.rs
+++ b/crates/wasabi-state/tests/rules.rs
@@ -192,6 +192,7 @@
             timeout: Millis(1_000),
             first_event: Millis(100),
             between_events: Millis::ZERO,
+            leaves_after: Millis::ZERO,
             attempts_max: 1,
             is_open: true,
             targets: vec![site::Target { backend: "app".into(), weight: 1 }],
