entry: a leave is acknowledged once the owners of the pools have it

Cause: the entry that a leave reached acknowledged it at once and told the others with one message without a second try. Ruled out: the standby of the next owner (it keeps leaves), the drain time of the grants that are out (the request was sent 1.9 s after the acknowledgement). Change: the entry waits up to 250 ms for the owners of all pools; without their answer the endpoint gets none and sends its leave to another host. Without a configuration nothing is acknowledged. Before / after: tests/peers.rs, an owner that was just killed: acknowledged before, refused now until the next owner has it; the test failed with the rule removed.

--- a/crates/wasabi-entry/src/message.rs
+++ b/crates/wasabi-entry/src/message.rs
@@ -65,6 +65,8 @@
     Announce(Box<Announcement>),
     /// A relayed leave.
     Leave(id::Endpoint),
+    /// A leave that is acknowledged to the endpoint once the owners of its pools have it.
+    Retire(id::Endpoint, oneshot::Sender<bool>),
     /// A heartbeat, answered with the own one.
     Heartbeat(Box<Heartbeat>, oneshot::Sender<Heartbeat>),
     /// The configuration in force here.
--- a/crates/wasabi-entry/src/peers/server.rs
+++ b/crates/wasabi-entry/src/peers/server.rs
@@ -30,6 +30,9 @@
 /// The JSON-RPC code for an answer that cannot be given since the process ends.
 const STOPPING: i32 = -32_001;
 
+/// The JSON-RPC code for a message that the owner of a pool did not take.
+const NOT_TAKEN: i32 = -32_002;
+
 type Answer<T> = Result<T, ErrorObjectOwned>;
 
 /// Starts the server.
@@ -90,8 +93,8 @@
     })?;
     module.register_async_method(method::RETIRE, |params, handle, _| async move {
         let endpoint: id::Endpoint = one(&params)?;
-        handle.send(Message::Leave(endpoint));
-        Answer::Ok(())
+        let is_taken = told(handle.ask(|reply| Peer::Retire(endpoint, reply)).await)?;
+        if is_taken { Answer::Ok(()) } else { Err(not_taken()) }
     })?;
     module.register_async_method(method::PEER_HEARTBEAT, |params, handle, _| async move {
         let heartbeat: Heartbeat = one(&params)?;
@@ -111,6 +114,11 @@
     params.one()
 }
 
+fn not_taken() -> ErrorObjectOwned {
+    let message = "the owner of a pool did not take it; send it again";
+    ErrorObjectOwned::owned(NOT_TAKEN, message, None::<()>)
+}
+
 fn told<T>(answer: Option<T>) -> Answer<T> {
     answer.ok_or_else(|| ErrorObjectOwned::owned(STOPPING, "the entry is stopping", None::<()>))
 }
--- a/crates/wasabi-entry/src/pools/follow.rs
+++ b/crates/wasabi-entry/src/pools/follow.rs
@@ -1,6 +1,10 @@
 //! Endpoints on their way to pool owners, and pools on their way between owners.
 
-use std::{collections::HashMap, rc::Rc};
+use std::{
+    collections::{HashMap, HashSet},
+    rc::Rc,
+    time::Duration,
+};
 
 use jsonrpsee::rpc_params;
 use wasabi_protocol::{endpoint::Announcement, id, rpc::method};
@@ -12,6 +16,9 @@
 /// Entries that hear the announcements of a pool's endpoints: the owner and the one after it.
 const REGISTRIES: usize = 2;
 
+/// Longest time for a pool's owner to take a leave. Control waits 300 ms for the answer of an entry.
+const OWNER_TIME: Duration = Duration::from_millis(250);
+
 impl Shell {
     pub(crate) fn announce(self: &Rc<Self>, announcement: Announcement) {
         for pool in self.pools_of(&announcement.backend) {
@@ -45,15 +52,35 @@
         }
     }
 
-    /// Tells every coordinator that an endpoint leaves, since only its name is known and not its pool.
-    pub(crate) fn leave(self: &Rc<Self>, endpoint: &id::Endpoint) {
+    /// Tells every coordinator that an endpoint leaves, since only its name is known and not its
+    /// pool. Returns whether the owners of all pools have it: an endpoint that is told so gets no
+    /// new work after a few seconds.
+    pub(crate) async fn leave(self: &Rc<Self>, endpoint: &id::Endpoint) -> bool {
         self.leave_here(endpoint);
+        let own = &self.shared.entry.name;
+        let pools = self.wanted_pools();
+        let owners = pools.keys().filter_map(|pool| self.owner_of(pool));
+        let owners: HashSet<_> = owners.map(|entry| entry.name).collect();
         let in_force = self.shared.in_force();
         for entry in rendezvous::coordinators(&in_force.config.view) {
-            if entry.name != self.shared.entry.name {
+            if entry.name != *own && !owners.contains(&entry.name) {
                 self.tell(entry.name.clone(), method::LEAVE, rpc_params![endpoint]);
             }
         }
+        if pools.is_empty() {
+            // Without a configuration the pools are not known, and neither are their owners.
+            return false;
+        }
+        let others = owners.iter().filter(|name| *name != own);
+        let calls = others.map(|name| async move {
+            let call = self.call(name, method::LEAVE, rpc_params![endpoint]);
+            let is_taken = tokio::time::timeout(OWNER_TIME, call).await.unwrap_or(false);
+            if !is_taken {
+                tracing::warn!(%endpoint, owner = %name, "the owner of a pool did not take a leave");
+            }
+            is_taken
+        });
+        futures_util::future::join_all(calls).await.into_iter().all(|is_taken| is_taken)
     }
 
     pub(crate) fn leave_here(self: &Rc<Self>, endpoint: &id::Endpoint) {
--- a/crates/wasabi-entry/src/shell.rs
+++ b/crates/wasabi-entry/src/shell.rs
@@ -281,7 +281,10 @@
             }
             Message::Release(release) => self.release(*release),
             Message::Announce(announcement) => self.announce(*announcement),
-            Message::Leave(endpoint) => self.leave(&endpoint),
+            Message::Leave(endpoint) => {
+                let shell = Rc::clone(self);
+                actix_rt::spawn(async move { shell.leave(&endpoint).await });
+            }
             Message::Propose { command, reply } => {
                 let shell = Rc::clone(self);
                 actix_rt::spawn(async move {
@@ -324,6 +327,12 @@
             Peer::Preempt(preempt) => self.holder.borrow_mut().preempt(preempt.attempt),
             Peer::Announce(announcement) => self.announce_here(*announcement),
             Peer::Leave(endpoint) => self.leave_here(&endpoint),
+            Peer::Retire(endpoint, reply) => {
+                let shell = Rc::clone(self);
+                actix_rt::spawn(async move {
+                    let _ = reply.send(shell.leave(&endpoint).await);
+                });
+            }
             Peer::Heartbeat(beat, reply) => {
                 heartbeat::heard(self, &beat);
                 drop(reply.send(self.heartbeat()));
--- a/crates/wasabi-entry/tests/peers.rs
+++ b/crates/wasabi-entry/tests/peers.rs
@@ -6,9 +6,10 @@
 
 use std::time::Duration;
 
+use jsonrpsee::{core::client::ClientT as _, rpc_params, ws_client::WsClientBuilder};
 use serde_json::Value;
 use support::{Entry, control::Control, control::order, engine, expected, standin, until};
-use wasabi_protocol::{clock::Millis, command::Command, endpoint::Kind, id};
+use wasabi_protocol::{clock::Millis, command::Command, endpoint::Kind, id, rpc::method};
 
 /// Starts entries under one control member and waits until each knows all of them.
 async fn entries(control: &Control, count: usize) -> Vec<Entry> {
@@ -141,3 +142,24 @@
     }
     assert!(ended.elapsed() < Duration::from_secs(3), "{:?}", ended.elapsed());
 }
+
+/// Guards against endpoints that are told that they may leave while the owner of their pool does
+/// not know of it and goes on sending work to them.
+#[actix_rt::test]
+async fn a_leave_is_acknowledged_once_the_owner_has_it() {
+    let control = Control::start().await;
+    let mut entries = entries(&control, 3).await;
+    let _engine = engine("m1", &entries.iter().collect::<Vec<_>>());
+    for entry in &entries {
+        entry.caller().until_served().await;
+    }
+    let owner = entries.remove(owner(&control, "coal"));
+    let address = format!("ws://{}", entries[0].daemon.peers());
+    let client = WsClientBuilder::default().build(address).await.unwrap();
+    let retire = || client.request::<(), _>(method::RETIRE, rpc_params![id::Endpoint::from("m9")]);
+    retire().await.unwrap();
+    owner.daemon.kill();
+    // The others take the owner for live until it has been silent for a while.
+    assert!(retire().await.is_err(), "a leave is acknowledged that the owner does not have");
+    until("the next owner takes it", async || retire().await.is_ok()).await;
+}
