entry: the log names what decided a refusal, and each grant

Cause: a refused request's line held neither its organisation nor its tier, age or Retry-After, and one that was refused from its head alone had no id; grants had no line at all. Change: refused carries organisation, tier, age_ms and retry_after_ms, and the id in every case; granted carries endpoint, owner, tier, organisation, queued_ms and tries.

--- a/crates/wasabi-entry/src/forward/call.rs
+++ b/crates/wasabi-entry/src/forward/call.rs
@@ -101,7 +101,7 @@
         let name = organisation.map_or_else(|| "".into(), |one| one.name.clone());
         let passed = passed(headers, dialect);
         let (body_bytes, method) = (site.body_bytes, request.method().clone());
-        let id = text(headers, &dialect.request).unwrap_or_default().to_owned();
+        let id = request_id(headers, dialect).to_owned();
         let path = request.uri().path_and_query().map_or("/", |target| target.as_str()).to_owned();
         let body = body::read(request, body_bytes, left).await?;
         let mut identity = path.clone().into_bytes();
@@ -168,6 +168,11 @@
     }
 }
 
+/// Returns the caller's id of a request, or nothing when it names none.
+pub(crate) fn request_id<'a>(headers: &'a HeaderMap, dialect: &Dialect) -> &'a str {
+    text(headers, &dialect.request).unwrap_or_default()
+}
+
 /// Returns the tier of a request: that of its organisation goes first, that of its route orders the
 /// requests of organisations with the same one.
 fn tier(organisation: Option<Tier>, route: Tier) -> Tier {
--- a/crates/wasabi-entry/src/forward/way.rs
+++ b/crates/wasabi-entry/src/forward/way.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use actix_http::{
-    Request, Response, StatusCode,
+    HttpMessage as _, Request, Response, StatusCode,
     body::{BodyStream, BoxBody},
 };
 use bytes::Bytes;
@@ -19,7 +19,7 @@
     dispatch::grant::Held,
     forward::{
         answer,
-        call::Call,
+        call::{Call, request_id},
         dialect::Dialect,
         relay::{self, Relay},
         send::{self, Failure, Opened},
@@ -39,11 +39,13 @@
     let shared = &worker.shared;
     let open = shared.open();
     if let Err(fault) = shared.check_serving() {
-        return refuse(&worker, "", &fault);
+        return refuse_unread(&worker, request_id(request.headers(), &dialect), &fault);
     }
     let call = match Call::read(shared, &dialect, &mut request).await {
         Ok(call) => Rc::new(call),
-        Err(fault) => return refuse(&worker, "", &fault),
+        Err(fault) => {
+            return refuse_unread(&worker, request_id(request.headers(), &dialect), &fault);
+        }
     };
     let mut attempts = Attempts::new(Rc::clone(&worker), dialect, call);
     match attempts.run().await {
@@ -54,7 +56,7 @@
             answer::passed(status, &headers, BodyStream::new(Box::pin(relay::stream(relay))))
         }
         Outcome::Whole(status, headers, body) => answer::passed(status, &headers, body),
-        Outcome::Refused(fault) => refuse(&worker, &attempts.call.id, &fault),
+        Outcome::Refused(fault) => refuse(&worker, &attempts.call, &fault),
     }
 }
 
@@ -187,6 +189,12 @@
         let held = Held::new(self.worker.handle.clone(), shared.clock, granted.grant, &request);
         let waited = shared.clock.now().since(now);
         shared.metrics.queue_time.get_or_create(&call.tier.into()).observe(waited.seconds());
+        let grant = held.grant();
+        tracing::info!(
+            request = call.id, endpoint = %grant.endpoint, owner = %grant.owner, tier = call.tier.0,
+            organisation = %call.organisation, queued_ms = waited.0, tries = self.avoid.len(),
+            "granted"
+        );
         // The process may have been frozen since the request was admitted.
         shared.check_serving()?;
         Ok((held, granted.preempted))
@@ -277,7 +285,19 @@
     }
 }
 
-fn refuse(worker: &Worker, request: &str, fault: &Fault) -> Response<BoxBody> {
+/// Refuses a request that was read, with what decided it in the log.
+fn refuse(worker: &Worker, call: &Call, fault: &Fault) -> Response<BoxBody> {
+    let (request, organisation, tier) = (&call.id, &call.organisation, call.tier.0);
+    let (kind, reason) = (fault.kind, &fault.message);
+    let age_ms = worker.shared.clock.now().since(call.arrived).0;
+    let retry_after_ms = fault.retry_after.map(|pause| pause.0);
+    tracing::info!(request, %kind, %reason, %organisation, tier, age_ms, retry_after_ms, "refused");
+    worker.shared.metrics.refused(fault.kind, None);
+    answer::fault(fault)
+}
+
+/// Refuses a request of which no more than the head was read.
+fn refuse_unread(worker: &Worker, request: &str, fault: &Fault) -> Response<BoxBody> {
     tracing::info!(request, kind = %fault.kind, reason = %fault.message, "refused");
     worker.shared.metrics.refused(fault.kind, None);
     answer::fault(fault)
