entry: announcements reach the owner of a pool through a third entry while the core is cut

Cause: with the hosts of control cut in two, endpoints' heartbeats that reach the one half were told to the owners as that half sees them. Change: where the first owner of a pool is not reached, announcements and leaves go also through an entry of the least capacity, which has no control and reaches both halves.

--- a/crates/wasabi-entry/src/message.rs
+++ b/crates/wasabi-entry/src/message.rs
@@ -65,6 +65,10 @@
     Announce(Box<Announcement>),
     /// A relayed leave.
     Leave(id::Endpoint),
+    /// An announcement of which the peer does not reach the owner.
+    AnnounceThrough(Box<Announcement>),
+    /// A leave of which the peer does not reach the owner.
+    LeaveThrough(id::Endpoint),
     /// A leave that is acknowledged to the endpoint once the owners of its pools have it.
     Retire(id::Endpoint, oneshot::Sender<bool>),
     /// A heartbeat, answered with the own one.
--- a/crates/wasabi-entry/src/peers/server.rs
+++ b/crates/wasabi-entry/src/peers/server.rs
@@ -86,6 +86,16 @@
         handle.send(Message::Peer(Peer::Leave(endpoint)));
         Answer::Ok(())
     })?;
+    module.register_async_method(method::ANNOUNCE_THROUGH, |params, handle, _| async move {
+        let announcement = Box::new(one(&params)?);
+        handle.send(Message::Peer(Peer::AnnounceThrough(announcement)));
+        Answer::Ok(())
+    })?;
+    module.register_async_method(method::LEAVE_THROUGH, |params, handle, _| async move {
+        let endpoint: id::Endpoint = one(&params)?;
+        handle.send(Message::Peer(Peer::LeaveThrough(endpoint)));
+        Answer::Ok(())
+    })?;
     module.register_async_method(method::REGISTER, |params, handle, _| async move {
         let announcement = Box::new(one(&params)?);
         handle.send(Message::Announce(announcement));
--- a/crates/wasabi-entry/src/pools/follow.rs
+++ b/crates/wasabi-entry/src/pools/follow.rs
@@ -20,19 +20,40 @@
 const OWNER_TIME: Duration = Duration::from_millis(250);
 
 impl Shell {
-    pub(crate) fn announce(self: &Rc<Self>, announcement: Announcement) {
+    /// Passes an announcement on to the owners of its pools, through another entry where the first
+    /// owner is not reached from here: others may reach it and go on taking it for the owner.
+    pub(crate) fn announce(self: &Rc<Self>, announcement: &Announcement) {
+        self.announce_to_owners(announcement);
+        for pool in self.pools_of(&announcement.backend) {
+            if let Some(entry) = self.detour(&pool) {
+                self.tell(entry, method::ANNOUNCE_THROUGH, rpc_params![announcement]);
+            }
+        }
+    }
+
+    /// Returns an entry that may reach the first owner of a pool when this one does not.
+    fn detour(&self, pool: &id::Pool) -> Option<id::Entry> {
+        let in_force = self.shared.in_force();
+        let (now, peers) = (self.now(), self.peers.borrow());
+        let own = &self.shared.entry.name;
+        let is_live = |name: &id::Entry| peers.is_live(now, name);
+        let detours = rendezvous::detours(pool, &in_force.config.view, own, is_live);
+        fastrand::choice(detours).map(|entry| entry.name.clone())
+    }
+
+    pub(crate) fn announce_to_owners(self: &Rc<Self>, announcement: &Announcement) {
         for pool in self.pools_of(&announcement.backend) {
             // The next owner hears it too, so that it can take over at once.
             let owners = self.owners_of(&pool, REGISTRIES);
             if owners.is_empty() {
                 // Before the first view names an entry, this one keeps it for whoever takes over.
-                self.standby.borrow_mut().announce(self.now(), &pool, &announcement);
+                self.standby.borrow_mut().announce(self.now(), &pool, announcement);
             }
             for entry in owners {
                 if entry.name == self.shared.entry.name {
                     self.announce_here(announcement.clone());
                 } else {
-                    self.tell(entry.name, method::ANNOUNCE, rpc_params![&announcement]);
+                    self.tell(entry.name, method::ANNOUNCE, rpc_params![announcement]);
                 }
             }
         }
@@ -52,10 +73,21 @@
         }
     }
 
+    /// Passes on that an endpoint leaves, as [`Self::announce`] does. Returns whether the owners of
+    /// all pools that are reached from here have it.
+    pub(crate) async fn leave(self: &Rc<Self>, endpoint: &id::Endpoint) -> bool {
+        for pool in self.wanted_pools().keys() {
+            if let Some(entry) = self.detour(pool) {
+                self.tell(entry, method::LEAVE_THROUGH, rpc_params![endpoint]);
+            }
+        }
+        self.leave_to_owners(endpoint).await
+    }
+
     /// Tells every coordinator that an endpoint leaves, since only its name is known and not its
     /// pool. Returns whether the owners of all pools have it: an endpoint that is told so gets no
     /// new work after a few seconds.
-    pub(crate) async fn leave(self: &Rc<Self>, endpoint: &id::Endpoint) -> bool {
+    pub(crate) async fn leave_to_owners(self: &Rc<Self>, endpoint: &id::Endpoint) -> bool {
         self.leave_here(endpoint);
         let own = &self.shared.entry.name;
         let pools = self.wanted_pools();
--- a/crates/wasabi-entry/src/shell.rs
+++ b/crates/wasabi-entry/src/shell.rs
@@ -280,7 +280,7 @@
                 actix_rt::spawn(acquire::acquire(Rc::clone(self), *request, reply));
             }
             Message::Release(release) => self.release(*release),
-            Message::Announce(announcement) => self.announce(*announcement),
+            Message::Announce(announcement) => self.announce(&announcement),
             Message::Leave(endpoint) => {
                 let shell = Rc::clone(self);
                 actix_rt::spawn(async move { shell.leave(&endpoint).await });
@@ -327,6 +327,11 @@
             Peer::Preempt(preempt) => self.holder.borrow_mut().preempt(preempt.attempt),
             Peer::Announce(announcement) => self.announce_here(*announcement),
             Peer::Leave(endpoint) => self.leave_here(&endpoint),
+            Peer::AnnounceThrough(announcement) => self.announce_to_owners(&announcement),
+            Peer::LeaveThrough(endpoint) => {
+                let shell = Rc::clone(self);
+                actix_rt::spawn(async move { shell.leave_to_owners(&endpoint).await });
+            }
             Peer::Retire(endpoint, reply) => {
                 let shell = Rc::clone(self);
                 actix_rt::spawn(async move {
--- a/crates/wasabi-protocol/src/rpc/method.rs
+++ b/crates/wasabi-protocol/src/rpc/method.rs
@@ -12,6 +12,10 @@
 pub const ANNOUNCE: &str = "endpoint.announce";
 /// Relays that an endpoint leaves.
 pub const LEAVE: &str = "endpoint.leave";
+/// Asks an entry to relay an announcement to a pool owner that the asker does not reach.
+pub const ANNOUNCE_THROUGH: &str = "endpoint.announce_through";
+/// Asks an entry to relay a leave to a pool owner that the asker does not reach.
+pub const LEAVE_THROUGH: &str = "endpoint.leave_through";
 /// Announces an endpoint that another process heard, to be passed to the pool owner.
 pub const REGISTER: &str = "endpoint.register";
 /// States that an endpoint leaves, to be passed to all entries.
--- a/crates/wasabi-routing/src/rendezvous.rs
+++ b/crates/wasabi-routing/src/rendezvous.rs
@@ -82,6 +82,28 @@
     owners(pool, view).first().copied()
 }
 
+/// Returns the entries that may pass a message on to the first owner of a pool when `own` does not
+/// reach it; none when it does.
+///
+/// While the hosts of control are cut from each other, the other entries still reach both sides.
+/// Those with the least capacity are returned, which are the ones without control.
+pub fn detours<'a>(
+    pool: &id::Pool,
+    view: &'a View,
+    own: &id::Entry,
+    is_live: impl Fn(&id::Entry) -> bool,
+) -> Vec<&'a Entry> {
+    let owners = owners(pool, view);
+    if owners.first().is_none_or(|first| first.name == *own || is_live(&first.name)) {
+        return Vec::new();
+    }
+    let mut others = owners;
+    others.retain(|entry| entry.name != *own && is_live(&entry.name));
+    let least = others.iter().map(|entry| entry.capacity).min();
+    others.retain(|entry| Some(entry.capacity) == least);
+    others
+}
+
 /// Returns the coordinators in the order in which they lease the organisation's budget slices.
 pub fn budget_owners<'a>(organisation: &id::Organisation, view: &'a View) -> Vec<&'a Entry> {
     let mut ranked = coordinators(view);
--- a/crates/wasabi-routing/tests/rendezvous.rs
+++ b/crates/wasabi-routing/tests/rendezvous.rs
@@ -108,3 +108,29 @@
         assert!(sizes.values().all(|size| *size <= rendezvous::POOL_ENDPOINTS_MAX), "{sizes:?}");
     }
 }
+
+/// Guards against a pool owner that loses its endpoints while the hosts of control are cut in two:
+/// their heartbeats reach the other half, which does not reach the owner, while the entries without
+/// control still send it all requests.
+#[test]
+fn a_message_for_an_owner_that_is_not_reached_goes_through_an_entry_of_neither_half() {
+    let mut view = view(9, 3);
+    // Three hosts of control, which have more capacity, and six others.
+    for entry in &mut view.entries[..3] {
+        entry.capacity = 2_000;
+    }
+    let pools = (0..40).map(|shard| rendezvous::pool(&"m".into(), &"r".into(), shard));
+    let is_of_control = |name: &str| ["entry-0", "entry-1", "entry-2"].contains(&name);
+    let pool = pools.into_iter().find(|pool| {
+        rendezvous::owner(pool, &view).is_some_and(|owner| is_of_control(owner.name.as_str()))
+    });
+    let pool = pool.unwrap();
+    let owner = &rendezvous::owner(&pool, &view).unwrap().name;
+    let own = &view.entries[..3].iter().find(|entry| entry.name != *owner).unwrap().name;
+    let detours = rendezvous::detours(&pool, &view, own, |name| !is_of_control(name.as_str()));
+    assert_eq!(detours.len(), 6);
+    assert!(detours.iter().all(|entry| !is_of_control(entry.name.as_str())));
+    let reached = rendezvous::detours(&pool, &view, own, |_| true);
+    assert!(reached.is_empty(), "an owner that is reached is told directly");
+    assert!(rendezvous::detours(&pool, &view, owner, |_| false).is_empty());
+}
