entry: one type for an opened answer and for a failed attempt

Cause: dispatch/send.rs and forward/send.rs each had Opened, Failure and the reading of the next bytes. Change: opened.rs holds them; a pool tells its name without counting its load.

--- a/crates/wasabi-entry/src/dispatch/open.rs
+++ b/crates/wasabi-entry/src/dispatch/open.rs
@@ -16,9 +16,10 @@
         events::Reader,
         grant::Held,
         relay,
-        send::{self, Attempt, Failure, Line, Opened},
+        send::{self, Attempt, Line},
         whole::{self, Whole},
     },
+    opened::{Failure, Opened},
     shared::new_attempt,
 };
 
--- a/crates/wasabi-entry/src/dispatch/relay.rs
+++ b/crates/wasabi-entry/src/dispatch/relay.rs
@@ -24,9 +24,10 @@
     dispatch::{
         events::{Malformed, Reader},
         grant::Held,
-        send::{self, Attempt, Failure, Line, Opened},
+        send::{self, Attempt, Line},
     },
     gate::{self, Record},
+    opened::{Failure, Opened},
     shared::{Open, new_attempt},
 };
 
--- a/crates/wasabi-entry/src/dispatch/send.rs
+++ b/crates/wasabi-entry/src/dispatch/send.rs
@@ -2,22 +2,15 @@
 
 use std::{rc::Rc, time::Duration};
 
-use actix_http::{StatusCode, header::HeaderMap};
-use awc::error::{ConnectError, PayloadError, SendRequestError};
+use awc::error::{ConnectError, SendRequestError};
 use bytes::Bytes;
-use futures_util::{StreamExt as _, stream::LocalBoxStream};
-use wasabi_protocol::{
-    clock::Millis,
-    fault::{Fault, Kind},
-    id,
-    request::End,
-    rpc::Grant,
-};
+use wasabi_protocol::{clock::Millis, fault::Kind, id, request::End, rpc::Grant};
 use wasabi_telemetry::trace;
 
 use crate::{
     callers::{answer, call::Call, server::Worker},
     dispatch::connect::{self, Flight},
+    opened::{Failure, Opened},
 };
 
 /// Names the attempt, in the request and in the answer.
@@ -26,28 +19,6 @@
 /// Names the first token that a resumed stream must send.
 pub(crate) const RESUME_FROM: &str = "x-wasabi-resume-from";
 
-/// An opened answer whose head belongs to the attempt.
-pub(crate) struct Opened {
-    pub(crate) status: StatusCode,
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: LocalBoxStream<'static, Result<Bytes, PayloadError>>,
-}
-
-/// Why an attempt gave no whole answer.
-#[derive(Debug)]
-pub(crate) struct Failure {
-    /// What the owner is told.
-    pub(crate) end: End,
-    /// What the caller is told when there is no other attempt.
-    pub(crate) fault: Fault,
-}
-
-impl Failure {
-    pub(crate) fn new(end: End, kind: Kind, message: impl Into<String>) -> Self {
-        Self { end, fault: Fault::new(kind, message) }
-    }
-}
-
 /// On which connection an attempt goes out.
 pub(crate) enum Line {
     /// One that may have carried earlier requests.
@@ -128,15 +99,8 @@
     bound: Duration,
 ) -> Result<Option<Bytes>, Failure> {
     let left = call.deadline.since(worker.shared.clock.now()).duration();
-    match tokio::time::timeout(bound.min(left), opened.body.next()).await {
-        Ok(Some(Ok(chunk))) => Ok(Some(chunk)),
-        Ok(None) => Ok(None),
-        Ok(Some(Err(error))) => {
-            let message = format!("the answer broke off: {error}");
-            Err(Failure::new(End::Broken, Kind::EndpointFailed, message))
-        }
-        Err(_) => Err(late(worker, call, None)),
-    }
+    let next = tokio::time::timeout(bound.min(left), opened.next()).await;
+    next.unwrap_or_else(|_| Err(late(worker, call, None)))
 }
 
 fn failed(error: &SendRequestError, flight: Option<&Flight>) -> Failure {
--- a/crates/wasabi-entry/src/dispatch/way.rs
+++ b/crates/wasabi-entry/src/dispatch/way.rs
@@ -20,10 +20,10 @@
         grant::Held,
         open::{self, Opening, Stream},
         relay::{Relay, Started},
-        send::Failure,
         whole::Whole,
     },
     gate::{self, Entered, Record},
+    opened::Failure,
     shared::{Open, new_attempt},
 };
 
--- a/crates/wasabi-entry/src/dispatch/whole.rs
+++ b/crates/wasabi-entry/src/dispatch/whole.rs
@@ -6,11 +6,9 @@
 
 use crate::{
     callers::{answer, call::Call, server::Worker},
-    dispatch::{
-        grant::Held,
-        send::{self, Failure, Opened},
-    },
+    dispatch::{grant::Held, send},
     gate,
+    opened::{Failure, Opened},
 };
 
 /// Largest answer that is collected, in bytes.
--- a/crates/wasabi-entry/src/forward/relay.rs
+++ b/crates/wasabi-entry/src/forward/relay.rs
@@ -10,9 +10,10 @@
     dispatch::grant::Held,
     forward::{
         events::{Events, Splitter},
-        send::{self, Failure, Opened},
+        send,
         way::Attempts,
     },
+    opened::{Failure, Opened},
     shared::Open,
 };
 
--- a/crates/wasabi-entry/src/forward/send.rs
+++ b/crates/wasabi-entry/src/forward/send.rs
@@ -2,60 +2,21 @@
 
 use std::time::Duration;
 
-use actix_http::{
-    StatusCode,
-    header::{self, HeaderMap},
-};
-use awc::error::{ConnectError, PayloadError, SendRequestError};
+use actix_http::{StatusCode, header};
+use awc::error::{ConnectError, SendRequestError};
 use bytes::{Bytes, BytesMut};
-use futures_util::{StreamExt as _, stream::LocalBoxStream};
-use wasabi_protocol::{
-    clock::Millis,
-    fault::{Fault, Kind},
-    request::End,
-    rpc::Grant,
-};
+use wasabi_protocol::{clock::Millis, fault::Kind, request::End, rpc::Grant};
 
 use crate::{
     callers::server::Worker,
     dispatch::connect,
     forward::{call::Call, dialect::Dialect},
+    opened::{Failure, Opened},
 };
 
 /// Largest answer that is collected, in bytes.
 const ANSWER_BYTES_MAX: usize = 8 * 1024 * 1024;
 
-/// An answer whose head belongs to the request.
-pub(crate) struct Opened {
-    pub(crate) status: StatusCode,
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: LocalBoxStream<'static, Result<Bytes, PayloadError>>,
-}
-
-impl Opened {
-    /// Returns whether the answer is a stream of events.
-    pub(crate) fn is_stream(&self) -> bool {
-        let content_type = self.headers.get(header::CONTENT_TYPE);
-        self.status.is_success()
-            && content_type.is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"))
-    }
-}
-
-/// Why an attempt gave no whole answer.
-#[derive(Debug)]
-pub(crate) struct Failure {
-    /// What the owner is told.
-    pub(crate) end: End,
-    /// What the caller is told when there is no other attempt.
-    pub(crate) fault: Fault,
-}
-
-impl Failure {
-    pub(crate) fn new(end: End, kind: Kind, message: impl Into<String>) -> Self {
-        Self { end, fault: Fault::new(kind, message) }
-    }
-}
-
 /// Sends a request and returns its answer once the head came and belongs to it.
 ///
 /// # Errors
@@ -136,15 +97,8 @@
     bound: Duration,
 ) -> Result<Option<Bytes>, Failure> {
     let left = call.deadline.since(worker.shared.clock.now()).duration();
-    match tokio::time::timeout(bound.min(left), opened.body.next()).await {
-        Ok(Some(Ok(chunk))) => Ok(Some(chunk)),
-        Ok(None) => Ok(None),
-        Ok(Some(Err(error))) => {
-            let message = format!("the answer broke off: {error}");
-            Err(Failure::new(End::Broken, Kind::EndpointFailed, message))
-        }
-        Err(_) => Err(late(worker, call)),
-    }
+    let next = tokio::time::timeout(bound.min(left), opened.next()).await;
+    next.unwrap_or_else(|_| Err(late(worker, call)))
 }
 
 /// Returns the whole body of an answer.
--- a/crates/wasabi-entry/src/forward/way.rs
+++ b/crates/wasabi-entry/src/forward/way.rs
@@ -22,8 +22,9 @@
         call::{Call, request_id},
         dialect::Dialect,
         relay::{self, Relay},
-        send::{self, Failure, Opened},
+        send,
     },
+    opened::{Failure, Opened},
     shared::new_attempt,
 };
 
--- a/crates/wasabi-entry/src/lib.rs
+++ b/crates/wasabi-entry/src/lib.rs
@@ -13,6 +13,7 @@
 mod gate;
 mod message;
 mod metrics;
+mod opened;
 mod peers;
 mod pools;
 mod shared;
--- a/crates/wasabi-entry/src/pools/owner.rs
+++ b/crates/wasabi-entry/src/pools/owner.rs
@@ -222,12 +222,12 @@
             Action::Refuse { ticket, fault } => self.refuse(ticket, fault),
             Action::Preempt { attempt, .. } => {
                 if let Some(holder) = self.holders.get(&attempt).cloned() {
-                    let pool = self.pool_name();
+                    let pool = self.pool.name().clone();
                     effects.push(Effect::Preempt { pool, holder, attempt });
                 }
             }
             Action::RequestBudget { organisation, used } => {
-                let pool = self.pool_name();
+                let pool = self.pool.name().clone();
                 effects.push(Effect::Lend { pool, organisation, used });
             }
         }
@@ -238,15 +238,10 @@
         let count = self.pool.endpoints().count();
         if count != self.endpoints {
             let before = std::mem::replace(&mut self.endpoints, count);
-            tracing::info!(pool = %self.pool_name(), count, before, "endpoints of the pool");
+            tracing::info!(pool = %self.pool.name(), count, before, "endpoints of the pool");
         }
     }
 
-    fn pool_name(&self) -> id::Pool {
-        // The pool states its own name with its load.
-        self.pool.pressure(Millis::ZERO).pool
-    }
-
     fn grant(&mut self, now: Millis, ticket: u64, grant: Grant, follow: &mut Vec<Action>) {
         let Some(waiting) = self.waiting.remove(&ticket) else { return };
         let attempt = waiting.request.attempt;
--- a/crates/wasabi-scheduler/src/pool/owner.rs
+++ b/crates/wasabi-scheduler/src/pool/owner.rs
@@ -105,6 +105,11 @@
         }
     }
 
+    /// Returns the name of the pool.
+    pub fn name(&self) -> &id::Pool {
+        &self.name
+    }
+
     /// Reacts to one event and returns what the shell must do, in order.
     pub fn step(&mut self, now: Millis, event: Event<'_>) -> Vec<Action> {
         if self.started.is_none() {
--- a/crates/wasabi-scheduler/tests/crowd.rs
+++ b/crates/wasabi-scheduler/tests/crowd.rs
@@ -83,10 +83,9 @@
     let mut brief = request(200, 2);
     brief.leaves_after = Millis(3_200);
     pool.step(Millis(LEARNED), Event::Acquire { ticket: 200, request: brief });
-    let refused = (LEARNED..LEARNED + 10_000).step_by(50).find_map(|now| {
-        announce_all(&mut pool, Millis(now), 1, 1);
-        let refused = refusals(&pool.step(Millis(now), Event::Tick));
-        (!refused.is_empty()).then_some(now)
+    let refused = (LEARNED..LEARNED + 10_000).step_by(50).find(|now| {
+        announce_all(&mut pool, Millis(*now), 1, 1);
+        !refusals(&pool.step(Millis(*now), Event::Tick)).is_empty()
     });
     let Some(at) = refused else { panic!("it is refused") };
     assert!(at < LEARNED + 3_100, "refused after {} ms", at - LEARNED);
