admission: a lender counts by the owner of a pool, not by the pool alone

Cause: while entries do not reach each other a pool has two owners that ask one lender. Since unused slices are taken off by what the asker started, each ask of the owner with less took off what the other had started, and the limit could be started again (found on reading the change, not by a run). Change: what was lent is counted by pool and owner; empty counts are forgotten. Module text brought up to date. Before / after: tests/limit.rs, two_owners_of_a_pool_hold_one_limit fails when both owners are counted as one.

--- a/crates/wasabi-admission/src/lender.rs
+++ b/crates/wasabi-admission/src/lender.rs
@@ -2,8 +2,9 @@
 //!
 //! What is lent in a span `w` is at most the limit times `w` plus one slice: the purse fills at the
 //! rate of the limit, holds at most one slice, and is empty when a lender starts. Tokens of a limit
-//! with a burst are counted in its sliding window instead; a new lender learns from the borrowers
-//! what they started in it.
+//! with a burst are counted in its sliding window instead. A new lender learns what was lent in it
+//! before from its predecessor's reports and from what the borrowers started; one whose process has
+//! just started and that hears nothing assumes that a part of the limit was used.
 
 use std::{cmp::Reverse, collections::HashMap};
 
@@ -62,8 +63,9 @@
     window_limit: f64,
     /// Tokens that may have been lent before this process started.
     assumed: Window,
-    /// Tokens lent to each pool in the window.
-    lent_to: HashMap<id::Pool, Window>,
+    /// Tokens lent in the window to each pool, by its owner: while entries do not reach each other
+    /// a pool may have two, and what one of them did not start the other may have.
+    lent_to: HashMap<(id::Pool, id::Entry), Window>,
     borrowers: HashMap<id::Pool, Borrower>,
 }
 
@@ -88,13 +90,13 @@
         Self { restarted: Some(now), ..Self::default() }
     }
 
-    /// Returns the next slice for a pool that asks.
+    /// Returns the next slice for the owner of a pool that asks.
     pub fn lend(
         &mut self,
         now: Millis,
         organisation: &id::Organisation,
         limits: &Limits,
-        pool: &id::Pool,
+        (pool, owner): (&id::Pool, &id::Entry),
         used: &Usage,
     ) -> Slice {
         if !self.purses.contains_key(organisation) {
@@ -105,18 +107,18 @@
             return Slice::default();
         };
         purse.fill(now, limits);
-        purse.lend(now, limits, pool, used)
+        purse.lend(now, limits, (pool, owner), used)
     }
 
     /// Returns what was lent in the windows of limits with a burst, for the other entries.
     pub fn lent(&mut self, now: Millis) -> Vec<Lent> {
         let mut all = Vec::new();
         for (organisation, purse) in &mut self.purses {
-            for (pool, window) in &mut purse.lent_to {
+            for ((pool, owner), window) in &mut purse.lent_to {
                 let tokens: Vec<_> = window.by_age(now).iter().map(|sum| *sum as u64).collect();
                 if !tokens.is_empty() {
-                    let (organisation, pool) = (organisation.clone(), pool.clone());
-                    all.push(Lent { organisation, pool, tokens });
+                    let (pool, owner) = (pool.clone(), owner.clone());
+                    all.push(Lent { organisation: organisation.clone(), pool, owner, tokens });
                 }
             }
         }
@@ -203,14 +205,27 @@
         }
     }
 
-    /// Returns what was lent in the window.
+    /// Returns what was lent in the window, and forgets the owners to whom nothing was.
     fn lent(&mut self, now: Millis) -> f64 {
-        self.lent_to.values_mut().map(|lent| lent.sum(now)).sum()
+        let mut sum = 0.0;
+        self.lent_to.retain(|_, lent| {
+            let lent = lent.sum(now);
+            sum += lent;
+            0.0 < lent
+        });
+        sum
     }
 
-    fn lend(&mut self, now: Millis, limits: &Limits, pool: &id::Pool, used: &Usage) -> Slice {
+    fn lend(
+        &mut self,
+        now: Millis,
+        limits: &Limits,
+        (pool, owner): (&id::Pool, &id::Entry),
+        used: &Usage,
+    ) -> Slice {
+        let lent_to = (pool.clone(), owner.clone());
         if let Some(burst) = &limits.burst {
-            self.learn(now, burst.window, pool, used);
+            self.learn(now, burst.window, &lent_to, used);
             self.tokens = self.window_limit - self.lent(now) - self.assumed.sum(now);
         }
         let borrower = self.borrowers.entry(pool.clone()).or_default();
@@ -231,8 +246,9 @@
         let tokens = part(self.tokens, wanted_tokens, all_tokens).min(wanted_tokens);
         self.requests -= requests;
         self.tokens -= tokens;
-        if limits.burst.is_some() {
-            self.lent_to.entry(pool.clone()).or_default().add(now, tokens);
+        if let Some(burst) = &limits.burst {
+            let lent = self.lent_to.entry(lent_to).or_insert_with(|| Window::new(burst.window));
+            lent.add(now, tokens);
         }
         let concurrency = self.allot(limits.concurrency, pool);
         let headroom = match limits.burst {
@@ -251,7 +267,8 @@
     fn inherit(&mut self, at: Millis, span: Millis, report: &Lent) {
         let tokens: Vec<_> = report.tokens.iter().map(|tokens| *tokens as f64).collect();
         let total: f64 = tokens.iter().sum();
-        let lent = self.lent_to.entry(report.pool.clone()).or_insert_with(|| Window::new(span));
+        let key = (report.pool.clone(), report.owner.clone());
+        let lent = self.lent_to.entry(key).or_insert_with(|| Window::new(span));
         let known = lent.sum(at);
         if total <= known {
             return;
@@ -266,14 +283,14 @@
     /// It is more when the pool had another lender: before this one, or while it took another entry
     /// for its lender. Two entries that take turns as lenders, as they do when a link loses packets,
     /// would otherwise each lend the whole limit. It is less when slices ended unused or were lost.
-    fn learn(&mut self, now: Millis, span: Millis, pool: &id::Pool, used: &Usage) {
-        let lent = self.lent_to.entry(pool.clone()).or_insert_with(|| Window::new(span));
+    fn learn(&mut self, now: Millis, span: Millis, lent_to: &(id::Pool, id::Entry), used: &Usage) {
+        let lent = self.lent_to.entry(lent_to.clone()).or_insert_with(|| Window::new(span));
         lent.set_span(span);
         let unknown = used.recent_tokens as f64 - used.owed_tokens as f64 - lent.sum(now);
         if 0.0 < unknown {
             lent.add_spread(now, unknown);
         }
-        // An owner of the pool before this one may have started what was lent earlier.
+        // What was lent before the account counts was not started from it.
         let (counted, settled) = (now - used.counted + SETTLED_AFTER, now - SETTLED_AFTER);
         lent.cap(counted, settled, used.recent_tokens as f64);
     }
--- a/crates/wasabi-admission/tests/limit.rs
+++ b/crates/wasabi-admission/tests/limit.rs
@@ -107,7 +107,8 @@
                 return true;
             }
             let pool = format!("pool{index}").into();
-            let slice = lender.lend(Millis(now), &organisation, &LIMITS, &pool, used);
+            let slice =
+                lender.lend(Millis(now), &organisation, &LIMITS, (&pool, &"owner".into()), used);
             if faults.lost <= rng.f64() {
                 slices.push((now + DELAY, *index, slice));
             }
@@ -213,7 +214,9 @@
     let organisation: id::Organisation = "org".into();
     let mut ask = |pool: &str, running: u32, waiting: u32| {
         let used = Usage { running, waiting, ..Usage::default() };
-        lender.lend(Millis(1_000), &organisation, &LIMITS, &pool.into(), &used).concurrency
+        lender
+            .lend(Millis(1_000), &organisation, &LIMITS, (&pool.into(), &"owner".into()), &used)
+            .concurrency
     };
     assert_eq!(ask("a", 30, 30), 64);
     assert_eq!(ask("b", 0, 60), 0, "pool a holds all");
@@ -229,8 +232,9 @@
     let mut lender = Lender::new();
     let organisation: id::Organisation = "org".into();
     let used = Usage { running: 1, ..Usage::default() };
-    let mut ask =
-        |pool: &str| lender.lend(Millis(1_000), &organisation, &LIMITS, &pool.into(), &used);
+    let mut ask = |pool: &str| {
+        lender.lend(Millis(1_000), &organisation, &LIMITS, (&pool.into(), &"owner".into()), &used)
+    };
     assert!(LIMITS.concurrency / 2 <= ask("a").concurrency);
     let second = ask("b").concurrency;
     assert!(LIMITS.concurrency / 8 <= second, "pool b may start {second}");
@@ -261,7 +265,8 @@
             }
         }
         if let Some(used) = account.ask(at, 0, 0) {
-            let slice = lender.lend(at, &organisation, &WINDOWED, &"pool".into(), &used);
+            let slice =
+                lender.lend(at, &organisation, &WINDOWED, (&"pool".into(), &"owner".into()), &used);
             account.lend(at, &slice);
         }
     }
@@ -308,7 +313,8 @@
             }
         }
         if let Some(used) = account.ask(at, 0, 0) {
-            let slice = lender.lend(at, &organisation, &WINDOWED, &"pool".into(), &used);
+            let slice =
+                lender.lend(at, &organisation, &WINDOWED, (&"pool".into(), &"owner".into()), &used);
             account.lend(at, &slice);
         }
     }
@@ -333,7 +339,8 @@
         }
         if let Some(used) = account.ask(at, 0, 0) {
             let lender = &mut lenders[now as usize / 700 % 2];
-            let slice = lender.lend(at, &organisation, &WINDOWED, &"pool".into(), &used);
+            let slice =
+                lender.lend(at, &organisation, &WINDOWED, (&"pool".into(), &"owner".into()), &used);
             account.lend(at, &slice);
         }
     }
@@ -355,7 +362,8 @@
             started[now as usize / 100] += 1_000;
         }
         if let Some(used) = account.ask(at, 0, 0) {
-            let slice = lender.lend(at, &organisation, &WINDOWED, &"pool".into(), &used);
+            let slice =
+                lender.lend(at, &organisation, &WINDOWED, (&"pool".into(), &"owner".into()), &used);
             account.lend(at, &slice);
         }
     }
@@ -419,7 +427,13 @@
     for now in 1_500..3_000 {
         if let Some(used) = account.ask(Millis(now), 0, 0) {
             let organisation = "org".into();
-            let slice = lender.lend(Millis(now), &organisation, &WINDOWED, &"pool".into(), &used);
+            let slice = lender.lend(
+                Millis(now),
+                &organisation,
+                &WINDOWED,
+                (&"pool".into(), &"owner".into()),
+                &used,
+            );
             account.lend(Millis(now), &slice);
         }
     }
@@ -452,10 +466,41 @@
             }
         }
         if let Some(used) = account.ask(at, 200, 200_000) {
-            let slice = lender.lend(at, &organisation, &WINDOWED, &"pool".into(), &used);
+            let slice =
+                lender.lend(at, &organisation, &WINDOWED, (&"pool".into(), &"owner".into()), &used);
             account.lend(at, &slice);
         }
     }
     assert!(295 <= started, "{started} of 300 requests were started");
     assert_eq!(refused, 0, "no request is beyond the limit");
 }
+
+/// Guards against a limit that is started twice while entries do not reach each other and a pool has
+/// two owners: what the one did not start is not what the other did not start.
+#[test]
+fn two_owners_of_a_pool_hold_one_limit() {
+    let mut lender = Lender::new();
+    let organisation: id::Organisation = "org".into();
+    let new = || Account::new(Millis::ZERO, WINDOWED);
+    let mut owners = [("first", new()), ("second", new())];
+    let mut started = vec![0_u64; 300];
+    for now in 0..30_000_u64 {
+        let at = Millis(now);
+        for (index, (owner, account)) in owners.iter_mut().enumerate() {
+            // The second owner gets a tenth of the requests.
+            let pause = if index == 0 { 20 } else { 200 };
+            if now % pause == 0 && account.shortage(Tier::TOP, 0).is_none() && account.may_start(at)
+            {
+                account.start(at, 1_000);
+                account.end();
+                started[now as usize / 100] += 1_000;
+            }
+            if let Some(used) = account.ask(at, 0, 0) {
+                let borrower = (&"pool".into(), &(*owner).into());
+                let slice = lender.lend(at, &organisation, &WINDOWED, borrower, &used);
+                account.lend(at, &slice);
+            }
+        }
+    }
+    assert_one_limit(&started);
+}
--- a/crates/wasabi-bench/src/owner.rs
+++ b/crates/wasabi-bench/src/owner.rs
@@ -80,7 +80,10 @@
                 Action::Preempt { attempt, .. } => commands.push(Command::Preempt { attempt }),
                 Action::RequestBudget { organisation, used } => {
                     let name = pool_name();
-                    let slice = self.lender.lend(now, &organisation, &self.limits, &name, &used);
+                    let slice = {
+                        let borrower = (&name, &id::Entry::from("owner"));
+                        self.lender.lend(now, &organisation, &self.limits, borrower, &used)
+                    };
                     let more = self.pool.step(now, Event::Budget { organisation, slice });
                     commands.extend(self.translate(now, more));
                 }
--- a/crates/wasabi-entry/src/pools/budget.rs
+++ b/crates/wasabi-entry/src/pools/budget.rs
@@ -45,7 +45,8 @@
         let in_force = self.shared.in_force();
         let limits = in_force.config.limits(&lend.organisation)?;
         let mut lender = self.lender.borrow_mut();
-        Some(lender.lend(self.now(), &lend.organisation, &limits, &lend.pool, &lend.used))
+        let borrower = (&lend.pool, &lend.owner);
+        Some(lender.lend(self.now(), &lend.organisation, &limits, borrower, &lend.used))
     }
 
     fn hand_out(self: &Rc<Self>, lend: &Lend, slice: Slice) {
--- a/crates/wasabi-entry/src/shell.rs
+++ b/crates/wasabi-entry/src/shell.rs
@@ -161,7 +161,8 @@
                     self.tell(holder, method::PREEMPT, rpc_params![preempt]);
                 }
                 Effect::Lend { pool, organisation, used } => {
-                    self.ask_for_slice(Lend { organisation, pool, used });
+                    let owner = self.shared.entry.name.clone();
+                    self.ask_for_slice(Lend { organisation, pool, owner, used });
                 }
             }
         }
--- a/crates/wasabi-protocol/src/rpc/pool.rs
+++ b/crates/wasabi-protocol/src/rpc/pool.rs
@@ -186,6 +186,8 @@
     pub organisation: id::Organisation,
     /// The pool.
     pub pool: id::Pool,
+    /// The owner of the pool that they were lent to.
+    pub owner: id::Entry,
     /// Tokens by the age in seconds at which they were lent, the latest first.
     pub tokens: Vec<u64>,
 }
@@ -198,6 +200,8 @@
     pub organisation: id::Organisation,
     /// The pool that asks.
     pub pool: id::Pool,
+    /// The owner of the pool.
+    pub owner: id::Entry,
     /// What the pool used and wants.
     pub used: Usage,
 }
