admission: what is assumed after a start leaves the window evenly

Cause: the assumed half was spread over the window before the process started, on a clock that begins at zero with the process: all of it fell into the first quarter of a second and counted in full until the window had passed. Ruled out: changes of limits or of owners at that time (none in the logs). Change: what is assumed is computed from the age of the process.

--- a/crates/wasabi-admission/src/lender.rs
+++ b/crates/wasabi-admission/src/lender.rs
@@ -59,10 +59,11 @@
     requests: f64,
     tokens: f64,
     filled: Millis,
-    /// The tokens that one window of a limit with a burst allows.
+    /// The tokens that one window of a limit with a burst allows, and its length.
     window_limit: f64,
-    /// Tokens that may have been lent before this process started.
-    assumed: Window,
+    span: Millis,
+    /// When the process started, while what was lent before it is unknown.
+    restarted: Option<Millis>,
     /// Tokens lent in the window to each pool, by its owner: while entries do not reach each other
     /// a pool may have two, and what one of them did not start the other may have.
     lent_to: HashMap<(id::Pool, id::Entry), Window>,
@@ -129,11 +130,9 @@
     pub fn hear(&mut self, now: Millis, from: &id::Entry, lent: &[Lent]) {
         for one in lent {
             if let Some(purse) = self.purses.get_mut(&one.organisation)
-                && 0.0 < purse.assumed.sum(now)
+                && purse.restarted.take().is_some()
             {
-                let span = purse.assumed.span();
-                purse.assumed = Window::default();
-                purse.inherit(now, span, one);
+                purse.inherit(now, purse.span, one);
             }
         }
         self.reports.insert(from.clone(), Report { at: now, lent: lent.to_vec() });
@@ -151,14 +150,8 @@
         for (at, one) in &lent {
             purse.inherit(*at, burst.window, one);
         }
-        let is_reported = !lent.is_empty();
-        if let Some(restarted) = self.restarted
-            && now.since(restarted) < burst.window
-            && !is_reported
-        {
-            let assumed = ASSUMED_PART * window_tokens(limits, burst);
-            purse.assumed = Window::new(burst.window);
-            purse.assumed.add_spread(restarted, assumed);
+        if lent.is_empty() {
+            purse.restarted = self.restarted;
         }
         purse
     }
@@ -178,7 +171,8 @@
             tokens: 0.0,
             filled: now,
             window_limit: 0.0,
-            assumed: Window::default(),
+            span: Millis::ZERO,
+            restarted: None,
             lent_to: HashMap::new(),
             borrowers: HashMap::new(),
         }
@@ -201,10 +195,19 @@
                 }
             }
             self.window_limit = most;
-            self.tokens = most - self.lent(now) - self.assumed.sum(now);
+            self.span = burst.window;
+            self.tokens = most - self.lent(now) - self.assumed(now);
         }
     }
 
+    /// Returns what counts as lent before the process started: evenly over the window, of which less
+    /// remains the longer the process runs.
+    fn assumed(&self, now: Millis) -> f64 {
+        let Some(restarted) = self.restarted else { return 0.0 };
+        let remaining = self.span.since(now.since(restarted)).seconds() / self.span.seconds();
+        ASSUMED_PART * self.window_limit * remaining.clamp(0.0, 1.0)
+    }
+
     /// Returns what was lent in the window, and forgets the owners to whom nothing was.
     fn lent(&mut self, now: Millis) -> f64 {
         let mut sum = 0.0;
@@ -226,7 +229,7 @@
         let lent_to = (pool.clone(), owner.clone());
         if let Some(burst) = &limits.burst {
             self.learn(now, burst.window, &lent_to, used);
-            self.tokens = self.window_limit - self.lent(now) - self.assumed.sum(now);
+            self.tokens = self.window_limit - self.lent(now) - self.assumed(now);
         }
         let borrower = self.borrowers.entry(pool.clone()).or_default();
         borrower.asked = now;
@@ -254,7 +257,7 @@
         let headroom = match limits.burst {
             // What is only assumed to be used holds no tier back.
             Some(_) => {
-                let left = self.tokens + self.assumed.sum(now);
+                let left = self.tokens + self.assumed(now);
                 (left / self.window_limit.max(1.0)).clamp(0.0, 1.0)
             }
             None => 1.0,
