telemetry: the metrics server takes a bound listener

Cause: for port 0 the entry bound a free port for its metrics, gave it up and had it bound again later; another process of the machine may take it in between. Ruled out: the ports of callers and peers (their listeners are kept). Change: the listener is handed over and never bound twice.

--- a/crates/wasabi-control/src/main.rs
+++ b/crates/wasabi-control/src/main.rs
@@ -1,6 +1,6 @@
 //! The control daemon.
 
-use std::{path::PathBuf, process::ExitCode};
+use std::{net::TcpListener, path::PathBuf, process::ExitCode};
 
 use argh::FromArgs;
 use tokio::signal::unix::{SignalKind, signal};
@@ -56,7 +56,10 @@
     if without_batching {
         options.batching = Batching::Single;
     }
-    if let Err(error) = metrics::serve(*settings.metrics, options.metrics.registry()) {
+    let registry = options.metrics.registry();
+    let server = TcpListener::bind(*settings.metrics)
+        .and_then(|listener| metrics::serve(listener, registry));
+    if let Err(error) = server {
         error!(%error, address = %*settings.metrics, "cannot serve metrics");
         return ExitCode::FAILURE;
     }
--- a/crates/wasabi-entry/src/daemon.rs
+++ b/crates/wasabi-entry/src/daemon.rs
@@ -109,11 +109,8 @@
         let front = listeners.gateway.as_ref().map(|(gateway, _)| gateway.front);
         let callers = listeners.callers.local_addr().context(StartSnafu)?;
         let peers = listeners.peers.local_addr().context(StartSnafu)?;
-        // The metrics server binds by address, so a free port is found for it here.
-        let metrics = match *settings.listen.metrics {
-            address if address.port() == 0 => bind(address)?.local_addr().context(StartSnafu)?,
-            address => address,
-        };
+        let metrics_listener = bind(*settings.listen.metrics)?;
+        let metrics = metrics_listener.local_addr().context(StartSnafu)?;
         let entry = Entry {
             name: settings.name.as_str().into(),
             caller_address: front.unwrap_or(callers).to_string(),
@@ -137,7 +134,8 @@
             actix_rt::System::new().block_on(async move {
                 let serving = serve(shared, for_thread, messages, listeners, tls, stand_alone);
                 let result = serving.and_then(|ended| {
-                    metrics::serve(metrics, Arc::new(registry)).map(|server| (ended, server))
+                    metrics::serve(metrics_listener, Arc::new(registry))
+                        .map(|server| (ended, server))
                 });
                 match result {
                     Ok((ended, server)) => {
--- a/crates/wasabi-telemetry/src/metrics.rs
+++ b/crates/wasabi-telemetry/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics in the Prometheus text format.
 
-use std::{convert::Infallible, io, net::SocketAddr, sync::Arc};
+use std::{convert::Infallible, io, net::TcpListener, sync::Arc};
 
 use actix_http::{HttpService, Request, Response, StatusCode};
 use actix_server::{Server, ServerHandle};
@@ -11,14 +11,17 @@
 
 /// Serves `GET /metrics` until the returned handle is stopped.
 ///
+/// Takes a listener and no address: a free port that is found and bound a second time may be taken
+/// by another process in between.
+///
 /// # Errors
 ///
-/// Returns an error when the address cannot be bound.
-pub fn serve(address: SocketAddr, registry: Arc<Registry>) -> io::Result<ServerHandle> {
+/// Returns an error when the listener cannot be used.
+pub fn serve(listener: TcpListener, registry: Arc<Registry>) -> io::Result<ServerHandle> {
     let server = Server::build()
         .workers(1)
         .disable_signals()
-        .bind("metrics", address, move || {
+        .listen("metrics", listener, move || {
             let registry = Arc::clone(&registry);
             HttpService::build()
                 .finish(move |request: Request| {
--- a/crates/wasabi-telemetry/tests/metrics.rs
+++ b/crates/wasabi-telemetry/tests/metrics.rs
@@ -13,8 +13,9 @@
     registry.register("dispatches", "Requests sent to endpoints", dispatches.clone());
     dispatches.inc_by(3);
 
-    let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-    let server = metrics::serve(address, Arc::new(registry)).unwrap();
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = metrics::serve(listener, Arc::new(registry)).unwrap();
     let client = awc::Client::default();
     let mut answer = client.get(format!("http://{address}/metrics")).send().await.unwrap();
     let page = answer.body().await.unwrap();
