scheduler: a request behind nobody is not refused for the time of its earlier attempt

Cause: the forecast wait was compared together with the time since arrival, so that a stream that broke later than half of its caller's patience, and a retry after a slow failure, were refused as overloaded by an empty queue; the expiry before the caller leaves counted from arrival for resumed streams too, and its margin of 200 ms and the prefill were taken from requests whose callers stay, so that a deadline of 150 ms had passed at once. Ruled out: wrong refusals in the sense of 'not run': nothing of the refused attempt had been sent. Change: only the forecast counts on arrival; callers that stay keep their expiry; for a resumed stream the patience begins with the last event. Before / after: tests/crowd.rs, two tests that failed and pass.

--- a/crates/wasabi-entry/src/forward/way.rs
+++ b/crates/wasabi-entry/src/forward/way.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use tokio::sync::oneshot;
 use wasabi_protocol::{
+    clock::Millis,
     fault::{Fault, Kind, Ran},
     id,
     request::End,
@@ -113,7 +114,7 @@
     /// Runs attempts until one is answered or no other is allowed.
     async fn run(&mut self) -> Outcome {
         loop {
-            let (held, preempted) = match self.acquire().await {
+            let (held, preempted) = match self.acquire(self.call.arrived).await {
                 Ok(granted) => granted,
                 Err(refusal) => return self.give_up(refusal),
             };
@@ -152,7 +153,9 @@
                 return Err(failure.fault);
             }
             self.avoid.push(endpoint);
-            let (mut held, _preempted) = self.acquire().await?;
+            // The caller has just had an event, so its patience begins anew.
+            let silent_since = self.worker.shared.clock.now();
+            let (mut held, _preempted) = self.acquire(silent_since).await?;
             self.worker.shared.metrics.resumes.inc();
             held.sent();
             let bound = held.grant().first_token_bound;
@@ -175,11 +178,14 @@
         }
     }
 
-    /// Waits for a grant of the pool's owner.
-    async fn acquire(&self) -> Result<(Held, oneshot::Receiver<()>), Fault> {
+    /// Waits for a grant of the pool's owner; the caller has had nothing since `silent_since`.
+    async fn acquire(&self, silent_since: Millis) -> Result<(Held, oneshot::Receiver<()>), Fault> {
         let (shared, call) = (&self.worker.shared, &self.call);
         let now = shared.clock.now();
-        let request = call.request(now, new_attempt(), &self.avoid);
+        let mut request = call.request(now, new_attempt(), &self.avoid);
+        if request.leaves_after != Millis::ZERO {
+            request.leaves_after = request.leaves_after + silent_since.since(call.arrived);
+        }
         let left = call.deadline.since(now).duration();
         let acquired = self.worker.handle.acquire(request.clone());
         let Ok(granted) = tokio::time::timeout(left, acquired).await else {
--- a/crates/wasabi-scheduler/src/pool/crowd.rs
+++ b/crates/wasabi-scheduler/src/pool/crowd.rs
@@ -28,7 +28,7 @@
             return None;
         }
         let wait = self.wait(request.tier);
-        (patience(request) < request.waited + wait).then_some(wait)
+        (patience(request) < wait).then_some(wait)
     }
 
     /// Refuses the requests that have waited for as long as they may while more work waits than
--- a/crates/wasabi-scheduler/src/pool/owner.rs
+++ b/crates/wasabi-scheduler/src/pool/owner.rs
@@ -252,12 +252,13 @@
         let fastest = rates.reduce(f64::max).unwrap_or(PREFILL_RATE_UNKNOWN);
         let prefill = Millis((f64::from(request.prompt_tokens) / fastest) as u64);
         let span = self.forecast.stream(request) + prefill;
-        let leaves = match request.leaves_after {
-            Millis::ZERO => now + request.remaining,
-            after => arrived + after,
-        };
         // A forecast may be wrong, so it never takes more than half of the time that is left.
         let half = Millis(request.remaining.0 / 2);
+        let ends = now + (request.remaining - span.min(half));
+        let expires = match request.leaves_after {
+            Millis::ZERO => ends,
+            after => ends.min(arrived + after - prefill - LEAVING_MARGIN),
+        };
         Item {
             ticket,
             organisation: request.organisation.clone(),
@@ -266,8 +267,7 @@
             tokens: request.tokens(),
             arrived,
             start_by: arrived + (request.first_token - prefill),
-            expires: (now + (request.remaining - span.min(half)))
-                .min(leaves - prefill - LEAVING_MARGIN),
+            expires,
             deadline: now + request.remaining,
         }
     }
--- a/crates/wasabi-scheduler/tests/crowd.rs
+++ b/crates/wasabi-scheduler/tests/crowd.rs
@@ -90,3 +90,28 @@
     let Some(at) = refused else { panic!("it is refused") };
     assert!(at < LEARNED + 3_100, "refused after {} ms", at - LEARNED);
 }
+
+/// Guards against streams that are not resumed and requests that are not tried again: what an attempt
+/// ran before is no time in this queue, so that a request behind nobody is not refused for it.
+#[test]
+fn a_request_behind_nobody_starts_however_long_ago_it_arrived() {
+    let mut pool = ready(1, 1);
+    let mut resumed = request(0, 2);
+    resumed.waited = Millis(30_000);
+    resumed.remaining = Millis(10_000);
+    resumed.leaves_after = Millis(33_200);
+    let actions = pool.step(Millis(LEARNED), Event::Acquire { ticket: 0, request: resumed });
+    assert!(refusals(&actions).is_empty());
+}
+
+/// Guards against short deadlines that count as passed since the margin of callers that leave is
+/// taken from requests whose callers stay.
+#[test]
+fn a_short_deadline_is_waited_for() {
+    let mut pool = busy();
+    let mut brief = request(200, 2);
+    (brief.prompt_tokens, brief.output_tokens) = (1, 0);
+    brief.remaining = Millis(150);
+    pool.step(Millis(LEARNED), Event::Acquire { ticket: 200, request: brief });
+    assert!(refusals(&pool.step(Millis(LEARNED + 50), Event::Tick)).is_empty());
+}
