--- a/crates/wasabi-admission/src/lender.rs
+++ b/crates/wasabi-admission/src/lender.rs
@@ -6,7 +6,7 @@
 //! before from its predecessor's reports and from what the borrowers started; one whose process has
 //! just started and that hears nothing assumes that a part of the limit was used.
 
-use std::{cmp::Reverse, collections::HashMap};
+use std::collections::{HashMap, hash_map::Entry};
 
 use wasabi_protocol::{
     clock::Millis,
@@ -100,12 +100,12 @@
         (pool, owner): (&id::Pool, &id::Entry),
         used: &Usage,
     ) -> Slice {
-        if !self.purses.contains_key(organisation) {
-            let purse = self.open(now, organisation, limits);
-            self.purses.insert(organisation.clone(), purse);
-        }
-        let Some(purse) = self.purses.get_mut(organisation) else {
-            return Slice::default();
+        let purse = match self.purses.entry(organisation.clone()) {
+            Entry::Occupied(purse) => purse.into_mut(),
+            Entry::Vacant(place) => {
+                let reports = self.reports.values();
+                place.insert(Purse::open(now, organisation, limits, reports, self.restarted))
+            }
         };
         purse.fill(now, limits);
         purse.lend(now, limits, (pool, owner), used)
@@ -128,34 +128,16 @@
 
     /// Takes over what another entry reports to have lent, for the case that this one follows it.
     pub fn hear(&mut self, now: Millis, from: &id::Entry, lent: &[Lent]) {
-        for one in lent {
-            if let Some(purse) = self.purses.get_mut(&one.organisation)
-                && purse.restarted.take().is_some()
-            {
+        let uninformed = self.purses.iter_mut().filter(|(_, purse)| purse.restarted.is_some());
+        for (organisation, purse) in uninformed {
+            for one in lent.iter().filter(|one| one.organisation == *organisation) {
+                purse.restarted = None;
                 purse.inherit(now, purse.span, one);
             }
         }
         self.reports.insert(from.clone(), Report { at: now, lent: lent.to_vec() });
     }
 
-    /// Returns a purse in which what is known of earlier lenders counts.
-    fn open(&self, now: Millis, organisation: &id::Organisation, limits: &Limits) -> Purse {
-        let mut purse = Purse::new(now);
-        let Some(burst) = &limits.burst else { return purse };
-        let fresh = self.reports.values().filter(|report| now.since(report.at) < burst.window);
-        let lent = fresh.flat_map(|report| report.lent.iter().map(|one| (report.at, one)));
-        let mut lent: Vec<_> = lent.filter(|(_, one)| one.organisation == *organisation).collect();
-        // Of two entries that report for the same pool the one that lent more counts.
-        lent.sort_unstable_by_key(|(_, one)| Reverse(one.tokens.iter().sum::<u64>()));
-        for (at, one) in &lent {
-            purse.inherit(*at, burst.window, one);
-        }
-        if lent.is_empty() {
-            purse.restarted = self.restarted;
-        }
-        purse
-    }
-
     /// Forgets budgets of which nothing was asked for a while; called now and then.
     pub fn sweep(&mut self, now: Millis) {
         // What was lent counts until its window has passed, however long nothing is asked for.
@@ -165,17 +147,32 @@
 }
 
 impl Purse {
-    fn new(now: Millis) -> Self {
-        Self {
+    /// Returns a purse in which what is known of earlier lenders counts.
+    fn open<'a>(
+        now: Millis,
+        organisation: &id::Organisation,
+        limits: &Limits,
+        reports: impl Iterator<Item = &'a Report>,
+        restarted: Option<Millis>,
+    ) -> Self {
+        let mut purse = Self {
             requests: 0.0,
             tokens: 0.0,
             filled: now,
             window_limit: 0.0,
             span: Millis::ZERO,
-            restarted: None,
+            restarted,
             lent_to: HashMap::new(),
             borrowers: HashMap::new(),
+        };
+        let Some(burst) = &limits.burst else { return purse };
+        for report in reports.filter(|report| now.since(report.at) < burst.window) {
+            for one in report.lent.iter().filter(|one| one.organisation == *organisation) {
+                purse.restarted = None;
+                purse.inherit(report.at, burst.window, one);
+            }
         }
+        purse
     }
 
     fn fill(&mut self, now: Millis, limits: &Limits) {
--- a/crates/wasabi-entry/src/forward/answer.rs
+++ b/crates/wasabi-entry/src/forward/answer.rs
@@ -23,8 +23,36 @@
 /// A request that did not run gets a status that promises so, with the time after which it may be
 /// sent again; callers then repeat also what must not run twice.
 pub(crate) fn fault(fault: &Fault) -> Response<BoxBody> {
+    let status = status(fault);
+    let mut response = answer::json(status, answer::fault_json(fault));
+    if let Some(pause) = retry_after(fault)
+        && let Ok(value) = HeaderValue::from_str(&format!("{:.3}", pause.seconds()))
+    {
+        response.headers_mut().insert(header::RETRY_AFTER, value);
+    }
+    // The rest of a body that was not read would stand before the next request.
+    if matches!(fault.kind, Kind::BodyTooLarge | Kind::RequestTimeout | Kind::EntryDraining) {
+        response.head_mut().set_connection_type(actix_http::ConnectionType::Close);
+    }
+    response
+}
+
+/// Returns the time after which the caller is told to come back, when it is told one.
+pub(crate) fn retry_after(fault: &Fault) -> Option<Millis> {
+    let status = status(fault);
+    if status != StatusCode::SERVICE_UNAVAILABLE && status != StatusCode::TOO_MANY_REQUESTS {
+        return None;
+    }
+    let pause = match fault.kind {
+        Kind::EntryIsolated | Kind::EntryDraining | Kind::EndpointUnreachable => ELSEWHERE,
+        _ => CROWDED,
+    };
+    Some(fault.retry_after.unwrap_or(pause))
+}
+
+fn status(fault: &Fault) -> StatusCode {
     let table = fault.kind.answer();
-    let status = match (table.ran, table.retry, fault.kind) {
+    match (table.ran, table.retry, fault.kind) {
         (Ran::NotRun, _, Kind::LimitReached) => StatusCode::TOO_MANY_REQUESTS,
         (Ran::NotRun, Retry::Safe | Retry::WithKey, kind) if kind != Kind::RequestTimeout => {
             StatusCode::SERVICE_UNAVAILABLE
@@ -33,23 +61,7 @@
         // No status may promise more than is known.
         (Ran::MayHaveRun, ..) if table.status == 503 => StatusCode::BAD_GATEWAY,
         _ => StatusCode::from_u16(table.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR),
-    };
-    let mut response = answer::json(status, answer::fault_json(fault));
-    if status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::TOO_MANY_REQUESTS {
-        let pause = match fault.kind {
-            Kind::EntryIsolated | Kind::EntryDraining | Kind::EndpointUnreachable => ELSEWHERE,
-            _ => CROWDED,
-        };
-        let pause = fault.retry_after.unwrap_or(pause);
-        if let Ok(value) = HeaderValue::from_str(&format!("{:.3}", pause.seconds())) {
-            response.headers_mut().insert(header::RETRY_AFTER, value);
-        }
     }
-    // The rest of a body that was not read would stand before the next request.
-    if matches!(fault.kind, Kind::BodyTooLarge | Kind::RequestTimeout | Kind::EntryDraining) {
-        response.head_mut().set_connection_type(actix_http::ConnectionType::Close);
-    }
-    response
 }
 
 /// Returns an endpoint's answer.
--- a/crates/wasabi-entry/src/forward/way.rs
+++ b/crates/wasabi-entry/src/forward/way.rs
@@ -297,7 +297,7 @@
     let (request, organisation, tier) = (&call.id, &call.organisation, call.tier.0);
     let (kind, reason) = (fault.kind, &fault.message);
     let age_ms = worker.shared.clock.now().since(call.arrived).0;
-    let retry_after_ms = fault.retry_after.map(|pause| pause.0);
+    let retry_after_ms = answer::retry_after(fault).map(|pause| pause.0);
     tracing::info!(request, %kind, %reason, %organisation, tier, age_ms, retry_after_ms, "refused");
     worker.shared.metrics.refused(fault.kind, None);
     answer::fault(fault)
--- a/crates/wasabi-entry/src/pools/follow.rs
+++ b/crates/wasabi-entry/src/pools/follow.rs
@@ -73,46 +73,60 @@
         }
     }
 
-    /// Passes on that an endpoint leaves, as [`Self::announce`] does. Returns whether the owners of
-    /// all pools that are reached from here have it.
-    pub(crate) async fn leave(self: &Rc<Self>, endpoint: &id::Endpoint) -> bool {
+    /// Passes on that an endpoint leaves, as [`Self::announce`] does. The future returns whether the
+    /// owners of all pools that are reached from here have it.
+    ///
+    /// The pools of this entry have it at the return: a later announcement of the endpoint must not
+    /// be undone.
+    pub(crate) fn leave(
+        self: &Rc<Self>,
+        endpoint: id::Endpoint,
+    ) -> impl Future<Output = bool> + 'static {
         for pool in self.wanted_pools().keys() {
             if let Some(entry) = self.detour(pool) {
-                self.tell(entry, method::LEAVE_THROUGH, rpc_params![endpoint]);
+                self.tell(entry, method::LEAVE_THROUGH, rpc_params![&endpoint]);
             }
         }
-        self.leave_to_owners(endpoint).await
+        self.leave_to_owners(endpoint)
     }
 
     /// Tells every coordinator that an endpoint leaves, since only its name is known and not its
-    /// pool. Returns whether the owners of all pools have it: an endpoint that is told so gets no
-    /// new work after a few seconds.
-    pub(crate) async fn leave_to_owners(self: &Rc<Self>, endpoint: &id::Endpoint) -> bool {
-        self.leave_here(endpoint);
+    /// pool. The future returns whether the owners of all pools have it: an endpoint that is told so
+    /// gets no new work after a few seconds.
+    pub(crate) fn leave_to_owners(
+        self: &Rc<Self>,
+        endpoint: id::Endpoint,
+    ) -> impl Future<Output = bool> + 'static {
+        self.leave_here(&endpoint);
         let own = &self.shared.entry.name;
         let pools = self.wanted_pools();
         let owners = pools.keys().filter_map(|pool| self.owner_of(pool));
-        let owners: HashSet<_> = owners.map(|entry| entry.name).collect();
+        let mut owners: HashSet<_> = owners.map(|entry| entry.name).collect();
         let in_force = self.shared.in_force();
         for entry in rendezvous::coordinators(&in_force.config.view) {
             if entry.name != *own && !owners.contains(&entry.name) {
-                self.tell(entry.name.clone(), method::LEAVE, rpc_params![endpoint]);
+                self.tell(entry.name.clone(), method::LEAVE, rpc_params![&endpoint]);
             }
         }
-        if pools.is_empty() {
-            // Without a configuration the pools are not known, and neither are their owners.
-            return false;
+        owners.remove(own);
+        // Without a configuration the pools are not known, and neither are their owners.
+        let are_known = !pools.is_empty();
+        let shell = Rc::clone(self);
+        async move {
+            let calls = owners.iter().map(|owner| shell.tell_leave(owner, &endpoint));
+            let taken = futures_util::future::join_all(calls).await;
+            are_known && taken.into_iter().all(|is_taken| is_taken)
         }
-        let others = owners.iter().filter(|name| *name != own);
-        let calls = others.map(|name| async move {
-            let call = self.call(name, method::LEAVE, rpc_params![endpoint]);
-            let is_taken = tokio::time::timeout(OWNER_TIME, call).await.unwrap_or(false);
-            if !is_taken {
-                tracing::warn!(%endpoint, owner = %name, "the owner of a pool did not take a leave");
-            }
-            is_taken
-        });
-        futures_util::future::join_all(calls).await.into_iter().all(|is_taken| is_taken)
+    }
+
+    /// Tells the owner of a pool that an endpoint leaves; returns whether it has it.
+    async fn tell_leave(&self, owner: &id::Entry, endpoint: &id::Endpoint) -> bool {
+        let call = self.call(owner, method::LEAVE, rpc_params![endpoint]);
+        let is_taken = tokio::time::timeout(OWNER_TIME, call).await.unwrap_or(false);
+        if !is_taken {
+            tracing::warn!(%endpoint, %owner, "the owner of a pool did not take a leave");
+        }
+        is_taken
     }
 
     pub(crate) fn leave_here(self: &Rc<Self>, endpoint: &id::Endpoint) {
--- a/crates/wasabi-entry/src/shell.rs
+++ b/crates/wasabi-entry/src/shell.rs
@@ -282,10 +282,7 @@
             }
             Message::Release(release) => self.release(*release),
             Message::Announce(announcement) => self.announce(&announcement),
-            Message::Leave(endpoint) => {
-                let shell = Rc::clone(self);
-                actix_rt::spawn(async move { shell.leave(&endpoint).await });
-            }
+            Message::Leave(endpoint) => drop(actix_rt::spawn(self.leave(endpoint))),
             Message::Propose { command, reply } => {
                 let shell = Rc::clone(self);
                 actix_rt::spawn(async move {
@@ -330,13 +327,12 @@
             Peer::Leave(endpoint) => self.leave_here(&endpoint),
             Peer::AnnounceThrough(announcement) => self.announce_to_owners(&announcement),
             Peer::LeaveThrough(endpoint) => {
-                let shell = Rc::clone(self);
-                actix_rt::spawn(async move { shell.leave_to_owners(&endpoint).await });
+                drop(actix_rt::spawn(self.leave_to_owners(endpoint)));
             }
             Peer::Retire(endpoint, reply) => {
-                let shell = Rc::clone(self);
+                let left = self.leave(endpoint);
                 actix_rt::spawn(async move {
-                    let _ = reply.send(shell.leave(&endpoint).await);
+                    let _ = reply.send(left.await);
                 });
             }
             Peer::Heartbeat(beat, reply) => {
--- a/crates/wasabi-protocol/src/rpc/pool.rs
+++ b/crates/wasabi-protocol/src/rpc/pool.rs
@@ -134,7 +134,7 @@
 }
 
 /// Part of an organisation's budget, lent to one pool owner for a short time.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct Slice {
     /// Requests that may be started while the slice lasts.
