control: a redirect to the leader is followed before other addresses are asked

Callers saw: after a host of control lost its disk and came back, it was never taken in. The group went on with two members of three, quietly; when the second disk was lost, what had been acknowledged was gone (LOST) and no request was served any more.

Cause: a member that asks to be taken in goes through the leader that it knows, the members that it knows, and its seeds. A member that does not lead names the leader, but the next seed was asked first, and whatever it named replaced the leader. Seeds without a disk name any member that introduced itself; when the leader was not among these, it was never asked.

Change: a round of questions follows a redirect at once and asks each address once. A member that is not taken in logs whom it asked and what they named, once a second.

Before / after: a_host_whose_seeds_know_a_follower_finds_the_leader fails (no voter after 12 s) / passes in under 2 s.

--- a/crates/wasabi-control/src/join.rs
+++ b/crates/wasabi-control/src/join.rs
@@ -4,7 +4,10 @@
 //! was silent comes back by itself. The leader adds it without a vote, promotes it once it has
 //! caught up, and only then removes the member that it replaces; one change at a time.
 
-use std::{sync::mpsc, time::Duration};
+use std::{
+    sync::mpsc,
+    time::{Duration, Instant},
+};
 
 use jsonrpsee::{core::client::ClientT as _, rpc_params, ws_client::WsClientBuilder};
 use tokio::sync::oneshot;
@@ -20,6 +23,7 @@
     input::Input,
     member::{Duty, Member},
     options::Options,
+    search::Round,
 };
 
 /// Time between two asks of a member that is not taken in yet.
@@ -28,9 +32,12 @@
 /// Time between two asks of a member that is in the group.
 const CONFIRM_EVERY: Duration = Duration::from_millis(1_000);
 
-/// Longest time for one question.
+/// Longest time for one question, the connection included.
 const ASK_BOUND: Duration = Duration::from_millis(500);
 
+/// Shortest time between two log lines of a member that is not taken in.
+const SAY_EVERY: Duration = Duration::from_secs(1);
+
 /// Silence after which a member is removed when the group is larger than it was founded. A host that restarts is back within this time as a rule.
 const REMOVE_AFTER: Millis = Millis(4_000);
 
@@ -46,34 +53,47 @@
     let join = Join { member: name, address: options.listen.to_string(), proofs: options.proofs() };
     let mut leader = None;
     let mut was_in = false;
+    let mut said: Option<Instant> = None;
     loop {
-        let known = match ask_here(&inputs).await {
-            Some(known) => known,
-            None => return,
-        };
-        let mut is_in = false;
+        let (reply, answer) = oneshot::channel();
+        if inputs.send(Input::Addresses(reply)).is_err() {
+            return;
+        }
+        let Ok(known) = answer.await else { return };
         let contacts = options.contacts.get();
-        for address in leader.take().into_iter().chain(known.clone()).chain(contacts.clone()) {
-            let Some(joined) = ask(&address, &join).await else { continue };
-            match joined {
-                Joined::Member => is_in = true,
-                Joined::Waiting => {}
-                Joined::NotLeader { leader: Some(other) } if other != address => {
-                    leader = Some(other);
-                    continue;
+        let addresses = leader.take().into_iter().chain(known.clone()).chain(contacts.clone());
+        let mut round = Round::new(addresses);
+        let mut answers = Vec::new();
+        let mut is_in = false;
+        while let Some(address) = round.next_address() {
+            match ask(&address, &join).await {
+                Some(Joined::NotLeader { leader: Some(other) }) => {
+                    answers.push(format!("{address} names {other}"));
+                    round.redirect(other);
                 }
-                Joined::NotLeader { .. } => continue,
+                Some(Joined::NotLeader { leader: None }) => {
+                    answers.push(format!("{address} knows no leader"));
+                }
+                Some(joined) => {
+                    is_in = joined == Joined::Member;
+                    answers.push(format!("{address} leads"));
+                    leader = Some(address);
+                    break;
+                }
+                None => answers.push(format!("{address} does not answer")),
             }
-            leader = Some(address);
-            break;
         }
         if is_in != was_in {
             was_in = is_in;
             info!(member = %join.member, is_in, "place in the control group");
         }
-        // A contact that is no member can only name members that it heard of.
+        if !is_in && said.is_none_or(|said| SAY_EVERY <= said.elapsed()) {
+            said = Some(Instant::now());
+            info!(member = %join.member, answers = answers.join("; "), "asked to be taken in");
+        }
+        // A contact that is no member can only name members that introduced themselves.
         for address in contacts.iter().filter(|contact| !known.contains(contact)) {
-            if *address != join.address {
+            if *address != join.address && !round.has_asked(address) {
                 let _ = ask(address, &join).await;
             }
         }
@@ -81,18 +101,17 @@
     }
 }
 
-async fn ask_here(inputs: &mpsc::Sender<Input>) -> Option<Vec<String>> {
-    let (reply, answer) = oneshot::channel();
-    inputs.send(Input::Addresses(reply)).ok()?;
-    answer.await.ok()
-}
-
 async fn ask(address: &str, join: &Join) -> Option<Joined> {
-    let client =
-        WsClientBuilder::default().request_timeout(ASK_BOUND).build(format!("ws://{address}"));
-    let client = actix_rt::time::timeout(ASK_BOUND, client).await.ok()?.ok()?;
-    let answer = client.request(method::JOIN, rpc_params![join]).await;
-    answer.inspect_err(|error| debug!(%address, %error, "no answer to a join")).ok()
+    let asking = async {
+        let client = WsClientBuilder::default().build(format!("ws://{address}")).await?;
+        client.request(method::JOIN, rpc_params![join]).await
+    };
+    match actix_rt::time::timeout(ASK_BOUND, asking).await {
+        Ok(answer) => {
+            answer.inspect_err(|error| debug!(%address, %error, "no answer to a join")).ok()
+        }
+        Err(_) => None,
+    }
 }
 
 impl Member {
--- a/crates/wasabi-control/src/lib.rs
+++ b/crates/wasabi-control/src/lib.rs
@@ -21,6 +21,7 @@
 mod options;
 mod record;
 mod relay;
+pub mod search;
 mod serve;
 mod server;
 
--- /dev/null
+++ b/crates/wasabi-control/src/repair.rs
@@ -0,0 +1,164 @@
+//! Decisions on the members of a group that repairs itself, without input or output.
+//!
+//! A member that is gone leaves before its successor gets a vote. The other order would need an
+//! answer of every other member, the new one included, to commit the removal.
+
+use std::fmt;
+
+use wasabi_consensus::{Change, Part, Status};
+use wasabi_protocol::{clock::Millis, id};
+
+use crate::record::Addresses;
+
+/// Silence after which a learner is removed, in milliseconds.
+const LEARNER_GONE_AFTER: Millis = Millis(4_000);
+
+/// Silence after which a voter is removed that the group can do without, in milliseconds. One that
+/// was only restarting asks to be taken in again.
+const VOTER_GONE_AFTER: Millis = Millis(2_000);
+
+/// Silence after which a voter is removed when another member answers at its address, in
+/// milliseconds: a process that lives answers heartbeats far sooner.
+const REPLACED_AFTER: Millis = Millis(1_000);
+
+/// Silence after which a member does not count as able to hold data, in milliseconds.
+pub const SILENT_AFTER: Millis = Millis(1_200);
+
+/// What the leader knows of its group.
+#[derive(Debug, Clone, Copy)]
+pub struct Situation<'a> {
+    /// The leader.
+    pub own: &'a id::Member,
+    /// The members in force.
+    pub members: &'a [Status],
+    /// The recorded addresses of members.
+    pub addresses: &'a Addresses,
+    /// The number of voters that the group keeps.
+    pub size: usize,
+}
+
+/// What a group that is short of a member waits for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Wait {
+    /// A host that asks to be taken in, or the return of a member.
+    Host,
+    /// An answer of a member that was added.
+    Answer(id::Member),
+    /// A member that was added and does not hold everything committed.
+    CatchUp(id::Member),
+    /// The next change of the members, and its commit.
+    Change,
+}
+
+/// What a group lacks.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Shortage {
+    /// Voters that do not answer.
+    pub silent: Vec<id::Member>,
+    /// Voters that answer.
+    pub answering: usize,
+    /// Voters in force.
+    pub voters: usize,
+    /// What the repair waits for.
+    pub wait: Wait,
+}
+
+impl fmt::Display for Wait {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Host => formatter.write_str("a host that asks to be taken in"),
+            Self::Answer(member) => write!(formatter, "an answer of {member}"),
+            Self::CatchUp(member) => write!(formatter, "{member} to catch up"),
+            Self::Change => formatter.write_str("a change of the members"),
+        }
+    }
+}
+
+impl Situation<'_> {
+    /// Returns the next change of the members: the removal of one that is gone, or else a vote for
+    /// a learner that has caught up.
+    pub fn next_change(&self) -> Option<Change> {
+        let gone = self.members.iter().find(|status| self.is_gone(status) && self.can_lose(status));
+        if let Some(gone) = gone {
+            return Some(Change::Remove(gone.member.clone()));
+        }
+        // With a silent voter, the commit of the promotion could need every other one.
+        if self.voters().any(|status| SILENT_AFTER <= status.unanswered()) {
+            return None;
+        }
+        let ready = self.learners().find(|status| status.has_caught_up)?;
+        Some(Change::Promote(ready.member.clone()))
+    }
+
+    /// Returns what the group lacks, or none when it is complete and every voter answers.
+    pub fn shortage(&self) -> Option<Shortage> {
+        let voters = self.voters().count();
+        let silent: Vec<_> = self
+            .voters()
+            .filter(|status| SILENT_AFTER <= status.unanswered())
+            .map(|status| status.member.clone())
+            .collect();
+        if silent.is_empty() && self.size <= voters {
+            return None;
+        }
+        let answering = self.voters().filter(|status| answers(status)).count();
+        Some(Shortage { silent, answering, voters, wait: self.wait() })
+    }
+
+    fn wait(&self) -> Wait {
+        if self.next_change().is_some() {
+            return Wait::Change;
+        }
+        match self.learners().max_by_key(|status| (answers(status), status.matched)) {
+            None => Wait::Host,
+            Some(status) if !answers(status) => Wait::Answer(status.member.clone()),
+            Some(status) if !status.has_caught_up => Wait::CatchUp(status.member.clone()),
+            Some(_) => Wait::Change,
+        }
+    }
+
+    fn is_gone(&self, status: &Status) -> bool {
+        let silent = status.unanswered();
+        if status.member == *self.own {
+            return false;
+        }
+        if status.part == Part::Learner {
+            return LEARNER_GONE_AFTER <= silent;
+        }
+        (self.has_substitute() && VOTER_GONE_AFTER <= silent)
+            || (self.has_successor(status) && REPLACED_AFTER <= silent)
+    }
+
+    /// Returns whether the group keeps its size without one of its voters.
+    fn has_substitute(&self) -> bool {
+        let is_large = self.size < self.voters().count();
+        is_large || self.learners().any(|status| status.has_caught_up)
+    }
+
+    /// Returns whether another member answers at the address of the member.
+    fn has_successor(&self, gone: &Status) -> bool {
+        let Some(address) = self.addresses.get(&gone.member) else { return false };
+        let mut others = self.members.iter().filter(|other| other.member != gone.member);
+        others.any(|other| answers(other) && self.addresses.get(&other.member) == Some(address))
+    }
+
+    /// Returns whether a quorum answers without the member.
+    fn can_lose(&self, gone: &Status) -> bool {
+        let rest = || self.voters().filter(|status| status.member != gone.member);
+        let answering = rest().filter(|status| answers(status)).count();
+        rest().count() / 2 < answering
+    }
+
+    fn voters(&self) -> impl Iterator<Item = &Status> {
+        self.members.iter().filter(|status| status.part == Part::Voter)
+    }
+
+    fn learners(&self) -> impl Iterator<Item = &Status> {
+        self.members.iter().filter(|status| status.part == Part::Learner)
+    }
+}
+
+/// Returns whether the member answered a moment ago.
+fn answers(status: &Status) -> bool {
+    status.silent.is_some_and(|silent| silent < SILENT_AFTER)
+}
--- a/crates/wasabi-control/tests/join.rs
+++ b/crates/wasabi-control/tests/join.rs
@@ -142,3 +142,61 @@
     assert_eq!(joined, Joined::NotLeader { leader: None });
     assert_eq!(observer.member(), Some(member.to_string()));
 }
+
+/// Introduces a member to a control host.
+async fn introduce(member: SocketAddr, to: SocketAddr) {
+    let client = WsClientBuilder::default().build(format!("ws://{to}")).await.unwrap();
+    let member = member.to_string();
+    let join = Join { member: member.as_str().into(), address: member, proofs: Vec::new() };
+    let _: Joined = client.request(method::JOIN, rpc_params![join]).await.unwrap();
+}
+
+/// Returns the place of the member that leads.
+async fn leader(addresses: &[SocketAddr]) -> usize {
+    let started = std::time::Instant::now();
+    loop {
+        for address in addresses {
+            let known = members(*address).await.unwrap_or_default();
+            if let Some(leader) = known.iter().find(|status| status.role == Role::Leader) {
+                let place = addresses.iter().position(|one| one.to_string() == leader.address);
+                return place.unwrap();
+            }
+        }
+        assert!(started.elapsed() < BOUND, "nobody leads");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Guards against a host that is never taken in, since its seeds are observers that know followers
+/// alone and what they name replaces the leader that a follower has just named.
+#[actix_rt::test]
+async fn a_host_whose_seeds_know_a_follower_finds_the_leader() {
+    let addresses = [free(), free(), free()];
+    let folders = [(); 4].map(|()| TempDir::new().unwrap());
+    // Without contacts, the founders introduce themselves to nobody.
+    let start = |index: usize| {
+        Running::start(options(addresses[index], &addresses, &[], folders[index].path()))
+    };
+    let (one, two, three) = tokio::join!(start(0), start(1), start(2));
+    let running = [one.unwrap(), two.unwrap(), three.unwrap()];
+    put(1, &[&running[0], &running[1], &running[2]]).await;
+    let observers = [free(), free()];
+    let (first, second) =
+        tokio::join!(Observer::start(observers[0]), Observer::start(observers[1]));
+    let _observers = (first.unwrap(), second.unwrap());
+    let follower = addresses[(leader(&addresses).await + 1) % 3];
+    for observer in observers {
+        introduce(follower, observer).await;
+    }
+    let host = free();
+    let joined = Running::start(options(host, &[], &observers, folders[3].path())).await.unwrap();
+    wait(addresses[0], "the host that was taken in", |members| {
+        let is_voter = |status: &&MemberStatus| status.role != Role::Learner;
+        members.iter().filter(is_voter).any(|status| status.address == host.to_string())
+    })
+    .await;
+    stop(joined).await;
+    for one in running {
+        stop(one).await;
+    }
+}
