control: a member goes on introducing itself after its disk refused a write

Only because the leader was unknown to the seeds could a lost host fail to find it.

Cause: the task that asks for a place and introduces the member to its seeds ended with the first question that its control thread did not answer. A thread that starts anew from its disk, after a full disk, discards what waits, so that one refused write ended the task for the life of the process. A member that was removed while it was silent would not have come back either.

Change: the task ends only when the control thread has ended.

Before / after: a_member_introduces_itself_after_its_disk_refused_a_write fails (nobody introduced after 10 s) / passes.

--- a/crates/wasabi-control/src/join.rs
+++ b/crates/wasabi-control/src/join.rs
@@ -59,7 +59,8 @@
         if inputs.send(Input::Addresses(reply)).is_err() {
             return;
         }
-        let Ok(known) = answer.await else { return };
+        // No answer comes while the member starts anew from its disk.
+        let known = answer.await.unwrap_or_default();
         let contacts = options.contacts.get();
         let addresses = leader.take().into_iter().chain(known.clone()).chain(contacts.clone());
         let mut round = Round::new(addresses);
--- a/crates/wasabi-control/tests/join.rs
+++ b/crates/wasabi-control/tests/join.rs
@@ -1,7 +1,11 @@
 //! Tests of a group whose members join and leave without an operator.
 #![allow(clippy::unwrap_used, reason = "a test ends at the first error")]
 
-use std::{net::SocketAddr, path::Path, time::Duration};
+use std::{
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    time::Duration,
+};
 
 use jsonrpsee::{core::client::ClientT as _, rpc_params, ws_client::WsClientBuilder};
 use tempfile::TempDir;
@@ -200,3 +204,47 @@
         stop(one).await;
     }
 }
+
+/// Puts a file in the place of the member's folder, and returns once the member has seen that its
+/// disk refuses writes, and where the folder is.
+async fn refuse_writes(folder: &Path, running: &Running) -> PathBuf {
+    let away = folder.with_extension("away");
+    std::fs::rename(folder, &away).unwrap();
+    std::fs::write(folder, "").unwrap();
+    let started = std::time::Instant::now();
+    for version in 100_u64.. {
+        let config = site::Config { version, ..site::Config::default() };
+        let document = site::Document { config, source: version.to_string() };
+        // A snapshot, which needs a new file, is taken after nearly each change.
+        if matches!(running.local().put_site(document).await, Proposed::Unknown) {
+            break;
+        }
+        assert!(started.elapsed() < BOUND, "the disk takes writes");
+    }
+    away
+}
+
+/// Guards against a member that introduces itself to nobody any more after its disk refused a
+/// write, so that hosts which only know observers do not find it.
+#[actix_rt::test]
+async fn a_member_introduces_itself_after_its_disk_refused_a_write() {
+    let (address, listen) = (free(), free());
+    let parent = TempDir::new().unwrap();
+    let folder = parent.path().join("member");
+    let member = options(address, &[address], &[free()], &folder);
+    let contacts = member.contacts.clone();
+    let running = Running::start(Options { snapshot_every: 1, ..member }).await.unwrap();
+    put(1, &[&running]).await;
+    let away = refuse_writes(&folder, &running).await;
+    let observer = Observer::start(listen).await.unwrap();
+    contacts.set(vec![listen.to_string()]);
+    let started = std::time::Instant::now();
+    while observer.member().is_none() {
+        assert!(started.elapsed() < BOUND, "the member does not introduce itself");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    std::fs::remove_file(&folder).unwrap();
+    std::fs::rename(&away, &folder).unwrap();
+    put(1_000_000, &[&running]).await;
+    stop(running).await;
+}
