control: a stop ends a member whose disk refuses writes

Callers saw: nothing yet; found on asking where else the discarded inputs of a member that starts anew matter.

Cause: the planned stop was discarded with the other inputs, so that the process ignored SIGTERM until it was killed.

Change: a member without a usable disk ends on a stop; it leads nothing and has nothing to hand over.

Before / after: a_member_whose_disk_refuses_writes_can_be_stopped fails (no end after 10 s) / passes.

--- a/crates/wasabi-control/src/server.rs
+++ b/crates/wasabi-control/src/server.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError, mpsc},
+    sync::{
+        Arc, Mutex, PoisonError,
+        mpsc::{self, TryRecvError},
+    },
     thread,
     time::Duration,
 };
@@ -205,8 +208,9 @@
         };
         error!(%error, "the member starts anew from its disk");
         start = loop {
-            // Whoever waits is answered that nothing is known.
-            while inputs.try_recv().is_ok() {}
+            if !discard(inputs) {
+                return Ok(());
+            }
             thread::sleep(DISK_AGAIN_AFTER);
             match founding::reopen(options) {
                 Ok(start) => break start,
@@ -216,6 +220,18 @@
     }
 }
 
+/// Discards what waits, so that whoever sent it is answered that nothing is known. Returns whether
+/// the member goes on: without a log there is nothing to hand over before a stop.
+fn discard(inputs: &mpsc::Receiver<Input>) -> bool {
+    loop {
+        match inputs.try_recv() {
+            Ok(Input::Stop) | Err(TryRecvError::Disconnected) => return false,
+            Ok(_) => {}
+            Err(TryRecvError::Empty) => return true,
+        }
+    }
+}
+
 /// What connections need.
 #[derive(Debug, Clone)]
 struct Shared {
--- a/crates/wasabi-control/tests/join.rs
+++ b/crates/wasabi-control/tests/join.rs
@@ -248,3 +248,17 @@
     put(1_000_000, &[&running]).await;
     stop(running).await;
 }
+
+/// Guards against a planned stop that is discarded while the disk refuses writes.
+#[actix_rt::test]
+async fn a_member_whose_disk_refuses_writes_can_be_stopped() {
+    let address = free();
+    let parent = TempDir::new().unwrap();
+    let folder = parent.path().join("member");
+    let member = options(address, &[address], &[], &folder);
+    let mut running = Running::start(Options { snapshot_every: 1, ..member }).await.unwrap();
+    put(1, &[&running]).await;
+    refuse_writes(&folder, &running).await;
+    running.stop();
+    tokio::time::timeout(BOUND, running.ended()).await.unwrap().unwrap();
+}
