control: a folder that is empty for a while is not taken for a new member's

Cause: a member that starts anew after its disk refused a write reads the name of its folder's owner, and made a new name when the folder was empty, as before a disk is mounted again. The process went on as a new member under the links and the name of the old one.

Change: only a start of the process makes a name; a member that starts anew waits for its own folder. A host that starts outside of a group logs what remedies that.

Before / after: a_member_whose_folder_is_empty_for_a_while_stays_the_same fails (the folder holds a new log) / passes.

--- a/crates/wasabi-control/src/founding.rs
+++ b/crates/wasabi-control/src/founding.rs
@@ -79,8 +79,11 @@
 ///
 /// # Errors
 ///
-/// Returns an error when the folder cannot be used.
+/// Returns an error when the folder cannot be used. One without the member's name is not that of a
+/// new member: its disk may not be mounted.
 pub(crate) fn reopen(options: &Options) -> Result<Start, Error> {
+    let folder = &options.data;
+    std::fs::metadata(folder.join(identity::FILE_NAME)).context(FileSnafu { folder })?;
     let identity =
         identity::load_or_create(&options.data, options.name.as_str()).context(LogSnafu)?;
     let (log, restored) = open(&options.data)?;
@@ -118,11 +121,12 @@
         return found(options, folder);
     }
     if !has_members {
-        warn!(
-            member = %identity.member,
-            address = %options.listen,
-            "not in a group; add this member with `wasabi members add`"
-        );
+        let remedy = if options.contacts.get().is_empty() {
+            "add this member with `wasabi members add`"
+        } else {
+            "it asks to be taken in"
+        };
+        warn!(member = %identity.member, address = %options.listen, remedy, "not in a group");
     }
     Ok(Start { name: identity.member, log, restored })
 }
--- a/crates/wasabi-control/tests/join.rs
+++ b/crates/wasabi-control/tests/join.rs
@@ -262,3 +262,28 @@
     running.stop();
     tokio::time::timeout(BOUND, running.ended()).await.unwrap().unwrap();
 }
+
+/// Guards against a member that goes on as a new one, under the links and the name of the old one,
+/// when its folder is empty for a while, as before a disk is mounted again.
+#[actix_rt::test]
+async fn a_member_whose_folder_is_empty_for_a_while_stays_the_same() {
+    let address = free();
+    let parent = TempDir::new().unwrap();
+    let folder = parent.path().join("member");
+    let member = options(address, &[address], &[], &folder);
+    let running = Running::start(Options { snapshot_every: 1, ..member }).await.unwrap();
+    put(1, &[&running]).await;
+    let away = refuse_writes(&folder, &running).await;
+    std::fs::remove_file(&folder).unwrap();
+    std::fs::create_dir(&folder).unwrap();
+    // More than one look at the folder falls into this time.
+    let started = std::time::Instant::now();
+    while started.elapsed() < Duration::from_millis(1_000) {
+        assert_eq!(std::fs::read_dir(&folder).unwrap().count(), 0);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    std::fs::remove_dir(&folder).unwrap();
+    std::fs::rename(&away, &folder).unwrap();
+    put(1_000_000, &[&running]).await;
+    stop(running).await;
+}
