consensus, control: a member that was just added is not removed for its silence before

Callers saw: a lost host that took its place only at the third attempt; on a slower host or link, it would have been added and removed without end.

Cause: the leader counted a member that had not answered yet as silent since it began to lead.

Change: the status of a member says for how long this leader has sent to it, and silence is counted from there.

--- a/crates/wasabi-consensus/src/change.rs
+++ b/crates/wasabi-consensus/src/change.rs
@@ -41,7 +41,7 @@
         if let State::Leader(leader) = &mut self.state {
             leader.peers.retain(|member, _| next.contains(member));
             for member in next.all().filter(|member| **member != self.config.id) {
-                let progress = || Progress::new(position.index);
+                let progress = || Progress::new(position.index, now);
                 leader.peers.entry(member.clone()).or_insert_with(progress);
             }
         }
@@ -78,8 +78,12 @@
         }
         let Change::Promote(member) = change else { return None };
         let peer = leader.peers.get(member)?;
+        (!self.has_caught_up(now, peer)).then_some(Reason::NotCaughtUp)
+    }
+
+    /// Returns whether the member holds everything committed and answered a moment ago.
+    pub(crate) fn has_caught_up(&self, now: Millis, peer: &Progress) -> bool {
         let recent = peer.contact.is_some_and(|at| now < at + self.config.election_min);
-        let caught_up = recent && self.commit <= peer.matched;
-        (!caught_up).then_some(Reason::NotCaughtUp)
+        recent && self.commit <= peer.matched
     }
 }
--- a/crates/wasabi-consensus/src/election.rs
+++ b/crates/wasabi-consensus/src/election.rs
@@ -159,7 +159,7 @@
         self.state = State::Leader(Leader {
             elected: now,
             heartbeat: now,
-            peers: others.map(|member| (member.clone(), Progress::new(next))).collect(),
+            peers: others.map(|member| (member.clone(), Progress::new(next, now))).collect(),
             transfer: None,
         });
         self.leader = Some(self.config.id.clone());
--- a/crates/wasabi-consensus/src/membership.rs
+++ b/crates/wasabi-consensus/src/membership.rs
@@ -84,4 +84,17 @@
     pub matched: Option<u64>,
     /// Time since the leader sent the last message that the member answered, in milliseconds.
     pub silent: Option<Millis>,
+    /// Time since this leader began to send to the member, in milliseconds.
+    pub followed: Option<Millis>,
+    /// Whether the leader would give the member its vote now.
+    pub has_caught_up: bool,
+}
+
+impl Status {
+    /// Returns the time for which this leader has had no answer, in milliseconds. A member that
+    /// was added a moment ago has not been silent before.
+    pub fn unanswered(&self) -> Millis {
+        let followed = self.followed.unwrap_or(Millis::ZERO);
+        self.silent.unwrap_or(followed).min(followed)
+    }
 }
--- a/crates/wasabi-consensus/src/node.rs
+++ b/crates/wasabi-consensus/src/node.rs
@@ -154,18 +154,29 @@
     /// Returns what is known of each member in force.
     pub fn members(&self, now: Millis) -> Vec<Status> {
         let membership = self.log.membership();
+        let peers = match &self.state {
+            State::Leader(leader) => Some(&leader.peers),
+            _ => None,
+        };
         let status = |member: &id::Member| {
             let part = if membership.voters.contains(member) { Part::Voter } else { Part::Learner };
-            let (matched, silent) = if *member == self.config.id {
-                (Some(self.durable.index()), Some(Millis::ZERO))
-            } else if let State::Leader(leader) = &self.state {
-                let peer = leader.peers.get(member);
-                let contact = peer.and_then(|peer| peer.contact);
-                (peer.map(|peer| peer.matched), contact.map(|contact| now.since(contact)))
-            } else {
-                (None, None)
-            };
-            Status { member: member.clone(), part, matched, silent }
+            let is_own = *member == self.config.id;
+            let peer = peers.and_then(|peers| peers.get(member));
+            let contact = peer.and_then(|peer| peer.contact);
+            Status {
+                member: member.clone(),
+                part,
+                matched: match is_own {
+                    true => Some(self.durable.index()),
+                    false => peer.map(|peer| peer.matched),
+                },
+                silent: match is_own {
+                    true => Some(Millis::ZERO),
+                    false => contact.map(|contact| now.since(contact)),
+                },
+                followed: peer.map(|peer| now.since(peer.since)),
+                has_caught_up: is_own || peer.is_some_and(|peer| self.has_caught_up(now, peer)),
+            }
         };
         membership.all().map(status).collect()
     }
--- a/crates/wasabi-consensus/src/progress.rs
+++ b/crates/wasabi-consensus/src/progress.rs
@@ -31,14 +31,16 @@
     pub(crate) next: u64,
     /// The highest index that the member holds durably.
     pub(crate) matched: u64,
+    /// When the leader began to send to the member.
+    pub(crate) since: Millis,
     /// The leader's clock before the latest message that the member answered was sent.
     pub(crate) contact: Option<Millis>,
     pub(crate) mode: Mode,
 }
 
 impl Progress {
-    pub(crate) const fn new(next: u64) -> Self {
-        Self { next, matched: 0, contact: None, mode: Mode::Probe }
+    pub(crate) const fn new(next: u64, since: Millis) -> Self {
+        Self { next, matched: 0, since, contact: None, mode: Mode::Probe }
     }
 }
 
--- a/crates/wasabi-consensus/tests/node.rs
+++ b/crates/wasabi-consensus/tests/node.rs
@@ -152,3 +152,24 @@
     answer(&mut node, "d", 4);
     assert!(node.settled());
 }
+
+/// Guards against a member that is taken for one that is gone before it could answer at all, since
+/// the leader has led for long.
+#[test]
+fn a_member_that_was_just_added_has_not_been_silent_before() {
+    let mut node = leader();
+    answer(&mut node, "b", 2);
+    let late = LATER + Millis(1_000);
+    let reply = Message::AppendReply { term: 1, verdict: Verdict::Matched(2), sent: late };
+    node.step(late, Event::Receive(member("b"), reply));
+    let change = Change::AddLearner(member("d"));
+    node.step(late, Event::ChangeMembers { change, request: 1 });
+    let unanswered = |node: &Node, now| {
+        let members = node.members(now);
+        let learner = members.iter().find(|status| status.member == member("d")).unwrap();
+        assert_eq!(learner.silent, None);
+        learner.unanswered()
+    };
+    assert_eq!(unanswered(&node, late), Millis::ZERO);
+    assert_eq!(unanswered(&node, late + Millis(300)), Millis(300));
+}
--- a/crates/wasabi-control/src/join.rs
+++ b/crates/wasabi-control/src/join.rs
@@ -155,9 +155,8 @@
         };
         let founders = self.options.members.len().max(FOUNDERS_MIN);
         let is_large = founders < membership.voters.len();
-        let led = now.since(self.duties.since);
         let gone = self.group.members(now).into_iter().find(|status| {
-            let silent = status.silent.unwrap_or(led).min(led);
+            let silent = status.unanswered();
             let is_voter = membership.voters.contains(&status.member);
             status.member != self.name
                 && ((REMOVE_AFTER <= silent && (is_large || !is_voter))
--- a/crates/wasabi-control/src/lead.rs
+++ b/crates/wasabi-control/src/lead.rs
@@ -26,8 +26,6 @@
     pub(crate) forces: Vec<ForceWait>,
     pub(crate) moves: Book,
     under_way: Vec<Duty>,
-    /// When this member began to lead.
-    pub(crate) since: Millis,
     next: Millis,
 }
 
@@ -41,11 +39,6 @@
 }
 
 impl Duties {
-    /// Returns the duties of a leader that begins to lead at `now`.
-    pub(crate) fn starting(now: Millis) -> Self {
-        Self { since: now, ..Self::default() }
-    }
-
     /// Marks a duty as under way; returns whether it was not.
     pub(crate) fn begin(&mut self, duty: Duty) -> bool {
         if self.under_way.contains(&duty) {
--- a/crates/wasabi-control/src/member.rs
+++ b/crates/wasabi-control/src/member.rs
@@ -300,7 +300,7 @@
                     info!(term, "leading");
                     let (view, revision) = (self.machine.view(), self.machine.revision());
                     self.liveness = Liveness::new(self.clock.now(), view, revision);
-                    self.duties = Duties::starting(self.clock.now());
+                    self.duties = Duties::default();
                 }
                 Effect::StepDown => self.step_down(),
                 Effect::Halt(reason) => return HaltedSnafu { reason }.fail(),
