control: a voter that is gone leaves before its successor votes, and a shortage is logged

Callers saw: nothing of this alone. It is the time for which a group bears no further loss: with four voters of which one is gone, three must answer, the new one included. A further disk lost then would have ended the group.

Cause: a gone voter was removed only after its successor had its vote, and after four seconds of silence counted from the leader's election at the earliest. A successor got its vote only while it asked for it. A host that is replaced as planned stops answering after its successor started, so that four seconds were longer than the time after which a further loss must be borne.

Change: the decisions stand in repair.rs, without input or output. A voter that is gone is removed first: at an address where another member answers after 1 s of silence, and otherwise after 2 s when the group keeps its size without it. A learner that has caught up is promoted by the leader's own duty, unless a voter is silent, since the commit could need every other one.

The leader logs since when the group is short of a member, who is silent and what the repair waits for, and shows it as short_seconds and voters.

--- a/crates/wasabi-control/src/join.rs
+++ b/crates/wasabi-control/src/join.rs
@@ -1,8 +1,8 @@
 //! Membership without an operator: hosts join by themselves, and members that are gone leave.
 //!
 //! A member asks the leader to be taken in, again and again, so that one that was removed while it
-//! was silent comes back by itself. The leader adds it without a vote, promotes it once it has
-//! caught up, and only then removes the member that it replaces; one change at a time.
+//! was silent comes back by itself. The leader adds it without a vote; [`crate::repair`] decides
+//! when it gets one and which members leave, one change at a time.
 
 use std::{
     sync::mpsc,
@@ -11,8 +11,7 @@
 
 use jsonrpsee::{core::client::ClientT as _, rpc_params, ws_client::WsClientBuilder};
 use tokio::sync::oneshot;
-use tracing::{debug, info};
-use wasabi_consensus::Change;
+use tracing::{debug, info, warn};
 use wasabi_protocol::{
     clock::Millis,
     id,
@@ -21,8 +20,9 @@
 
 use crate::{
     input::Input,
-    member::{Duty, Member},
+    member::Member,
     options::Options,
+    repair::{Shortage, Situation},
     search::Round,
 };
 
@@ -38,15 +38,11 @@
 /// Shortest time between two log lines of a member that is not taken in.
 const SAY_EVERY: Duration = Duration::from_secs(1);
 
-/// Silence after which a member is removed when the group is larger than it was founded. A host that restarts is back within this time as a rule.
-const REMOVE_AFTER: Millis = Millis(4_000);
+/// Time between two log lines about a group that is short of a member, in milliseconds.
+const SHORT_EVERY: Millis = Millis(5_000);
 
-/// Members that a group of at least so many voters keeps.
-const FOUNDERS_MIN: usize = 3;
-
-/// Silence after which a member is removed when another one serves its address: a process that
-/// lives answers heartbeats far sooner.
-const REPLACED_AFTER: Millis = Millis(1_000);
+/// Voters that a group which repairs itself keeps at least.
+const SIZE_MIN: usize = 3;
 
 /// Asks to be in the group until the control thread has ended.
 pub(crate) async fn run(name: id::Member, options: Options, inputs: mpsc::Sender<Input>) {
@@ -125,7 +121,10 @@
         if self.group.membership().voters.contains(&join.member) {
             return Joined::Member;
         }
-        let _ = self.add_member(&join.member, &join.address);
+        // The vote of one that is added already is decided by the repair.
+        if !self.group.membership().learners.contains(&join.member) {
+            let _ = self.add_member(&join.member, &join.address);
+        }
         Joined::Waiting
     }
 
@@ -140,33 +139,57 @@
         leader.into_iter().chain(others).collect()
     }
 
-    /// Removes one member that is gone, as [`REMOVE_AFTER`] says.
-    pub(crate) fn remove_gone(&mut self) {
-        if !self.options.self_repair {
-            return;
-        }
+    /// Takes the next step of the repair, and shows what the group lacks.
+    pub(crate) fn repair(&mut self) {
         let now = self.clock.now();
-        let membership = self.group.membership();
-        let address = |member: &id::Member| self.addresses.get(member);
-        let is_replaced = |member: &id::Member| {
-            let others = membership.voters.iter().filter(|other| *other != member);
-            address(member).is_some()
-                && others.into_iter().any(|other| address(other) == address(member))
+        let members = self.group.members(now);
+        let founders = self.options.members.len();
+        let situation = Situation {
+            own: &self.name,
+            members: &members,
+            addresses: &self.addresses,
+            size: if self.options.self_repair { founders.max(SIZE_MIN) } else { founders },
         };
-        let founders = self.options.members.len().max(FOUNDERS_MIN);
-        let is_large = founders < membership.voters.len();
-        let gone = self.group.members(now).into_iter().find(|status| {
-            let silent = status.unanswered();
-            let is_voter = membership.voters.contains(&status.member);
-            status.member != self.name
-                && ((REMOVE_AFTER <= silent && (is_large || !is_voter))
-                    || (is_replaced(&status.member) && REPLACED_AFTER <= silent))
-        });
-        let Some(gone) = gone else { return };
-        let change = Change::Remove(gone.member.clone());
-        if self.can_lose(&change) && self.duties.begin(Duty::Members) {
-            info!(member = %gone.member, silent = ?gone.silent, "removing a member that is gone");
-            self.order_change(change);
+        let change = situation.next_change().filter(|_| self.options.self_repair);
+        let shortage = situation.shortage();
+        self.show_shortage(now, shortage);
+        if let Some(change) = change {
+            self.change(change);
+        }
+    }
+
+    /// Logs a shortage when it begins, when it waits for something else, and again and again.
+    fn show_shortage(&mut self, now: Millis, shortage: Option<Shortage>) {
+        let short = &mut self.duties.short;
+        let Some(shortage) = shortage else {
+            if let Some(short) = short.take() {
+                let short_ms = now.since(short.since).0;
+                info!(short_ms, "the control group has all its members again");
+            }
+            return;
+        };
+        let is_new = match short {
+            Some(short) => short.shortage != shortage || SHORT_EVERY <= now.since(short.said),
+            None => true,
+        };
+        let since = short.as_ref().map_or(now, |short| short.since);
+        if is_new {
+            let silent: Vec<_> = shortage.silent.iter().map(id::Member::as_str).collect();
+            warn!(
+                silent = silent.join(","), answering = shortage.answering, voters = shortage.voters,
+                short_ms = now.since(since).0, waits_for = %shortage.wait,
+                "the control group is short of a member"
+            );
+            *short = Some(Short { since, said: now, shortage });
         }
     }
 }
+
+/// A shortage since this member began to lead, or later.
+#[derive(Debug)]
+pub(crate) struct Short {
+    pub(crate) since: Millis,
+    /// When it was logged last.
+    said: Millis,
+    shortage: Shortage,
+}
--- a/crates/wasabi-control/src/lead.rs
+++ b/crates/wasabi-control/src/lead.rs
@@ -12,6 +12,7 @@
 };
 
 use crate::{
+    join::Short,
     member::{Duty, Member},
     moves::Book,
     record::Item,
@@ -25,6 +26,8 @@
 pub(crate) struct Duties {
     pub(crate) forces: Vec<ForceWait>,
     pub(crate) moves: Book,
+    /// What the group lacks, if anything.
+    pub(crate) short: Option<Short>,
     under_way: Vec<Duty>,
     next: Millis,
 }
@@ -77,7 +80,7 @@
         if let Some((member, address)) = self.unrecorded_address() {
             self.propose_duty(Duty::Address, Item::Address { member, address });
         }
-        self.remove_gone();
+        self.repair();
         self.drive_moves();
     }
 
--- a/crates/wasabi-control/src/member.rs
+++ b/crates/wasabi-control/src/member.rs
@@ -331,6 +331,10 @@
         set(&metrics.keys, size.keys as u64);
         set(&metrics.key_bytes, size.key_bytes as u64);
         set(&metrics.serving_entries, serving as u64);
+        let short = self.duties.short.as_ref();
+        let short_for = short.map_or(Millis::ZERO, |short| self.clock.now().since(short.since));
+        metrics.short_seconds.set(short_for.seconds());
+        set(&metrics.voters, self.group.membership().voters.len() as u64);
     }
 
     fn commit(&mut self, index: u64, term: u64, data: &Payload) -> Result<(), Error> {
--- a/crates/wasabi-control/src/members.rs
+++ b/crates/wasabi-control/src/members.rs
@@ -1,8 +1,8 @@
 //! Changes of the control group by an operator.
 
+use tracing::info;
 use wasabi_consensus::{Change, Membership};
 use wasabi_protocol::{
-    clock::Millis,
     fault::{Fault, Kind},
     id,
     rpc::{ChangeMembers, MemberChange, MembersChanged},
@@ -11,11 +11,9 @@
 use crate::{
     member::{Duty, Member, Waiting},
     record::Item,
+    repair::SILENT_AFTER,
 };
 
-/// Silence after which a member does not count as able to hold data, in milliseconds.
-const SILENT_AFTER: Millis = Millis(1_200);
-
 impl Member {
     /// Takes the next step of a change and tells whether it is done. The operator's command calls
     /// this again until it is, so that it goes on under a new leader.
@@ -73,12 +71,6 @@
         self.waiting(format!("{member} is being removed"))
     }
 
-    /// Returns whether a quorum still answers after the change.
-    pub(crate) fn can_lose(&self, change: &Change) -> bool {
-        let next = self.group.membership().after(change);
-        next.is_some_and(|next| next.quorum() <= self.answering(&next))
-    }
-
     /// Returns how many voters of a membership were heard of late.
     fn answering(&self, next: &Membership) -> usize {
         self.group
@@ -90,14 +82,11 @@
     }
 
     /// Orders a change of the members unless one is under way.
-    fn change(&mut self, change: Change) {
-        if self.duties.begin(Duty::Members) {
-            self.order_change(change);
+    pub(crate) fn change(&mut self, change: Change) {
+        if !self.duties.begin(Duty::Members) {
+            return;
         }
-    }
-
-    /// Orders a change of the members whose duty has begun.
-    pub(crate) fn order_change(&mut self, change: Change) {
+        info!(?change, "changing the members of the control group");
         let request = self.wait(Waiting::Duty(Duty::Members));
         self.group.change(self.clock.now(), change, request);
     }
--- a/crates/wasabi-control/src/metrics.rs
+++ b/crates/wasabi-control/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics of one member.
 
-use std::sync::Arc;
+use std::sync::{Arc, atomic::AtomicU64};
 
 use prometheus_client::{
     metrics::{counter::Counter, gauge::Gauge},
@@ -17,6 +17,8 @@
     pub(crate) keys: Gauge,
     pub(crate) key_bytes: Gauge,
     pub(crate) serving_entries: Gauge,
+    pub(crate) voters: Gauge,
+    pub(crate) short_seconds: Gauge<f64, AtomicU64>,
     pub(crate) commits: Counter,
 }
 
@@ -32,9 +34,15 @@
             ("keys", "At-most-once records", &self.keys),
             ("key_bytes", "Bytes accounted to at-most-once records", &self.key_bytes),
             ("serving_entries", "Entries of the view that take new callers", &self.serving_entries),
+            ("voters", "Voters of the control group that this member knows", &self.voters),
         ] {
             registry.register(name, help, gauge.clone());
         }
+        registry.register(
+            "short_seconds",
+            "Time for which the group that this member leads has been short of a member, in seconds",
+            self.short_seconds.clone(),
+        );
         registry.register("commits", "Committed log entries", self.commits.clone());
         Arc::new(registry)
     }
--- a/crates/wasabi-control/src/record.rs
+++ b/crates/wasabi-control/src/record.rs
@@ -34,7 +34,7 @@
 }
 
 /// The addresses of the control members, by name.
-pub(crate) type Addresses = BTreeMap<id::Member, String>;
+pub type Addresses = BTreeMap<id::Member, String>;
 
 /// Why stored bytes cannot be read or written.
 #[derive(Debug)]
