control: a learner gets no vote before every voter has answered the leader

Cause: right after an election a voter that is gone has not been silent for long, so it did not count as silent.

Change: a promotion waits until every voter has answered this leader a moment ago, or is removed.

Before / after: a_learner_gets_no_vote_before_every_voter_answered fails / passes.

--- a/crates/wasabi-control/src/repair.rs
+++ b/crates/wasabi-control/src/repair.rs
@@ -82,8 +82,8 @@
         if let Some(gone) = gone {
             return Some(Change::Remove(gone.member.clone()));
         }
-        // With a silent voter, the commit of the promotion could need every other one.
-        if self.voters().any(|status| SILENT_AFTER <= status.unanswered()) {
+        // Without an answer of one voter, the commit of the promotion could need every other one.
+        if !self.voters().all(answers) {
             return None;
         }
         let ready = self.learners().find(|status| status.has_caught_up)?;
--- a/crates/wasabi-control/tests/repair.rs
+++ b/crates/wasabi-control/tests/repair.rs
@@ -90,6 +90,15 @@
     assert_eq!(next_change(&large), remove("c"));
 }
 
+/// Guards against a leader that promotes right after its election, when it does not know yet that a
+/// voter is gone.
+#[test]
+fn a_learner_gets_no_vote_before_every_voter_answered() {
+    let unheard = Status { silent: None, followed: Some(Millis(100)), ..voter("c", 0) };
+    let members = [voter("a", 0), voter("b", 100), unheard, learner("c-2", 50)];
+    assert_eq!(next_change(&members), None);
+}
+
 /// Guards against a restart that costs a member its place although nobody could take it.
 #[test]
 fn a_silent_voter_without_a_substitute_stays() {
