control: hosts without a member name the leader

Callers saw: nothing that is proved.

Cause: an introduction did not say who leads, and the host named a random one.

Change: members say in their introduction which leader answered them last.

--- a/crates/wasabi-control/src/join.rs
+++ b/crates/wasabi-control/src/join.rs
@@ -46,7 +46,12 @@
 
 /// Asks to be in the group until the control thread has ended.
 pub(crate) async fn run(name: id::Member, options: Options, inputs: mpsc::Sender<Input>) {
-    let join = Join { member: name, address: options.listen.to_string(), proofs: options.proofs() };
+    let mut join = Join {
+        member: name,
+        address: options.listen.to_string(),
+        proofs: options.proofs(),
+        leader: None,
+    };
     let mut leader = None;
     let mut was_in = false;
     let mut said: Option<Instant> = None;
@@ -62,6 +67,7 @@
         let mut round = Round::new(addresses);
         let mut answers = Vec::new();
         let mut is_in = false;
+        join.leader = None;
         while let Some(address) = round.next_address() {
             match ask(&address, &join).await {
                 Some(Joined::NotLeader { leader: Some(other) }) => {
@@ -88,6 +94,7 @@
             said = Some(Instant::now());
             info!(member = %join.member, answers = answers.join("; "), "asked to be taken in");
         }
+        join.leader.clone_from(&leader);
         // A contact that is no member can only name members that introduced themselves.
         for address in contacts.iter().filter(|contact| !known.contains(contact)) {
             if *address != join.address && !round.has_asked(address) {
--- a/crates/wasabi-control/src/lib.rs
+++ b/crates/wasabi-control/src/lib.rs
@@ -8,6 +8,7 @@
 mod group;
 mod heard;
 mod input;
+mod introductions;
 mod join;
 mod lead;
 mod link;
@@ -26,6 +27,7 @@
 mod serve;
 mod server;
 
+pub use introductions::Introductions;
 pub use liveness::{Liveness, SILENT_AFTER};
 pub use local::{Local, MoveOrder, Read};
 pub use metrics::Metrics;
--- a/crates/wasabi-control/src/observer.rs
+++ b/crates/wasabi-control/src/observer.rs
@@ -5,10 +5,8 @@
 //! given.
 
 use std::{
-    collections::BTreeMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
-    time::{Duration, Instant},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
 use jsonrpsee::{
@@ -17,15 +15,22 @@
     types::{ErrorObjectOwned, Params},
 };
 use snafu::ResultExt as _;
-use wasabi_protocol::rpc::{Checked, Join, Joined, Proposed, method};
-
-use crate::server::{Error, ListenSnafu, MethodsSnafu};
+use wasabi_protocol::{
+    clock::Clock,
+    rpc::{Checked, Join, Joined, Proposed, method},
+};
 
-/// Time after which a member that did not introduce itself again is forgotten.
-const FORGET: Duration = Duration::from_secs(10);
+use crate::{
+    introductions::Introductions,
+    server::{Error, ListenSnafu, MethodsSnafu},
+};
 
-/// The addresses of the members, with the time of their last introduction.
-type Members = Arc<Mutex<BTreeMap<String, Instant>>>;
+/// What the members said, with the clock that their introductions are timed by.
+#[derive(Debug, Clone)]
+struct Members {
+    clock: Clock,
+    known: Arc<Mutex<Introductions>>,
+}
 
 /// An observer that listens.
 #[derive(Debug, Clone)]
@@ -46,43 +51,41 @@
             .build(listen)
             .await
             .context(ListenSnafu { address: listen })?;
-        let members = Members::default();
-        let mut module = RpcModule::new(Arc::clone(&members));
+        let members = Members { clock: Clock::start(), known: Arc::default() };
+        let mut module = RpcModule::new(members.clone());
         module
             .register_method(method::JOIN, |params: Params<'_>, members, _| {
                 let join: Join = params.one()?;
-                let leader = any(members);
-                lock(members).insert(join.address, Instant::now());
+                let leader = members.named();
+                members.lock().add(members.clock.now(), join.address, join.leader);
                 Ok::<_, ErrorObjectOwned>(Joined::NotLeader { leader })
             })
             .context(MethodsSnafu)?;
         module
             .register_method(method::CONTROL_HEARTBEAT, |_, members, _| {
-                Ok::<_, ErrorObjectOwned>(Checked::NotLeader { leader: any(members) })
+                Ok::<_, ErrorObjectOwned>(Checked::NotLeader { leader: members.named() })
             })
             .context(MethodsSnafu)?;
         module
             .register_method(method::PROPOSE, |_, members, _| {
-                Ok::<_, ErrorObjectOwned>(Proposed::NotLeader { leader: any(members) })
+                Ok::<_, ErrorObjectOwned>(Proposed::NotLeader { leader: members.named() })
             })
             .context(MethodsSnafu)?;
         Ok(Self { members, _server: server.start(module) })
     }
 
-    /// Returns the address of a member, if any introduced itself lately.
+    /// Returns the address of the leader, or of a member that introduced itself lately.
     pub fn member(&self) -> Option<String> {
-        any(&self.members)
+        self.members.named()
     }
 }
 
-fn any(members: &Members) -> Option<String> {
-    let mut members = lock(members);
-    members.retain(|_, heard| heard.elapsed() < FORGET);
-    let addresses: Vec<_> = members.keys().cloned().collect();
-    drop(members);
-    fastrand::choice(addresses)
-}
+impl Members {
+    fn named(&self) -> Option<String> {
+        self.lock().named(self.clock.now())
+    }
 
-fn lock(members: &Members) -> std::sync::MutexGuard<'_, BTreeMap<String, Instant>> {
-    members.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, Introductions> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
--- a/crates/wasabi-control/tests/join.rs
+++ b/crates/wasabi-control/tests/join.rs
@@ -141,6 +141,7 @@
         member: member.to_string().as_str().into(),
         address: member.to_string(),
         proofs: Vec::new(),
+        leader: None,
     };
     let joined: Joined = client.request(method::JOIN, rpc_params![join]).await.unwrap();
     assert_eq!(joined, Joined::NotLeader { leader: None });
@@ -151,7 +152,8 @@
 async fn introduce(member: SocketAddr, to: SocketAddr) {
     let client = WsClientBuilder::default().build(format!("ws://{to}")).await.unwrap();
     let member = member.to_string();
-    let join = Join { member: member.as_str().into(), address: member, proofs: Vec::new() };
+    let (name, proofs) = (member.as_str().into(), Vec::new());
+    let join = Join { member: name, address: member, proofs, leader: None };
     let _: Joined = client.request(method::JOIN, rpc_params![join]).await.unwrap();
 }
 
--- a/crates/wasabi-protocol/src/rpc/member.rs
+++ b/crates/wasabi-protocol/src/rpc/member.rs
@@ -50,6 +50,9 @@
     pub address: String,
     /// Proofs that the sender knows the operators' digests.
     pub proofs: Vec<String>,
+    /// The address of the leader that answered the member's last question, if one did.
+    #[serde(default)]
+    pub leader: Option<String>,
 }
 
 /// The answer to [`Join`].
