control: a removal without a substitute does not lower the losses that a group bears

Callers saw: nothing; found by a review of the repair.

Seven voters of which three are cut off for some seconds came back as four, and two lost disks before the others were in again would have ended the group for good.

Change: without a caught-up learner, a voter leaves only a group of an even number, which bears as many losses without it. A removal leaves two voters at least, so that nothing is acknowledged on one disk alone.

Before / after: the two new tests of tests/repair.rs fail / pass.

--- a/crates/wasabi-control/src/repair.rs
+++ b/crates/wasabi-control/src/repair.rs
@@ -24,6 +24,9 @@
 /// Silence after which a member does not count as able to hold data, in milliseconds.
 pub const SILENT_AFTER: Millis = Millis(1_200);
 
+/// Voters that a removal leaves at least.
+const VOTERS_MIN: usize = 2;
+
 /// What the leader knows of its group.
 #[derive(Debug, Clone, Copy)]
 pub struct Situation<'a> {
@@ -129,10 +132,12 @@
             || (self.has_successor(status) && REPLACED_AFTER <= silent)
     }
 
-    /// Returns whether the group keeps its size without one of its voters.
+    /// Returns whether the group bears as many losses without one of its voters: a caught-up learner
+    /// can take its place, or it is one more than an odd number.
     fn has_substitute(&self) -> bool {
-        let is_large = self.size < self.voters().count();
-        is_large || self.learners().any(|status| status.has_caught_up)
+        let voters = self.voters().count();
+        let is_spare = self.size < voters && voters.is_multiple_of(2);
+        is_spare || self.learners().any(|status| status.has_caught_up)
     }
 
     /// Returns whether another member answers at the address of the member.
@@ -142,11 +147,15 @@
         others.any(|other| answers(other) && self.addresses.get(&other.member) == Some(address))
     }
 
-    /// Returns whether a quorum answers without the member.
+    /// Returns whether a quorum answers without the member. A leader alone is none, since what it
+    /// acknowledged would be on one disk.
     fn can_lose(&self, gone: &Status) -> bool {
+        if gone.part == Part::Learner {
+            return true;
+        }
         let rest = || self.voters().filter(|status| status.member != gone.member);
         let answering = rest().filter(|status| answers(status)).count();
-        rest().count() / 2 < answering
+        VOTERS_MIN <= rest().count() && rest().count() / 2 < answering
     }
 
     fn voters(&self) -> impl Iterator<Item = &Status> {
--- a/crates/wasabi-control/tests/repair.rs
+++ b/crates/wasabi-control/tests/repair.rs
@@ -115,6 +115,29 @@
     assert_eq!(next_change(&voters), None);
 }
 
+/// Guards against a group that is cut for a while and comes back so small that the losses which it
+/// was built for end it.
+#[test]
+fn a_removal_without_a_substitute_does_not_lower_the_losses_that_are_borne() {
+    let with = |answering: &[&str], silent: &[&str]| {
+        let answering = answering.iter().map(|name| voter(name, 100));
+        let silent = silent.iter().map(|name| voter(name, 9_000));
+        next_change(&[voter("a", 0)].into_iter().chain(answering).chain(silent).collect::<Vec<_>>())
+    };
+    assert_eq!(with(&["b", "c", "d"], &["e", "f", "g"]), None);
+    assert_eq!(with(&["b", "c"], &["d", "e"]), None);
+    assert_eq!(with(&["b", "c", "d", "e"], &["f", "g", "h"]), remove("f"));
+    assert_eq!(with(&["b", "c", "d"], &["e", "f"]), remove("e"));
+}
+
+/// Guards against a leader that acknowledges on its own disk alone.
+#[test]
+fn the_last_other_voter_is_not_removed() {
+    let with = |silent| [voter("a", 0), voter("c", silent), learner("c-2", 50)];
+    assert_eq!(next_change(&with(1_100)), promote("c-2"));
+    assert_eq!(next_change(&with(1_500)), None);
+}
+
 /// Guards against a message of an earlier process that names a living voter's address and has it
 /// removed.
 #[test]
