control: a planned stop outlives an error of the disk

Cause: a stop that the control thread had taken was part of the member that an error of the disk discards. The member started anew and went on.

Change: the error tells whether the member was stopping, and it ends then.

--- a/crates/wasabi-control/src/member.rs
+++ b/crates/wasabi-control/src/member.rs
@@ -53,6 +53,8 @@
     /// A write or sync failed. What reached the disk is unknown, so the process must end.
     #[snafu(display("the log cannot go on: {source}"))]
     Disk {
+        /// Whether a planned stop was asked for.
+        is_stopping: bool,
         /// The cause.
         source: wasabi_wal::Error,
     },
@@ -183,7 +185,8 @@
             self.use_effects()?;
             self.lead();
             self.use_effects()?;
-            self.group.sync().context(DiskSnafu)?;
+            let is_stopping = self.stopping.is_some();
+            self.group.sync().context(DiskSnafu { is_stopping })?;
         }
     }
 
--- a/crates/wasabi-control/src/server.rs
+++ b/crates/wasabi-control/src/server.rs
@@ -202,11 +202,16 @@
 ) -> Result<(), member::Error> {
     loop {
         let member = Member::new(options.clone(), start, Arc::clone(heard), parcels.clone());
-        let error = match member.run(inputs) {
-            Err(error @ member::Error::Disk { .. }) if options.self_repair => error,
+        match member.run(inputs) {
+            Err(error @ member::Error::Disk { is_stopping: false, .. }) if options.self_repair => {
+                error!(%error, "the member starts anew from its disk");
+            }
+            Err(error @ member::Error::Disk { is_stopping: true, .. }) if options.self_repair => {
+                error!(%error, "the member stops without its disk");
+                return Ok(());
+            }
             end => return end,
-        };
-        error!(%error, "the member starts anew from its disk");
+        }
         start = loop {
             if !discard(inputs) {
                 return Ok(());
--- a/crates/wasabi-control/tests/join.rs
+++ b/crates/wasabi-control/tests/join.rs
@@ -265,6 +265,32 @@
     tokio::time::timeout(BOUND, running.ended()).await.unwrap().unwrap();
 }
 
+/// Guards against a planned stop that is forgotten when the disk refuses a write before the end.
+#[actix_rt::test]
+async fn a_stop_outlives_the_disk() {
+    let address = free();
+    let parent = TempDir::new().unwrap();
+    let folder = parent.path().join("member");
+    let member = options(address, &[address], &[], &folder);
+    let mut running = Running::start(Options { snapshot_every: 1, ..member }).await.unwrap();
+    put(1, &[&running]).await;
+    // Answered in a later turn of the member, after the snapshots of what was put before.
+    for _ in 0..3 {
+        running.local().view().await;
+    }
+    std::fs::rename(&folder, folder.with_extension("away")).unwrap();
+    std::fs::write(&folder, "").unwrap();
+    let config = site::Config { version: 2, ..site::Config::default() };
+    let document = site::Document { config, source: "2".to_owned() };
+    let local = running.local();
+    let put = actix_rt::spawn(async move { local.put_site(document).await });
+    // Its proposal is on the way before the stop is.
+    tokio::task::yield_now().await;
+    running.stop();
+    tokio::time::timeout(BOUND, running.ended()).await.unwrap().unwrap();
+    put.await.unwrap();
+}
+
 /// Guards against a member that goes on as a new one, under the links and the name of the old one,
 /// when its folder is empty for a while, as before a disk is mounted again.
 #[actix_rt::test]
