control: links to former members end, and a replaced connection names its cause

Cause: the task of a link never ended, so that each lost disk left one that tried to connect ten times a second for the life of the process. The line about a replaced connection did not say whether the peer was silent or refused messages for its predecessor.

Change: a link without messages for 30 s ends. The line carries the error; a repeated one is logged at debug.

No test of its own; group.rs and join.rs pass.

--- a/crates/wasabi-control/src/link.rs
+++ b/crates/wasabi-control/src/link.rs
@@ -4,12 +4,15 @@
 //! its connection, and a new one is opened before the consensus node's own timeouts judge the
 //! peer. Messages of an ended connection are lost; the node sends again by itself.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
 
 use base64::{Engine as _, engine::general_purpose::STANDARD};
 use futures_util::{StreamExt as _, stream::FuturesUnordered};
 use jsonrpsee::{
-    core::client::ClientT as _,
+    core::client::{ClientT as _, Error},
     rpc_params,
     ws_client::{WsClient, WsClientBuilder},
 };
@@ -31,6 +34,9 @@
 /// Pause after a connection could not be opened.
 const PAUSE: Duration = Duration::from_millis(100);
 
+/// Time without messages after which a link is closed.
+const UNUSED_AFTER: Duration = Duration::from_secs(30);
+
 /// Most requests without an answer on one link.
 const OPEN_MAX: usize = 64;
 
@@ -52,7 +58,7 @@
     proofs: Vec<String>,
     mut parcels: mpsc::UnboundedReceiver<Parcel>,
 ) {
-    let mut links: BTreeMap<(id::Member, String), mpsc::Sender<Step>> = BTreeMap::new();
+    let mut links: BTreeMap<(id::Member, String), Link> = BTreeMap::new();
     while let Some(parcel) = parcels.recv().await {
         let Ok(bytes) = postcard::to_stdvec(&parcel.messages) else { continue };
         let step = Step {
@@ -62,17 +68,26 @@
             to: parcel.to.clone(),
             messages: STANDARD.encode(bytes),
         };
+        // Heartbeats go to every member, so that a link without messages is one to a former member.
+        links.retain(|_, link| link.used.elapsed() < UNUSED_AFTER);
         let link = links.entry((parcel.to, parcel.address)).or_insert_with_key(|(to, address)| {
-            let (sender, receiver) = mpsc::channel(QUEUE_MAX);
+            let (steps, receiver) = mpsc::channel(QUEUE_MAX);
             actix_rt::spawn(serve(to.clone(), address.clone(), receiver));
-            sender
+            Link { steps, used: Instant::now() }
         });
-        if link.try_send(step).is_err() {
+        link.used = Instant::now();
+        if link.steps.try_send(step).is_err() {
             debug!("a link is full; its messages are dropped");
         }
     }
 }
 
+/// The way to one member; its task ends when this is dropped.
+struct Link {
+    steps: mpsc::Sender<Step>,
+    used: Instant,
+}
+
 /// Returns the messages of a step, or `None` when they cannot be read.
 pub(crate) fn messages(step: &Step) -> Option<Vec<Message>> {
     postcard::from_bytes(&STANDARD.decode(&step.messages).ok()?).ok()
@@ -81,6 +96,7 @@
 /// Serves one link: opens connections and replaces silent ones.
 async fn serve(to: id::Member, address: String, mut steps: mpsc::Receiver<Step>) {
     let url = format!("ws://{address}");
+    let mut last = String::new();
     while !steps.is_closed() || !steps.is_empty() {
         let client = WsClientBuilder::default()
             .connection_timeout(ANSWER_BOUND)
@@ -88,33 +104,41 @@
             .max_concurrent_requests(OPEN_MAX)
             .build(&url)
             .await;
-        let Ok(client) = client else {
-            // What waited is out of date by the time a connection opens.
-            while steps.try_recv().is_ok() {}
-            actix_rt::time::sleep(PAUSE).await;
-            continue;
+        let error = match client {
+            Ok(client) => match use_connection(&client, &mut steps).await {
+                Some(error) => error.to_string(),
+                None => return,
+            },
+            Err(error) => {
+                // What waited is out of date by the time a connection opens.
+                while steps.try_recv().is_ok() {}
+                actix_rt::time::sleep(PAUSE).await;
+                error.to_string()
+            }
         };
-        debug!(%to, address, "connected");
-        if !use_connection(&client, &mut steps).await {
-            return;
+        // A member that is gone fails in the same way until it is removed.
+        if error == last {
+            debug!(%to, address, %error, "replacing a connection that is silent or broken");
+            continue;
         }
-        info!(%to, address, "replacing a connection that is silent or broken");
+        info!(%to, address, %error, "replacing a connection that is silent or broken");
+        last = error;
     }
 }
 
-/// Sends steps over one connection until it makes no progress. Returns whether more may come.
-async fn use_connection(client: &WsClient, steps: &mut mpsc::Receiver<Step>) -> bool {
+/// Sends steps over one connection until it makes no progress. Returns why, or none when no more
+/// come.
+async fn use_connection(client: &WsClient, steps: &mut mpsc::Receiver<Step>) -> Option<Error> {
     let mut open = FuturesUnordered::new();
     loop {
         tokio::select! {
             step = steps.recv(), if open.len() < OPEN_MAX => {
-                let Some(step) = step else { return false };
+                let step = step?;
                 open.push(client.request::<(), _>(method::CONSENSUS, rpc_params![step]));
             }
             Some(answer) = open.next() => {
                 if let Err(error) = answer {
-                    debug!(%error, "a step was not answered");
-                    return true;
+                    return Some(error);
                 }
             }
         }
