control: a host that lost its disk is found by its group, and silent addresses do not delay it

Callers saw: nothing of this alone; a repair that takes longer than the time after which a further loss must be borne.

Cause: a host with an empty disk knew its seeds alone. While it waited for its place it introduced itself to each silent seed in turn, up to 0.5 s each, before it asked the leader again, and the leader took one step for each ask.

Change: members still send to the address of the lost member; the new one there takes their address as that of a member, once the proof is checked. Introductions run beside the next round. The leader goes on towards a member for a second after it asked.

Before / after: a_host_without_its_disk_finds_its_group_without_seeds fails (no voter in the lost one's place after 8 s) / passes. The introductions have no test of their own.

--- a/crates/wasabi-control/src/join.rs
+++ b/crates/wasabi-control/src/join.rs
@@ -21,7 +21,7 @@
 use crate::{
     input::Input,
     member::Member,
-    options::Options,
+    options::{Contacts, Options},
     repair::{Shortage, Situation},
     search::Round,
 };
@@ -41,11 +41,20 @@
 /// Time between two log lines about a group that is short of a member, in milliseconds.
 const SHORT_EVERY: Millis = Millis(5_000);
 
+/// Time for which the leader goes on towards a member after it asked, in milliseconds.
+const ASKED_FOR: Millis = Millis(1_000);
+
 /// Voters that a group which repairs itself keeps at least.
 const SIZE_MIN: usize = 3;
 
 /// Asks to be in the group until the control thread has ended.
-pub(crate) async fn run(name: id::Member, options: Options, inputs: mpsc::Sender<Input>) {
+/// `callers` are members that took this one for its predecessor.
+pub(crate) async fn run(
+    name: id::Member,
+    options: Options,
+    callers: Contacts,
+    inputs: mpsc::Sender<Input>,
+) {
     let mut join = Join {
         member: name,
         address: options.listen.to_string(),
@@ -63,8 +72,8 @@
         // No answer comes while the member starts anew from its disk.
         let known = answer.await.unwrap_or_default();
         let contacts = options.contacts.get();
-        let addresses = leader.take().into_iter().chain(known.clone()).chain(contacts.clone());
-        let mut round = Round::new(addresses);
+        let sources = [known.clone(), callers.get(), contacts.clone()];
+        let mut round = Round::new(leader.take().into_iter().chain(sources.into_iter().flatten()));
         let mut answers = Vec::new();
         let mut is_in = false;
         join.leader = None;
@@ -95,11 +104,14 @@
             info!(member = %join.member, answers = answers.join("; "), "asked to be taken in");
         }
         join.leader.clone_from(&leader);
-        // A contact that is no member can only name members that introduced themselves.
-        for address in contacts.iter().filter(|contact| !known.contains(contact)) {
-            if *address != join.address && !round.has_asked(address) {
-                let _ = ask(address, &join).await;
-            }
+        // A contact that is no member can only name members that introduced themselves. One that
+        // does not answer must not delay the next round.
+        let others = contacts.iter().filter(|contact| {
+            **contact != join.address && !known.contains(contact) && !round.has_asked(contact)
+        });
+        for address in others {
+            let (address, join) = (address.clone(), join.clone());
+            actix_rt::spawn(async move { ask(&address, &join).await });
         }
         actix_rt::time::sleep(if is_in { CONFIRM_EVERY } else { ASK_EVERY }).await;
     }
@@ -128,10 +140,9 @@
         if self.group.membership().voters.contains(&join.member) {
             return Joined::Member;
         }
-        // The vote of one that is added already is decided by the repair.
-        if !self.group.membership().learners.contains(&join.member) {
-            let _ = self.add_member(&join.member, &join.address);
-        }
+        let asked = Asked { join: join.clone(), at: self.clock.now() };
+        self.duties.asked.insert(join.member.clone(), asked);
+        self.add_asked();
         Joined::Waiting
     }
 
@@ -160,8 +171,21 @@
         let change = situation.next_change().filter(|_| self.options.self_repair);
         let shortage = situation.shortage();
         self.show_shortage(now, shortage);
-        if let Some(change) = change {
-            self.change(change);
+        match change {
+            Some(change) => self.change(change),
+            None => self.add_asked(),
+        }
+    }
+
+    /// Takes the next step towards the members that asked to be in the group lately. The vote of one
+    /// that is added already is decided by the repair.
+    fn add_asked(&mut self) {
+        let (now, membership) = (self.clock.now(), self.group.membership());
+        let is_open = |asked: &Asked| now.since(asked.at) < ASKED_FOR;
+        self.duties.asked.retain(|name, asked| is_open(asked) && !membership.contains(name));
+        let asked: Vec<_> = self.duties.asked.values().map(|asked| asked.join.clone()).collect();
+        for join in asked {
+            let _ = self.add_member(&join.member, &join.address);
         }
     }
 
@@ -192,6 +216,13 @@
     }
 }
 
+/// A member that asked to be in the group.
+#[derive(Debug)]
+pub(crate) struct Asked {
+    join: Join,
+    at: Millis,
+}
+
 /// A shortage since this member began to lead, or later.
 #[derive(Debug)]
 pub(crate) struct Short {
--- a/crates/wasabi-control/src/lead.rs
+++ b/crates/wasabi-control/src/lead.rs
@@ -12,7 +12,7 @@
 };
 
 use crate::{
-    join::Short,
+    join::{Asked, Short},
     member::{Duty, Member},
     moves::Book,
     record::Item,
@@ -26,6 +26,8 @@
 pub(crate) struct Duties {
     pub(crate) forces: Vec<ForceWait>,
     pub(crate) moves: Book,
+    /// The members that asked to be in the group lately.
+    pub(crate) asked: BTreeMap<id::Member, Asked>,
     /// What the group lacks, if anything.
     pub(crate) short: Option<Short>,
     under_way: Vec<Duty>,
--- a/crates/wasabi-control/src/options.rs
+++ b/crates/wasabi-control/src/options.rs
@@ -11,6 +11,9 @@
 
 use crate::metrics::Metrics;
 
+/// Most addresses that are added.
+const ADDED_MAX: usize = 8;
+
 /// What a member needs to know at its start.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -63,6 +66,18 @@
         self.addresses.read().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Adds an address; the one that was added first makes room.
+    pub(crate) fn add(&self, address: &str) {
+        let mut addresses = self.addresses.write().unwrap_or_else(PoisonError::into_inner);
+        if addresses.iter().any(|known| known == address) {
+            return;
+        }
+        if ADDED_MAX <= addresses.len() {
+            addresses.remove(0);
+        }
+        addresses.push(address.to_owned());
+    }
+
     /// Replaces the addresses.
     pub fn set(&self, addresses: Vec<String>) {
         *self.addresses.write().unwrap_or_else(PoisonError::into_inner) = addresses;
--- a/crates/wasabi-control/src/server.rs
+++ b/crates/wasabi-control/src/server.rs
@@ -35,7 +35,7 @@
     link::Parcel,
     local::Local,
     member::{self, Member},
-    options::Options,
+    options::{Contacts, Options},
 };
 
 /// Most connections at one time: entries, members and operators.
@@ -124,11 +124,13 @@
             .context(FolderSnafu)?;
         let heard = Arc::new(Mutex::new(heard));
         let (known, identity) = watch::channel(None);
+        let callers = Contacts::default();
         let shared = Shared {
             inputs: inputs.clone(),
             heard: Arc::clone(&heard),
             name: identity,
             proofs: options.proofs().into(),
+            callers: callers.clone(),
         };
         let server = server.start(methods(shared).context(MethodsSnafu)?);
         // Founders answer each other's questions while each of them waits here.
@@ -149,7 +151,12 @@
         let own = own.map_or_else(|| address.to_string(), |(_, address)| address.clone());
         actix_rt::spawn(link::run(start.name.clone(), own, options.proofs(), outgoing));
         if !options.contacts.get().is_empty() {
-            actix_rt::spawn(join::run(start.name.clone(), options.clone(), inputs.clone()));
+            actix_rt::spawn(join::run(
+                start.name.clone(),
+                options.clone(),
+                callers,
+                inputs.clone(),
+            ));
         }
         let (end, ended) = oneshot::channel();
         thread::Builder::new()
@@ -246,6 +253,8 @@
     name: watch::Receiver<Option<id::Member>>,
     /// The proofs that members of this group send.
     proofs: Arc<[String]>,
+    /// Members that sent messages for another member of this address.
+    callers: Contacts,
 }
 
 fn methods(shared: Shared) -> Result<RpcModule<Shared>, RegisterMethodError> {
@@ -279,12 +288,14 @@
 /// Passes messages of another member on, if they are meant for this one.
 fn step(step: &Step, shared: &Shared) -> Result<(), ErrorObjectOwned> {
     let refused = |message: &str| ErrorObjectOwned::owned(INVALID_PARAMS_CODE, message, None::<()>);
-    if shared.name.borrow().as_ref() != Some(&step.to) {
-        return Err(refused("the message is for another member"));
-    }
     if !step.proofs.iter().any(|proof| shared.proofs.contains(proof)) {
         return Err(unknown_sender());
     }
+    if shared.name.borrow().as_ref() != Some(&step.to) {
+        // The leader still sends to the one that lost its disk here.
+        shared.callers.add(&step.address);
+        return Err(refused("the message is for another member"));
+    }
     let messages = link::messages(step).ok_or_else(|| refused("the messages cannot be read"))?;
     let input = input::Step { from: step.from.clone(), address: step.address.clone(), messages };
     shared.inputs.send(Input::Step(input)).map_err(|_| refused("the control thread has ended"))
--- a/crates/wasabi-control/tests/join.rs
+++ b/crates/wasabi-control/tests/join.rs
@@ -130,6 +130,40 @@
     stop(one).await;
 }
 
+/// Guards against a host that lost its disk and whose seeds are all gone: the members still send to
+/// its address, and one of them can tell it who leads.
+#[actix_rt::test]
+async fn a_host_without_its_disk_finds_its_group_without_seeds() {
+    let addresses = [free(), free(), free()];
+    let folders = [(); 4].map(|()| TempDir::new().unwrap());
+    let start = |index: usize| {
+        Running::start(options(addresses[index], &addresses, &[], folders[index].path()))
+    };
+    let (one, two, three) = tokio::join!(start(0), start(1), start(2));
+    let (one, two, three) = (one.unwrap(), two.unwrap(), three.unwrap());
+    put(1, &[&one, &two, &three]).await;
+    stop(three).await;
+    let begun = std::time::Instant::now();
+    let three = loop {
+        let lost = options(addresses[2], &[], &[free()], folders[3].path());
+        match Running::start(lost).await {
+            Ok(running) => break running,
+            Err(error) => assert!(begun.elapsed() < BOUND, "{error}"),
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    };
+    let old = id::Member::from(addresses[2].to_string());
+    wait(addresses[0], "the member in the lost one's place", |members| {
+        let is_voter = |status: &&MemberStatus| status.role != Role::Learner;
+        let voters: Vec<_> = members.iter().filter(is_voter).collect();
+        voters.len() == 3 && voters.iter().all(|status| status.member != old)
+    })
+    .await;
+    for running in [one, two, three] {
+        stop(running).await;
+    }
+}
+
 /// Guards against hosts that are told of observers alone and find no member.
 #[actix_rt::test]
 async fn an_observer_names_the_members_that_introduced_themselves() {
