--- a/crates/wasabi-entry/src/callers/server.rs
+++ b/crates/wasabi-entry/src/callers/server.rs
@@ -23,6 +23,7 @@
     callers::{answer, early::Early, list},
     dispatch::{connect, way},
     endpoints,
+    inbound::{Meter, Metered},
     message::Handle,
     shared::Shared,
 };
@@ -77,6 +78,7 @@
                 pooled: connect::pooled(),
             });
             HttpService::build()
+                .on_connect_ext(|io: &Metered<_>, data| io.attach(data))
                 .client_request_timeout(head_time)
                 .h1_write_buffer_size(WRITE_BYTES)
                 .graceful_shutdown_signal(move || {
@@ -113,18 +115,18 @@
 }
 
 /// A connection as the HTTP service takes it.
-type Accepted<T> = (Early<T>, Protocol, Option<SocketAddr>);
+type Accepted<T> = (Metered<Early<T>>, Protocol, Option<SocketAddr>);
 
 fn of_tcp(io: TcpStream) -> Accepted<TcpStream> {
     let peer = prepare(&io);
-    (Early::new(io), Protocol::Http1, peer)
+    (Metered::new(Early::new(io)), Protocol::Http1, peer)
 }
 
 fn of_tls(io: TlsStream<TcpStream>) -> Accepted<TlsStream<TcpStream>> {
     let peer = prepare(io.get_ref().0);
     let is_h2 = io.get_ref().1.alpn_protocol() == Some(b"h2");
     let protocol = if is_h2 { Protocol::Http2 } else { Protocol::Http1 };
-    (Early::new(io), protocol, peer)
+    (Metered::new(Early::new(io)), protocol, peer)
 }
 
 /// Sends tokens as they come, and returns the caller's address.
@@ -140,6 +142,7 @@
 }
 
 async fn serve(worker: Rc<Worker>, request: Request) -> Result<Response<BoxBody>, Infallible> {
+    Meter::begin(&request);
     let shared = Arc::clone(&worker.shared);
     let mut response = match (request.method(), request.path()) {
         (&Method::GET, "/v1/entries") => {
--- a/crates/wasabi-entry/src/forward/server.rs
+++ b/crates/wasabi-entry/src/forward/server.rs
@@ -21,6 +21,7 @@
         watch::Watched,
         way,
     },
+    inbound::{Meter, Metered},
     message::Handle,
     shared::Shared,
 };
@@ -76,10 +77,11 @@
             let (gateway, dialect) = (Rc::new(gateway.clone()), Rc::new(gateway.dialect.clone()));
             fn_service(|io: TcpStream| {
                 let peer = prepare(&io);
-                ready(Ok::<_, ()>((Watched::new(io), Protocol::Http1, peer)))
+                ready(Ok::<_, ()>((Metered::new(Watched::new(io)), Protocol::Http1, peer)))
             })
             .and_then(
                 HttpService::build()
+                    .on_connect_ext(|io: &Metered<_>, data| io.attach(data))
                     .client_request_timeout(head_time)
                     .keep_alive(KeepAlive::Timeout(idle_time))
                     .h1_write_buffer_size(WRITE_BYTES)
@@ -112,6 +114,7 @@
     side: Side,
     request: Request,
 ) -> Result<Response<BoxBody>, Infallible> {
+    Meter::begin(&request);
     let shared = Arc::clone(&worker.shared);
     let mut response = match side {
         Side::Front => way::serve(worker, dialect, request).await,
--- a/crates/wasabi-entry/src/lib.rs
+++ b/crates/wasabi-entry/src/lib.rs
@@ -11,6 +11,7 @@
 mod endpoints;
 pub mod forward;
 mod gate;
+pub mod inbound;
 mod message;
 mod metrics;
 mod opened;
