entry: an endpoint that sends bytes without end is closed as soon as it is clear

Callers saw: with an endless chunk size, chunk extension or trailer, 504 at the deadline and no second endpoint; with an interim answer that names the attempt, a final 103; on our own interface an answer without a length as 200 with an empty body; a stream that ran on past its deadline while bytes were always there. Endpoints held a place for bytes after a whole answer that nobody read.

Causes: the HTTP client has no bound on framing, takes each head for an answer and each answer without a length for an empty one, and keeps the connection; it looks at idle connections only when it needs one, so they outlived 4 s as well. Timers were only asked when no bytes were there. Long events were scanned and copied anew for each chunk; comments and empty events counted as progress and, before the first token, filled memory without a bound. A broken stream kept its old connection open while it waited for another endpoint.

Now each connection counts its bytes (dispatch/wire.rs): beyond 64 KiB and 8 bytes for each byte of body that are no body, it is closed. One exchange (dispatch/exchange.rs) and one Opened serve both paths and refuse interim answers, answers without a length and lengths above 8 MiB by the head. A body that is dropped before its end closes its connection; an idle one is closed after 4 s or at its first byte. One splitter (events.rs) looks at each byte once and allows 256 KiB without an event; comments and empty events are no progress. The deadline is asked before bytes are read. Lines of streams that broke name request, endpoint and cause.

Ruled out: endless status lines, headers and header lines, empty lines and bytes that are no HTTP ended in the library before (128 KiB, 96 lines); bodies ended at 8 MiB. Their tests stay.

In tests/events.rs chunks are passed as slices; no check is weaker.

--- a/crates/wasabi-entry/src/dispatch/connect.rs
+++ b/crates/wasabi-entry/src/dispatch/connect.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::Cell,
-    fmt, io,
+    io,
     net::{IpAddr, SocketAddr},
     pin::Pin,
     rc::Rc,
@@ -13,23 +13,16 @@
 use actix_rt::net::{ActixStream, Ready, TcpStream};
 use actix_service::Service;
 use actix_tls::connect::{ConnectError, ConnectInfo, Connection};
-use awc::{error::PayloadError, http::Uri};
-use bytes::Bytes;
-use futures_util::{
-    Stream, StreamExt as _,
-    future::LocalBoxFuture,
-    stream::{self, LocalBoxStream},
-};
+use awc::http::Uri;
+use futures_util::future::LocalBoxFuture;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use wasabi_protocol::clock::{Clock, Millis};
 
+use crate::dispatch::wire::{IDLE_TIME, Wire};
+
 /// Longest time for a TCP connection to an endpoint.
 pub const CONNECT_TIME: Duration = Duration::from_secs(1);
 
-/// Time for which an idle pooled connection is kept. Endpoints close idle connections after a
-/// few seconds; a shorter time here makes a reuse of a closed connection rare.
-const IDLE_TIME: Duration = Duration::from_secs(4);
-
 /// Buffered bytes per connection are small, so the number of connections is bounded by the grants.
 const NO_LIMIT: usize = 0;
 
@@ -74,112 +67,84 @@
 }
 
 /// A TCP connection that checks the dispatch window right before its first byte.
+#[derive(Debug)]
 pub struct Guarded {
-    stream: TcpStream,
+    wire: Rc<Wire>,
     flight: Option<Rc<Flight>>,
 }
 
-impl fmt::Debug for Guarded {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Guarded").field("stream", &self.stream).finish_non_exhaustive()
-    }
-}
-
 impl Guarded {
-    fn allow(&self) -> io::Result<()> {
-        self.flight.as_ref().map_or(Ok(()), |flight| flight.allow())
+    fn begin(&self) -> io::Result<()> {
+        self.flight.as_ref().map_or(Ok(()), |flight| flight.allow())?;
+        self.wire.begin();
+        Ok(())
     }
 }
 
-thread_local! {
-    /// Connections of this thread whose peer closed them, counted.
-    static CLOSED: Cell<u64> = const { Cell::new(0) };
-}
-
-/// Returns an answer's body that fails when its connection closes before the body ended.
-///
-/// The client ends a body without an error in that case, so that a cut answer would look whole.
-/// A body is polled on its own thread and reads only its own connection, so a close that is
-/// counted during its polls is a close of that connection.
-pub fn checked(
-    mut body: impl Stream<Item = Result<Bytes, PayloadError>> + Unpin + 'static,
-) -> LocalBoxStream<'static, Result<Bytes, PayloadError>> {
-    let mut is_closed = false;
-    stream::poll_fn(move |cx| {
-        let before = CLOSED.get();
-        let polled = body.poll_next_unpin(cx);
-        is_closed |= before != CLOSED.get();
-        match polled {
-            Poll::Ready(None) if is_closed => {
-                Poll::Ready(Some(Err(PayloadError::Incomplete(None))))
-            }
-            polled => polled,
-        }
-    })
-    .boxed_local()
+impl Drop for Guarded {
+    fn drop(&mut self) {
+        self.wire.close();
+    }
 }
 
 impl AsyncRead for Guarded {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(cx, buffer);
-        if matches!(polled, Poll::Ready(Ok(()))) && buffer.filled().len() == before {
-            CLOSED.set(CLOSED.get() + 1);
-        }
-        polled
+        self.wire.poll_read(cx, buffer)
     }
 }
 
 impl AsyncWrite for Guarded {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.allow()?;
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        self.begin()?;
+        self.wire.with(|stream| stream.poll_write(cx, bytes))
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.wire.with(|stream| stream.poll_flush(cx))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.wire.with(|stream| stream.poll_shutdown(cx))
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.allow()?;
-        Pin::new(&mut self.stream).poll_write_vectored(cx, buffers)
+        self.begin()?;
+        self.wire.with(|stream| stream.poll_write_vectored(cx, buffers))
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
     }
 }
 
 impl ActixStream for Guarded {
     fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        ActixStream::poll_read_ready(&self.stream, cx)
+        self.wire.with(|stream| ActixStream::poll_read_ready(&*stream, cx))
     }
 
     fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        ActixStream::poll_write_ready(&self.stream, cx)
+        self.wire.with(|stream| ActixStream::poll_write_ready(&*stream, cx))
     }
 }
 
 /// Opens connections by IP address; there is no name lookup.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 struct Connect {
     flight: Option<Rc<Flight>>,
+    /// Whether a connection may carry further requests.
+    is_kept: bool,
 }
 
 impl Service<ConnectInfo<Uri>> for Connect {
@@ -192,7 +157,7 @@
     }
 
     fn call(&self, info: ConnectInfo<Uri>) -> Self::Future {
-        let flight = self.flight.clone();
+        let (flight, is_kept) = (self.flight.clone(), self.is_kept);
         Box::pin(async move {
             let host = info.hostname().trim_start_matches('[').trim_end_matches(']');
             let address: IpAddr = host.parse().map_err(|_| ConnectError::InvalidInput)?;
@@ -200,19 +165,23 @@
                 .await
                 .map_err(ConnectError::Io)?;
             stream.set_nodelay(true).map_err(ConnectError::Io)?;
-            Ok(Connection::new(info.request().clone(), Guarded { stream, flight }))
+            let wire = Wire::new(stream);
+            if is_kept {
+                actix_rt::spawn(Rc::clone(&wire).watch());
+            }
+            Ok(Connection::new(info.request().clone(), Guarded { wire, flight }))
         })
     }
 }
 
 /// Returns a client that keeps connections for later requests; only for repeatable requests.
 pub fn pooled() -> awc::Client {
-    client(Connect::default(), IDLE_TIME)
+    client(Connect { flight: None, is_kept: true }, IDLE_TIME)
 }
 
 /// Returns a client for a single request on a connection of its own.
 pub fn fresh(flight: Option<Rc<Flight>>) -> awc::Client {
-    client(Connect { flight }, Duration::ZERO)
+    client(Connect { flight, is_kept: false }, Duration::ZERO)
 }
 
 fn client(connect: Connect, idle: Duration) -> awc::Client {
--- a/crates/wasabi-entry/src/dispatch/events.rs
+++ b/crates/wasabi-entry/src/dispatch/events.rs
@@ -1,14 +1,10 @@
 //! Server-sent events of an endpoint: whole events, their count, and the explicit end.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use serde::Deserialize;
 use wasabi_protocol::id;
 
-/// Longest event, in bytes. A longer one is an error, so that memory stays bounded.
-pub const EVENT_BYTES_MAX: usize = 256 * 1024;
-
-/// The blank line that ends an event.
-const SEPARATOR: &[u8] = b"\n\n";
+use crate::events::{Splitter, TooLong};
 
 /// The explicit end of a stream, as the endpoint states it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -23,7 +19,7 @@
 /// Why a stream is not passed on any further.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Malformed {
-    /// An event is longer than [`EVENT_BYTES_MAX`].
+    /// Too many bytes came without an event.
     TooLong,
     /// The end event cannot be read.
     End,
@@ -41,9 +37,8 @@
 #[derive(Debug)]
 pub struct Reader {
     attempt: id::Attempt,
-    partial: BytesMut,
+    splitter: Splitter,
     tokens: u32,
-    ended: bool,
 }
 
 /// What one chunk of a stream held.
@@ -51,6 +46,8 @@
 pub struct Chunk {
     /// The whole events to pass on.
     pub events: Bytes,
+    /// Whether one of them is more than a comment.
+    pub has_progress: bool,
     /// Whether the answer is whole: its end event came and matched.
     pub is_whole: bool,
 }
@@ -58,7 +55,7 @@
 impl Reader {
     /// Returns a reader for the answer to `attempt` that already received `tokens` tokens.
     pub fn new(attempt: id::Attempt, tokens: u32) -> Self {
-        Self { attempt, partial: BytesMut::new(), tokens, ended: false }
+        Self { attempt, splitter: Splitter::default(), tokens }
     }
 
     /// Returns the number of tokens received.
@@ -72,84 +69,63 @@
     ///
     /// Returns why the stream cannot be passed on. Events before the fault are dropped with it,
     /// since the caller gets an explicit error in any case.
-    pub fn read(&mut self, chunk: Bytes) -> Result<Chunk, Malformed> {
-        let mut bytes = if self.partial.is_empty() {
-            chunk
-        } else {
-            self.partial.extend_from_slice(&chunk);
-            self.partial.split().freeze()
-        };
-        let mut start = 0;
-        while let Some(length) = find_separator(&bytes[start..]) {
-            let event = &bytes[start..start + length];
-            match self.classify(event)? {
-                Event::Pass => start += length + SEPARATOR.len(),
-                Event::End => {
-                    let events = bytes.split_to(start);
-                    return Ok(Chunk { events, is_whole: true });
+    pub fn read(&mut self, chunk: &[u8]) -> Result<Chunk, Malformed> {
+        self.splitter.push(chunk);
+        let mut has_progress = false;
+        while let Some(event) = self.splitter.next_event()? {
+            has_progress |= event.has_field;
+            let kind = classify(event.bytes, self.attempt)?;
+            match kind {
+                Event::Pass => {}
+                Event::Token => self.tokens = self.tokens.saturating_add(1),
+                Event::End { tokens } if tokens != self.tokens => return Err(Malformed::Count),
+                Event::End { .. } => {
+                    let events = self.splitter.take_before_last();
+                    return Ok(Chunk { events, has_progress, is_whole: true });
                 }
             }
         }
-        let events = bytes.split_to(start);
-        if EVENT_BYTES_MAX < bytes.len() {
-            return Err(Malformed::TooLong);
-        }
-        self.partial = BytesMut::from(bytes.as_ref());
-        Ok(Chunk { events, is_whole: false })
+        Ok(Chunk { events: self.splitter.take(), has_progress, is_whole: false })
     }
+}
 
-    fn classify(&mut self, event: &[u8]) -> Result<Event, Malformed> {
-        if self.ended {
-            return Err(Malformed::End);
-        }
-        if let Some(rest) = event.strip_prefix(b"event:") {
-            return self.classify_named(rest);
-        }
-        if let Some(data) = event.strip_prefix(b"data:") {
-            if data.trim_ascii() == b"[DONE]" {
-                return Err(Malformed::NoEnd);
-            }
-            self.tokens = self.tokens.saturating_add(1);
-        }
-        Ok(Event::Pass)
-    }
-
-    fn classify_named(&mut self, rest: &[u8]) -> Result<Event, Malformed> {
-        let mut lines = rest.split(|byte| *byte == b'\n');
-        let name = lines.next().unwrap_or_default().trim_ascii();
-        if name == b"error" {
-            return Err(Malformed::Error);
-        }
-        if name != b"end" {
-            return Ok(Event::Pass);
-        }
-        let data = lines.next().and_then(|line| line.strip_prefix(b"data:"));
-        let end: End =
-            data.and_then(|data| serde_json::from_slice(data).ok()).ok_or(Malformed::End)?;
-        if end.attempt != self.attempt {
-            return Err(Malformed::Crossed);
-        }
-        if end.tokens != self.tokens {
-            return Err(Malformed::Count);
-        }
-        self.ended = true;
-        Ok(Event::End)
+impl From<TooLong> for Malformed {
+    fn from(_: TooLong) -> Self {
+        Self::TooLong
     }
 }
 
+/// What an event means for its stream.
 enum Event {
     Pass,
-    End,
+    Token,
+    End { tokens: u32 },
 }
 
-fn find_separator(bytes: &[u8]) -> Option<usize> {
-    let mut from = 0;
-    while let Some(position) = bytes[from..].iter().position(|byte| *byte == b'\n') {
-        let at = from + position;
-        if bytes.get(at + 1) == Some(&b'\n') {
-            return Some(at);
-        }
-        from = at + 1;
+fn classify(event: &[u8], attempt: id::Attempt) -> Result<Event, Malformed> {
+    if let Some(rest) = event.strip_prefix(b"event:") {
+        return classify_named(rest, attempt);
+    }
+    let Some(data) = event.strip_prefix(b"data:") else { return Ok(Event::Pass) };
+    if data.trim_ascii() == b"[DONE]" {
+        return Err(Malformed::NoEnd);
+    }
+    Ok(Event::Token)
+}
+
+fn classify_named(rest: &[u8], attempt: id::Attempt) -> Result<Event, Malformed> {
+    let mut lines = rest.split(|byte| *byte == b'\n');
+    let name = lines.next().unwrap_or_default().trim_ascii();
+    if name == b"error" {
+        return Err(Malformed::Error);
+    }
+    if name != b"end" {
+        return Ok(Event::Pass);
+    }
+    let data = lines.next().and_then(|line| line.strip_prefix(b"data:"));
+    let end: End = data.and_then(|data| serde_json::from_slice(data).ok()).ok_or(Malformed::End)?;
+    if end.attempt != attempt {
+        return Err(Malformed::Crossed);
     }
-    None
+    Ok(Event::End { tokens: end.tokens })
 }
--- /dev/null
+++ b/crates/wasabi-entry/src/dispatch/exchange.rs
@@ -0,0 +1,99 @@
+//! One request to an endpoint and the head of its answer, for both kinds of callers.
+
+use std::time::Duration;
+
+use actix_http::{Method, StatusCode, header};
+use awc::{
+    ClientRequest,
+    error::{ConnectError, SendRequestError},
+};
+use bytes::Bytes;
+use futures_util::StreamExt as _;
+use wasabi_protocol::{fault::Kind, request::End};
+
+use crate::{
+    dispatch::{connect::Flight, wire},
+    opened::{Body, Deadline, Failure, Opened},
+};
+
+/// Bytes of a header value that go into a log line; an endpoint chooses its length.
+const SHOWN_BYTES: usize = 64;
+
+/// Sends a request and returns its answer once a head came. Whether it belongs to the request is
+/// for the caller of this function to see.
+///
+/// # Errors
+///
+/// Returns how the attempt ended when no head came within `bound`, or one that is no answer.
+pub(crate) async fn send(
+    request: ClientRequest,
+    body: Bytes,
+    deadline: Deadline,
+    bound: Duration,
+    flight: Option<&Flight>,
+) -> Result<Opened, Failure> {
+    let method = request.get_method().clone();
+    let time = bound.min(deadline.left());
+    let sending = wire::traced(request.send_body(body));
+    let Ok((sent, wire)) = tokio::time::timeout(time, sending).await else {
+        return Err(late(deadline, flight));
+    };
+    let response = sent.map_err(|error| failed(&error, flight))?;
+    let Some(wire) = wire else {
+        let message = "the HTTP client answered without a connection";
+        return Err(Failure::new(End::Failed, Kind::EndpointFailed, message));
+    };
+    let (status, headers) = (response.status(), response.headers().clone());
+    if status.is_informational() {
+        // The client takes each head for an answer; what follows this one can't be told apart.
+        wire.close();
+        let message = format!("the endpoint sent {status} where its answer was due");
+        return Err(Failure::new(End::Failed, Kind::EndpointFailed, message));
+    }
+    let is_sized = headers.contains_key(header::CONTENT_LENGTH)
+        || headers.contains_key(header::TRANSFER_ENCODING)
+        || is_bodiless(&method, status);
+    if !is_sized {
+        wire.close();
+    }
+    let body = Body::new(wire, response.boxed_local());
+    Ok(Opened { status, headers, body, is_sized })
+}
+
+/// Returns the part of an endpoint's header value that goes into a log line.
+pub(crate) fn shown(value: &str) -> &str {
+    value.get(..SHOWN_BYTES).unwrap_or(value)
+}
+
+/// Returns whether such answers never have a body.
+fn is_bodiless(method: &Method, status: StatusCode) -> bool {
+    method == Method::HEAD || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
+}
+
+fn failed(error: &SendRequestError, flight: Option<&Flight>) -> Failure {
+    let is_unsent = match flight {
+        Some(flight) => !flight.is_sent(),
+        // A kept connection that closes before the answer counts as `Disconnected`, so only the
+        // other connect errors prove that nothing was sent.
+        None => matches!(error, SendRequestError::Connect(cause)
+            if !matches!(cause, ConnectError::Disconnected)),
+    };
+    if flight.is_some_and(Flight::is_late) {
+        let message = "the entry was held up past the dispatch window; nothing was sent";
+        return Failure::new(End::Abandoned, Kind::RecordUnavailable, message);
+    }
+    if is_unsent {
+        let message = format!("the endpoint cannot be reached, and nothing was sent: {error}");
+        return Failure::new(End::Unreachable, Kind::EndpointUnreachable, message);
+    }
+    let message = format!("the connection broke after the request was sent: {error}");
+    Failure::new(End::Broken, Kind::EndpointFailed, message)
+}
+
+fn late(deadline: Deadline, flight: Option<&Flight>) -> Failure {
+    if flight.is_some_and(|flight| !flight.is_sent()) {
+        let message = "the endpoint accepted no connection, and nothing was sent";
+        return Failure::new(End::Unreachable, Kind::EndpointUnreachable, message);
+    }
+    deadline.missed()
+}
--- a/crates/wasabi-entry/src/dispatch/open.rs
+++ b/crates/wasabi-entry/src/dispatch/open.rs
@@ -2,7 +2,6 @@
 
 use std::rc::Rc;
 
-use actix_http::header;
 use bytes::{Bytes, BytesMut};
 use wasabi_protocol::{fault::Kind, id, request::End};
 
@@ -13,13 +12,14 @@
     },
     dispatch::{
         connect::Flight,
-        events::Reader,
+        events::{Malformed, Reader},
         grant::Held,
         relay,
         send::{self, Attempt, Line},
         whole::{self, Whole},
     },
-    opened::{Failure, Opened},
+    events::EVENT_BYTES_MAX,
+    opened::{Deadline, Failure, Opened},
     shared::new_attempt,
 };
 
@@ -60,7 +60,8 @@
     }
     match open_on(worker, call, held, id, Line::Pooled).await {
         Err(failure) if failure.end == End::Silent => {
-            tracing::info!(endpoint = %held.grant().endpoint, "silent connection is replaced");
+            let endpoint = &held.grant().endpoint;
+            tracing::info!(request = %call.id, %endpoint, "silent connection is replaced");
             let again = open_on(worker, call, held, new_attempt(), Line::Fresh).await;
             again.map_err(|second| match second.end {
                 End::Unreachable => failure,
@@ -92,39 +93,37 @@
     let context = span.context();
     let attempt = Attempt { call, grant: &grant, id, resume_from: None, line, context };
     let mut opened = send::send(worker, attempt, bound).await?;
-    let is_stream = opened
-        .headers
-        .get(header::CONTENT_TYPE)
-        .is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"));
+    let (deadline, clock) = (send::deadline(worker, call), worker.shared.clock);
     if !is_streamed || !opened.status.is_success() {
         return Ok(Opening::Whole(whole::collect(worker, call, held, opened, bound).await?));
     }
-    if !is_stream {
+    if !opened.is_stream() {
         let message = "the endpoint answered a streamed request without a stream";
         return Err(Failure::new(End::Failed, Kind::EndpointFailed, message));
     }
     let mut reader = Reader::new(id, 0);
     let mut first = BytesMut::new();
+    let until = Deadline { at: call.deadline.min(clock.now() + bound), clock };
     loop {
-        let chunk = send::next_chunk(worker, call, &mut opened, bound.duration()).await?;
+        let chunk = opened.next(deadline, until.left()).await?;
         let Some(chunk) = chunk else {
             let message = "the stream stopped before its first token";
             return Err(Failure::new(End::Failed, Kind::EndpointFailed, message));
         };
-        let chunk = reader.read(chunk).map_err(|malformed| {
-            Failure::new(End::Failed, Kind::EndpointFailed, relay::describe(malformed))
-        })?;
-        let is_first = first.is_empty();
+        let chunk = reader.read(&chunk).map_err(malformed)?;
+        first.extend_from_slice(&chunk.events);
+        // Named events may come without end as well.
+        if EVENT_BYTES_MAX < first.len() && reader.tokens() == 0 {
+            return Err(malformed(Malformed::TooLong));
+        }
         if 0 < reader.tokens() || chunk.is_whole {
             held.progress(reader.tokens());
-            let first = if is_first {
-                chunk.events
-            } else {
-                first.extend_from_slice(&chunk.events);
-                first.freeze()
-            };
-            return Ok(Opening::Stream(Stream { opened, reader, first, is_whole: chunk.is_whole }));
+            let (first, is_whole) = (first.freeze(), chunk.is_whole);
+            return Ok(Opening::Stream(Stream { opened, reader, first, is_whole }));
         }
-        first.extend_from_slice(&chunk.events);
     }
 }
+
+fn malformed(malformed: Malformed) -> Failure {
+    Failure::new(End::Failed, Kind::EndpointFailed, relay::describe(malformed))
+}
--- a/crates/wasabi-entry/src/dispatch/relay.rs
+++ b/crates/wasabi-entry/src/dispatch/relay.rs
@@ -119,6 +119,7 @@
     /// Ends the stream as whole.
     fn finish(&mut self, events: &[u8]) -> Bytes {
         self.state = State::Ended;
+        self.opened.body.close();
         let mut last = BytesMut::with_capacity(events.len() + DONE.len());
         last.extend_from_slice(events);
         last.extend_from_slice(DONE);
@@ -141,12 +142,18 @@
     /// Ends the stream with an explicit error event.
     fn fail(&mut self, end: End, fault: &Fault) -> Bytes {
         self.state = State::Ended;
+        // The caller may read the rest slowly; the endpoint must not work on meanwhile.
+        self.opened.body.close();
         let metrics = &self.worker.shared.metrics;
         metrics.refused(fault.kind, Some(self.call.route.tier));
         if let Some(record) = self.record.take() {
             record.finish(gate::unknown());
         }
         if let Some(held) = self.held.take() {
+            tracing::info!(
+                request = %self.call.id, endpoint = %held.grant().endpoint,
+                tokens = self.reader.tokens(), ?end, %fault, "stream broke"
+            );
             metrics.wasted_prefill.inc_by(u64::from(
                 self.call.request(self.worker.shared.clock.now(), new_attempt(), &[]).prompt_tokens,
             ));
@@ -155,6 +162,11 @@
         answer::fault_event(fault)
     }
 
+    fn fail_late(&mut self) -> Bytes {
+        let message = "the deadline passed while the stream ran";
+        self.fail(End::Abandoned, &Fault::new(Kind::DeadlineRunning, message))
+    }
+
     /// Resumes a broken or silent stream on a new connection, or ends it with an error.
     fn recover(&mut self, end: End, fault: &Fault) -> Option<Bytes> {
         let resumable = self.held.as_ref().filter(|held| {
@@ -164,11 +176,15 @@
                 && Instant::now() < self.deadline
         });
         let Some(held) = resumable else { return Some(self.fail(end, fault)) };
+        self.opened.body.close();
         self.resumes += 1;
         self.worker.shared.metrics.resumes.inc();
         let (worker, call) = (Rc::clone(&self.worker), Rc::clone(&self.call));
         let (grant, tokens) = (held.grant().clone(), self.reader.tokens());
-        tracing::info!(endpoint = %grant.endpoint, tokens, reason = %fault, "stream is resumed");
+        tracing::info!(
+            request = %call.id, endpoint = %grant.endpoint, tokens, reason = %fault,
+            "stream is resumed"
+        );
         let resume = async move {
             let attempt = Attempt {
                 call: &call,
@@ -214,7 +230,11 @@
         if let Some((events, is_whole)) = self.first.take() {
             return Poll::Ready(self.pass(events, is_whole));
         }
-        let chunk = match self.opened.body.as_mut().poll_next(cx) {
+        // Bytes that are always there must not keep the stream beyond its deadline.
+        if self.deadline <= Instant::now() {
+            return Poll::Ready(Some(self.fail_late()));
+        }
+        let chunk = match self.opened.body.poll_next(cx) {
             Poll::Ready(Some(Ok(chunk))) => chunk,
             Poll::Ready(Some(Err(error))) => {
                 let fault = Fault::new(Kind::StreamBroken, format!("the stream broke: {error}"));
@@ -228,9 +248,13 @@
             }
             Poll::Pending => return self.poll_timer(cx),
         };
-        self.last = Instant::now();
-        match self.reader.read(chunk) {
-            Ok(chunk) => Poll::Ready(self.pass(chunk.events, chunk.is_whole)),
+        match self.reader.read(&chunk) {
+            Ok(chunk) => {
+                if chunk.has_progress {
+                    self.last = Instant::now();
+                }
+                Poll::Ready(self.pass(chunk.events, chunk.is_whole))
+            }
             Err(malformed) => {
                 let fault = Fault::new(Kind::StreamBroken, describe(malformed));
                 Poll::Ready(Some(self.fail(End::Failed, &fault)))
@@ -241,9 +265,7 @@
     fn poll_timer(&mut self, cx: &mut Context<'_>) -> Poll<Option<Bytes>> {
         std::task::ready!(self.timer.as_mut().poll(cx));
         if self.deadline <= Instant::now() {
-            let message = "the deadline passed while the stream ran";
-            let fault = Fault::new(Kind::DeadlineRunning, message);
-            return Poll::Ready(Some(self.fail(End::Abandoned, &fault)));
+            return Poll::Ready(Some(self.fail_late()));
         }
         let Some(held) = &self.held else { return Poll::Ready(None) };
         let silent_at = self.last + held.grant().between_tokens_bound.duration();
@@ -287,7 +309,7 @@
 /// Returns what was wrong with a stream, for the caller.
 pub(crate) fn describe(malformed: Malformed) -> &'static str {
     match malformed {
-        Malformed::TooLong => "the endpoint sent an event that is too long",
+        Malformed::TooLong => "the endpoint sent too many bytes without an event",
         Malformed::End => "the endpoint sent an end event that cannot be read",
         Malformed::Error => "the endpoint ended the stream with an error",
         Malformed::Crossed => "the end of the stream belongs to another attempt",
--- a/crates/wasabi-entry/src/dispatch/whole.rs
+++ b/crates/wasabi-entry/src/dispatch/whole.rs
@@ -1,8 +1,7 @@
 //! Answers that are passed on whole: services and chat completions without a stream.
 
 use actix_http::{Response, body::BoxBody, header};
-use bytes::BytesMut;
-use wasabi_protocol::{clock::Millis, command::Kept, fault::Kind, request::End};
+use wasabi_protocol::{clock::Millis, command::Kept};
 
 use crate::{
     callers::{answer, call::Call, server::Worker},
@@ -11,9 +10,6 @@
     opened::{Failure, Opened},
 };
 
-/// Largest answer that is collected, in bytes.
-const ANSWER_BYTES_MAX: usize = 8 * 1024 * 1024;
-
 /// A whole answer and what a record keeps of it.
 pub(crate) struct Whole {
     pub(crate) response: Response<BoxBody>,
@@ -34,16 +30,8 @@
     bound: Millis,
 ) -> Result<Whole, Failure> {
     held.progress(0);
-    let mut body = BytesMut::new();
-    while let Some(chunk) = send::next_chunk(worker, call, &mut opened, bound.duration()).await? {
-        held.progress(0);
-        if ANSWER_BYTES_MAX < body.len() + chunk.len() {
-            let message = format!("the answer is larger than {ANSWER_BYTES_MAX} bytes");
-            return Err(Failure::new(End::Failed, Kind::EndpointFailed, message));
-        }
-        body.extend_from_slice(&chunk);
-    }
-    let body = body.freeze();
+    let deadline = send::deadline(worker, call);
+    let body = opened.collect(deadline, bound.duration(), || held.progress(0)).await?;
     let content_type = opened
         .headers
         .get(header::CONTENT_TYPE)
--- a/crates/wasabi-entry/src/forward/mod.rs
+++ b/crates/wasabi-entry/src/forward/mod.rs
@@ -8,12 +8,10 @@
 mod answer;
 mod call;
 mod directory;
-mod events;
+pub mod events;
 mod relay;
 mod send;
 pub(crate) mod server;
 pub(crate) mod site;
 mod watch;
 mod way;
-
-pub use events::{Events, Splitter};
--- a/crates/wasabi-entry/src/forward/relay.rs
+++ b/crates/wasabi-entry/src/forward/relay.rs
@@ -4,15 +4,11 @@
 
 use bytes::Bytes;
 use futures_util::stream::{self, Stream};
-use wasabi_protocol::{fault::Kind, request::End};
+use wasabi_protocol::{clock::Millis, fault::Kind, request::End};
 
 use crate::{
     dispatch::grant::Held,
-    forward::{
-        events::{Events, Splitter},
-        send,
-        way::Attempts,
-    },
+    forward::{events::Reader, send, way::Attempts},
     opened::{Failure, Opened},
     shared::Open,
 };
@@ -22,7 +18,9 @@
     attempts: Attempts,
     opened: Opened,
     held: Option<Held>,
-    splitter: Splitter,
+    reader: Reader,
+    /// When the caller had its last event, on the process's clock.
+    progressed: Millis,
     _open: Open,
 }
 
@@ -41,7 +39,9 @@
 impl Relay {
     /// Returns the relay of an answer that has begun.
     pub(crate) fn new(attempts: Attempts, opened: Opened, held: Held, open: Open) -> Self {
-        Self { attempts, opened, held: Some(held), splitter: Splitter::default(), _open: open }
+        let progressed = attempts.worker.shared.clock.now();
+        let reader = Reader::default();
+        Self { attempts, opened, held: Some(held), reader, progressed, _open: open }
     }
 
     /// Returns the next events, or none when the answer is whole.
@@ -61,30 +61,30 @@
     }
 
     async fn read(&mut self) -> Result<Option<Bytes>, Failure> {
-        let attempts = &self.attempts;
-        let bound = self.bound();
-        let chunk =
-            send::next_chunk(&attempts.worker, &attempts.call, &mut self.opened, bound).await?;
-        let Some(chunk) = chunk else {
-            if self.splitter.has_partial() {
+        let Attempts { worker, call, .. } = &self.attempts;
+        let silent = worker.shared.clock.now().since(self.progressed).duration();
+        let bound = self.bound().saturating_sub(silent);
+        let deadline = send::deadline(worker, call);
+        let Some(chunk) = self.opened.next(deadline, bound).await? else {
+            if self.reader.has_partial() {
                 let message = "the stream ended within an event";
                 return Err(Failure::new(End::Broken, Kind::StreamBroken, message));
             }
             return Ok(None);
         };
-        match self.splitter.push(chunk) {
-            Events::Whole(events) => {
-                let tokens = self.splitter.count() * attempts.call.backend.tokens_per_event.max(1);
-                if let Some(held) = self.held.as_mut().filter(|_| !events.is_empty()) {
-                    held.progress(tokens);
-                }
-                Ok(Some(events))
-            }
-            Events::TooLong => {
-                let message = "the endpoint sent an event that is too long";
-                Err(Failure::new(End::Failed, Kind::StreamBroken, message))
+        let before = self.reader.count();
+        let events = self
+            .reader
+            .read(&chunk)
+            .map_err(|error| Failure::new(End::Failed, Kind::StreamBroken, error.to_string()))?;
+        if self.reader.count() != before {
+            let tokens = self.reader.count() * self.attempts.call.backend.tokens_per_event.max(1);
+            self.progressed = self.attempts.worker.shared.clock.now();
+            if let Some(held) = &mut self.held {
+                held.progress(tokens);
             }
         }
+        Ok(Some(events))
     }
 
     /// Returns the longest silence that is borne. Only a stream that can go on elsewhere gains
@@ -110,13 +110,15 @@
             return Err(io::Error::other("the stream has ended"));
         };
         let endpoint = held.grant().endpoint.clone();
-        let (request, sent) = (&self.attempts.call.id, self.splitter.count());
+        let (request, sent) = (&self.attempts.call.id, self.reader.count());
         tracing::info!(
             request, %endpoint, sent, end = ?failure.end, fault = %failure.fault, "stream broke"
         );
+        // No second endpoint may work on the stream while the first one still does.
+        self.opened.body.close();
         held.end(failure.end);
-        self.splitter.drop_partial();
-        let last = self.splitter.last().unwrap_or_default().to_owned();
+        self.reader.drop_partial();
+        let last = self.reader.last().unwrap_or_default().to_owned();
         let resumed = self.attempts.resume(endpoint, failure, &last).await;
         let (opened, held) = resumed.map_err(|fault| {
             tracing::info!(request = self.attempts.call.id, %fault, "stream is not resumed");
@@ -124,6 +126,7 @@
         })?;
         self.opened = opened;
         self.held = Some(held);
+        self.progressed = self.attempts.worker.shared.clock.now();
         Ok(())
     }
 
--- a/crates/wasabi-entry/src/forward/send.rs
+++ b/crates/wasabi-entry/src/forward/send.rs
@@ -1,22 +1,14 @@
 //! Sends an attempt to its endpoint and reads what comes back.
 
-use std::time::Duration;
-
-use actix_http::{StatusCode, header};
-use awc::error::{ConnectError, SendRequestError};
-use bytes::{Bytes, BytesMut};
 use wasabi_protocol::{clock::Millis, fault::Kind, request::End, rpc::Grant};
 
 use crate::{
     callers::server::Worker,
-    dispatch::connect,
+    dispatch::{connect, exchange},
     forward::{call::Call, dialect::Dialect},
-    opened::{Failure, Opened},
+    opened::{Deadline, Failure, Opened},
 };
 
-/// Largest answer that is collected, in bytes.
-const ANSWER_BYTES_MAX: usize = 8 * 1024 * 1024;
-
 /// Sends a request and returns its answer once the head came and belongs to it.
 ///
 /// # Errors
@@ -37,9 +29,10 @@
     for (name, value) in &call.headers {
         request = request.append_header((name.clone(), value.clone()));
     }
-    let left = call.deadline.since(worker.shared.clock.now());
+    let deadline = deadline(worker, call);
+    let left = deadline.left().as_millis();
     request = request
-        .insert_header((dialect.deadline.clone(), left.0.to_string()))
+        .insert_header((dialect.deadline.clone(), left.to_string()))
         .insert_header((dialect.endpoint.clone(), grant.endpoint.as_str()));
     if !call.organisation.as_str().is_empty() {
         request = request.insert_header((dialect.organisation.clone(), call.organisation.as_str()));
@@ -47,24 +40,21 @@
     if let Some(last) = last_event {
         request = request.insert_header((dialect.last_event.clone(), last));
     }
-    let time = bound.min(left).duration();
-    let sent = tokio::time::timeout(time, request.send_body(call.body.clone())).await;
-    let response = match sent {
-        Ok(Ok(response)) => response,
-        Ok(Err(error)) => return Err(failed(&error)),
-        Err(_) => return Err(late(worker, call)),
-    };
-    let (status, headers) = (response.status(), response.headers().clone());
+    let bound = bound.duration();
+    let opened = exchange::send(request, call.body.clone(), deadline, bound, None).await?;
+    let Opened { status, headers, .. } = &opened;
     let echoed = headers.get(&dialect.request).and_then(|value| value.to_str().ok());
     let is_refusal = headers.contains_key(&dialect.not_run) || status.as_u16() == 421;
     // A refusal may come without an id; one with another id is a late answer and says nothing of
     // this request.
     let is_own = echoed.map_or(is_refusal, |echoed| echoed == call.id);
     if !is_own {
+        let echoed = echoed.map(exchange::shown);
         tracing::warn!(
             request = call.id, endpoint = %grant.endpoint, ?echoed,
             "dropped an answer that belongs to another request"
         );
+        opened.abandon();
         let message = "the endpoint answered another request; its answer was dropped";
         return Err(Failure::new(End::Failed, Kind::EndpointFailed, message));
     }
@@ -74,78 +64,11 @@
         let message = format!("the endpoint refused the request with {status}; it did not run");
         return Err(Failure::new(end, Kind::EndpointUnreachable, message));
     }
-    let is_sized = headers.contains_key(header::CONTENT_LENGTH)
-        || headers.contains_key(header::TRANSFER_ENCODING);
-    if !is_sized && !is_bodiless(status) {
-        // The HTTP library takes such an answer for an empty one.
-        let message =
-            "the endpoint's answer states no length, so that it cannot be passed on whole";
-        return Err(Failure::new(End::Failed, Kind::EndpointFailed, message));
-    }
-    Ok(Opened { status, headers, body: connect::checked(response) })
+    opened.require_length()?;
+    Ok(opened)
 }
 
-/// Returns the next bytes of an answer, within a bound on progress.
-///
-/// # Errors
-///
-/// Returns the failure when the connection broke, or nothing came within `bound`.
-pub(crate) async fn next_chunk(
-    worker: &Worker,
-    call: &Call,
-    opened: &mut Opened,
-    bound: Duration,
-) -> Result<Option<Bytes>, Failure> {
-    let left = call.deadline.since(worker.shared.clock.now()).duration();
-    let next = tokio::time::timeout(bound.min(left), opened.next()).await;
-    next.unwrap_or_else(|_| Err(late(worker, call)))
-}
-
-/// Returns the whole body of an answer.
-///
-/// # Errors
-///
-/// Returns the failure when the answer broke off, came too late or is too large.
-pub(crate) async fn collect(
-    worker: &Worker,
-    call: &Call,
-    opened: &mut Opened,
-) -> Result<Bytes, Failure> {
-    let bound = call.deadline.since(call.arrived).duration();
-    let mut body = BytesMut::new();
-    while let Some(chunk) = next_chunk(worker, call, opened, bound).await? {
-        if ANSWER_BYTES_MAX < body.len() + chunk.len() {
-            let message = format!("the answer is larger than {ANSWER_BYTES_MAX} bytes");
-            return Err(Failure::new(End::Failed, Kind::EndpointFailed, message));
-        }
-        body.extend_from_slice(&chunk);
-    }
-    Ok(body.freeze())
-}
-
-/// Returns whether answers with this status never have a body.
-fn is_bodiless(status: StatusCode) -> bool {
-    matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
-}
-
-fn failed(error: &SendRequestError) -> Failure {
-    // A kept connection that closes before the answer counts as `Disconnected`, so only the other
-    // connect errors prove that nothing was sent.
-    let is_unsent = matches!(error, SendRequestError::Connect(cause)
-        if !matches!(cause, ConnectError::Disconnected));
-    if is_unsent {
-        let message = format!("the endpoint cannot be reached, and nothing was sent: {error}");
-        return Failure::new(End::Unreachable, Kind::EndpointUnreachable, message);
-    }
-    let message = format!("the connection broke after the request was sent: {error}");
-    Failure::new(End::Broken, Kind::EndpointFailed, message)
-}
-
-fn late(worker: &Worker, call: &Call) -> Failure {
-    if call.deadline <= worker.shared.clock.now() {
-        let message = "the deadline passed while the request ran";
-        return Failure::new(End::Abandoned, Kind::DeadlineRunning, message);
-    }
-    let message = "the endpoint made no progress within its bound";
-    Failure::new(End::Silent, Kind::EndpointSilent, message)
+/// Returns until when a call is of use.
+pub(crate) fn deadline(worker: &Worker, call: &Call) -> Deadline {
+    Deadline { clock: worker.shared.clock, at: call.deadline }
 }
--- a/crates/wasabi-entry/src/forward/way.rs
+++ b/crates/wasabi-entry/src/forward/way.rs
@@ -235,7 +235,9 @@
             return Attempted::Done(Outcome::Stream(Box::new((opened, held))));
         }
         held.progress(0);
-        let body = match send::collect(&self.worker, &self.call, &mut opened).await {
+        let deadline = send::deadline(&self.worker, &self.call);
+        let bound = self.call.deadline.since(self.call.arrived).duration();
+        let body = match opened.collect(deadline, bound, || ()).await {
             Ok(body) => body,
             Err(failure) => return self.failed(held, failure),
         };
--- a/crates/wasabi-entry/src/lib.rs
+++ b/crates/wasabi-entry/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod dispatch;
 mod drain;
 mod endpoints;
+pub mod events;
 pub mod forward;
 mod gate;
 pub mod inbound;
--- a/crates/wasabi-entry/src/opened.rs
+++ b/crates/wasabi-entry/src/opened.rs
@@ -1,22 +1,62 @@
 //! An endpoint's answer that has begun, and why an attempt gave none.
 
+use std::{
+    rc::Rc,
+    task::{Context, Poll, ready},
+    time::Duration,
+};
+
 use actix_http::{
     StatusCode,
     header::{self, HeaderMap},
 };
 use awc::error::PayloadError;
-use bytes::Bytes;
-use futures_util::{StreamExt as _, stream::LocalBoxStream};
+use bytes::{Bytes, BytesMut};
+use futures_util::{FutureExt as _, StreamExt as _, future::poll_fn, stream::LocalBoxStream};
 use wasabi_protocol::{
+    clock::{Clock, Millis},
     fault::{Fault, Kind},
     request::End,
 };
 
+use crate::dispatch::wire::Wire;
+
+/// Largest answer that is collected, in bytes.
+const ANSWER_BYTES_MAX: usize = 8 * 1024 * 1024;
+
+/// Until when a request is of use.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Deadline {
+    pub(crate) clock: Clock,
+    /// On that clock.
+    pub(crate) at: Millis,
+}
+
+impl Deadline {
+    /// Returns the time that is left.
+    pub(crate) fn left(&self) -> Duration {
+        self.at.since(self.clock.now()).duration()
+    }
+
+    /// Returns why nothing came in time: the request's time is up, or its endpoint made no progress
+    /// within a bound.
+    pub(crate) fn missed(&self) -> Failure {
+        if self.left().is_zero() {
+            let message = "the deadline passed while the request ran";
+            return Failure::new(End::Abandoned, Kind::DeadlineRunning, message);
+        }
+        let message = "the endpoint made no progress within its bound";
+        Failure::new(End::Silent, Kind::EndpointSilent, message)
+    }
+}
+
 /// An answer whose head belongs to the attempt.
 pub(crate) struct Opened {
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: LocalBoxStream<'static, Result<Bytes, PayloadError>>,
+    pub(crate) body: Body,
+    /// Whether its head says where the answer ends.
+    pub(crate) is_sized: bool,
 }
 
 impl Opened {
@@ -27,17 +67,146 @@
             && content_type.is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"))
     }
 
+    /// Returns an error for an answer that ends with its connection, which the HTTP library takes
+    /// for an empty one.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure when the head states no length.
+    pub(crate) fn require_length(&self) -> Result<(), Failure> {
+        if self.is_sized {
+            return Ok(());
+        }
+        let message =
+            "the endpoint's answer states no length, so that it cannot be passed on whole";
+        Err(Failure::new(End::Failed, Kind::EndpointFailed, message))
+    }
+
     /// Returns the next bytes of the answer, or nothing at its end.
     ///
     /// # Errors
     ///
-    /// Returns the failure when the connection broke.
-    pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, Failure> {
-        self.body.next().await.transpose().map_err(|error| {
+    /// Returns the failure when the connection broke, nothing came within `bound`, or the deadline
+    /// has passed; an endpoint whose bytes are always there must not outlast it.
+    pub(crate) async fn next(
+        &mut self,
+        deadline: Deadline,
+        bound: Duration,
+    ) -> Result<Option<Bytes>, Failure> {
+        let left = deadline.left();
+        if left.is_zero() {
+            return Err(deadline.missed());
+        }
+        let next = tokio::time::timeout(bound.min(left), self.body.next()).await;
+        next.map_err(|_| deadline.missed())?.transpose().map_err(|error| {
             let message = format!("the answer broke off: {error}");
             Failure::new(End::Broken, Kind::EndpointFailed, message)
         })
     }
+
+    /// Returns the whole body, and calls `progress` when a part of it came.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure when the answer broke off, was silent for `bound` or is too large.
+    pub(crate) async fn collect(
+        &mut self,
+        deadline: Deadline,
+        bound: Duration,
+        mut progress: impl FnMut(),
+    ) -> Result<Bytes, Failure> {
+        if self.stated_length().is_some_and(|length| (ANSWER_BYTES_MAX as u64) < length) {
+            return Err(too_large());
+        }
+        let mut body = BytesMut::new();
+        while let Some(chunk) = self.next(deadline, bound).await? {
+            progress();
+            if ANSWER_BYTES_MAX < body.len() + chunk.len() {
+                return Err(too_large());
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Ok(body.freeze())
+    }
+
+    fn stated_length(&self) -> Option<u64> {
+        self.headers.get(header::CONTENT_LENGTH)?.to_str().ok()?.trim().parse().ok()
+    }
+
+    /// Closes the connection though the answer may be whole: what comes on it is not to be used.
+    pub(crate) fn abandon(mut self) {
+        self.body.close();
+        self.body.wire.close();
+    }
+}
+
+fn too_large() -> Failure {
+    let message = format!("the answer is larger than {ANSWER_BYTES_MAX} bytes");
+    Failure::new(End::Failed, Kind::EndpointFailed, message)
+}
+
+/// The body of an answer. Its connection is closed at once when it is dropped before its end.
+pub(crate) struct Body {
+    wire: Rc<Wire>,
+    /// What came together with the head.
+    first: Option<Part>,
+    /// None once the body has ended or is of no use.
+    rest: Option<LocalBoxStream<'static, Part>>,
+}
+
+type Part = Result<Bytes, PayloadError>;
+
+impl Body {
+    /// Returns the body of an answer that is read from this connection.
+    pub(crate) fn new(wire: Rc<Wire>, rest: LocalBoxStream<'static, Part>) -> Self {
+        let mut body = Self { wire, first: None, rest: Some(rest) };
+        // An answer without a body is whole already, and its connection may be kept.
+        body.first = body.next().now_or_never().flatten();
+        body
+    }
+
+    /// Drops what was not read, and closes the connection unless the answer is whole.
+    pub(crate) fn close(&mut self) {
+        self.first = None;
+        if self.rest.take().is_some() {
+            self.wire.close();
+        }
+    }
+
+    /// Returns the next bytes; an end of the connection before the end of the body is an error.
+    ///
+    /// The client ends a body without an error in that case, so that a cut answer would look whole.
+    pub(crate) fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Part>> {
+        if let Some(first) = self.first.take() {
+            return Poll::Ready(Some(first));
+        }
+        let Some(rest) = &mut self.rest else { return Poll::Ready(None) };
+        match ready!(rest.poll_next_unpin(cx)) {
+            Some(part) => {
+                self.wire.add_body(part.as_ref().map_or(0, Bytes::len));
+                Poll::Ready(Some(part))
+            }
+            None if self.wire.has_ended() => {
+                self.close();
+                Poll::Ready(Some(Err(PayloadError::Incomplete(None))))
+            }
+            None => {
+                self.rest = None;
+                self.wire.rest();
+                Poll::Ready(None)
+            }
+        }
+    }
+
+    async fn next(&mut self) -> Option<Part> {
+        poll_fn(|cx| self.poll_next(cx)).await
+    }
+}
+
+impl Drop for Body {
+    fn drop(&mut self) {
+        self.close();
+    }
 }
 
 /// Why an attempt gave no whole answer.
--- a/crates/wasabi-entry/tests/events.rs
+++ b/crates/wasabi-entry/tests/events.rs
@@ -1,8 +1,13 @@
 //! Splitting a stream into events, against a naive reader of the whole text.
 
-use bytes::Bytes;
+use std::time::{Duration, Instant};
+
 use proptest::{prelude::*, test_runner::RngSeed};
-use wasabi_entry::dispatch::events::{EVENT_BYTES_MAX, Malformed, Reader};
+use wasabi_entry::{
+    dispatch::events::{Malformed, Reader},
+    events::EVENT_BYTES_MAX,
+    forward,
+};
 use wasabi_protocol::id;
 
 const ATTEMPT: id::Attempt = id::Attempt(7);
@@ -28,7 +33,7 @@
         let mut reader = Reader::new(ATTEMPT, 0);
         let (mut passed, mut from, mut is_whole) = (Vec::new(), 0, false);
         for cut in cuts {
-            let chunk = Bytes::copy_from_slice(&text.as_bytes()[from..cut]);
+            let chunk = &text.as_bytes()[from..cut];
             from = cut;
             if !is_whole {
                 let chunk = reader.read(chunk).unwrap();
@@ -44,13 +49,14 @@
     /// Guards against a panic on bytes that no engine should send.
     #[test]
     fn any_bytes_are_survived(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
-        let _ = Reader::new(ATTEMPT, 0).read(Bytes::from(bytes));
+        let _ = Reader::new(ATTEMPT, 0).read(&bytes);
+        let _ = forward::events::Reader::default().read(&bytes);
     }
 }
 
 fn read(text: &str) -> Result<bool, Malformed> {
     let mut reader = Reader::new(ATTEMPT, 0);
-    reader.read(Bytes::copy_from_slice(text.as_bytes())).map(|chunk| chunk.is_whole)
+    reader.read(text.as_bytes()).map(|chunk| chunk.is_whole)
 }
 
 /// Guards against ends that are passed on although they do not prove that the answer is whole.
@@ -72,3 +78,53 @@
 fn an_endless_event_is_refused() {
     assert_eq!(read(&"a".repeat(EVENT_BYTES_MAX + 1)), Err(Malformed::TooLong));
 }
+
+/// Longest time for an event of [`EVENT_BYTES_MAX`] that comes byte by byte.
+const BYTES_TIME: Duration = Duration::from_secs(5);
+
+/// Guards against a long event in small parts that keeps a traffic thread busy, since each part is
+/// compared with all before it.
+#[test]
+fn an_event_in_single_bytes_takes_time_for_each_byte_only() {
+    let (mut tokens, mut passed) = (Reader::new(ATTEMPT, 0), forward::events::Reader::default());
+    let started = Instant::now();
+    for _ in 0..EVENT_BYTES_MAX {
+        assert!(tokens.read(b"a").is_ok() && passed.read(b"a").is_ok());
+        assert!(started.elapsed() < BYTES_TIME, "still busy after {:?}", started.elapsed());
+    }
+    assert_eq!(tokens.read(b"a"), Err(Malformed::TooLong));
+    assert!(passed.read(b"a").is_err());
+}
+
+/// Guards against comments and empty events without end that pass for progress or fill the memory.
+#[test]
+fn comments_and_empty_events_are_no_progress_and_are_bounded() {
+    for quiet in [":\n\n", "\n\n", ": x\n: y\n\n", "\r\n\r\n"] {
+        let mut tokens = Reader::new(ATTEMPT, 0);
+        let mut passed = forward::events::Reader::default();
+        for _ in 0..EVENT_BYTES_MAX / quiet.len() {
+            assert!(!tokens.read(quiet.as_bytes()).unwrap().has_progress, "{quiet:?}");
+            passed.read(quiet.as_bytes()).unwrap();
+        }
+        assert_eq!((tokens.tokens(), passed.count()), (0, 0), "{quiet:?}");
+        let more = quiet.repeat(2);
+        assert_eq!(tokens.read(more.as_bytes()), Err(Malformed::TooLong), "{quiet:?}");
+        assert!(passed.read(more.as_bytes()).is_err(), "{quiet:?}");
+    }
+}
+
+/// Guards against comments between tokens that count up to an error.
+#[test]
+fn a_field_after_comments_is_progress() {
+    let mut tokens = Reader::new(ATTEMPT, 0);
+    let mut passed = forward::events::Reader::default();
+    for _ in 0..4 {
+        for _ in 0..EVENT_BYTES_MAX / 8 {
+            tokens.read(b":\n\n").unwrap();
+            passed.read(b":\n\n").unwrap();
+        }
+        assert!(tokens.read(b"data: a\n\n").unwrap().has_progress);
+        passed.read(b"data: a\n\n").unwrap();
+    }
+    assert_eq!((tokens.tokens(), passed.count()), (4, 4));
+}
