--- a/crates/wasabi-control/tests/entries.rs
+++ b/crates/wasabi-control/tests/entries.rs
@@ -146,7 +146,12 @@
     let took = silent.elapsed();
     assert!(Duration::from_millis(2_300) < took, "it left the view after {took:?}");
     let force = change(&cluster, 4, 2_000);
-    assert_eq!((force.confirmed.len(), force.behind.len()), (2, 0), "{force:?}");
+    assert_eq!(
+        (force.confirmed.len(), force.behind.len()),
+        (2, 0),
+        "{force:?}\n{}",
+        cluster.logs()
+    );
 
     entries[1].set(|state| state.checkin.entry.duty = Duty::Draining);
     let drain = Drain { credential: CREDENTIAL.to_owned(), entry: "e1".into() };
