rollout: slowness is judged against the slowest old endpoints, from few requests

Cause: a version about four times slower was not taken back within a move of 15 s. The pace was learned from the order on only, the test of slowness waited for the error rate of each route (300 requests), answers that were cut off counted for nothing, and a first token that waits for other prompts in a group looked slow. Change: the bound of a slow request rises from 1.5 until at most 5% of the slowest quarter of old endpoints lie above; first token and stream also count alone; the pace is learned before a move; slow requests count when the old part of slow requests is known to ten points.

--- a/crates/wasabi-rollout/examples/moves/sim.rs
+++ b/crates/wasabi-rollout/examples/moves/sim.rs
@@ -349,6 +349,7 @@
                 hardware: if engine.fast { "fast" } else { "slow" },
                 fingerprint: job.request.fingerprint,
                 load: job.load,
+                ahead: 0,
                 report: &job.report,
             };
             self.watch.observe_cached(self.now, seen, job.cached);
--- a/crates/wasabi-rollout/src/baseline.rs
+++ b/crates/wasabi-rollout/src/baseline.rs
@@ -106,6 +106,14 @@
             - rate(self.all.errors, self.all.requests);
         unsure <= UNSURE_MAX * ERRORS_RISE
     }
+
+    /// Returns whether the old version's part of slow requests is known well enough. It takes far
+    /// fewer requests than the error rate, which a short move may never know.
+    pub(crate) fn is_pace_sure(&self) -> bool {
+        let unsure =
+            upper_rate(self.all.slow, self.all.requests) - rate(self.all.slow, self.all.requests);
+        unsure <= UNSURE_MAX * SLOW_RISE
+    }
 }
 
 pub(crate) fn slow_rates(old: &Count) -> Rates {
--- a/crates/wasabi-rollout/src/evidence.rs
+++ b/crates/wasabi-rollout/src/evidence.rs
@@ -9,25 +9,7 @@
     request::{End, Report},
 };
 
-use crate::credit::Side;
-
-/// Time relative to the old version's, from which on a request counts as slow.
-pub const SLOW_RATIO: f64 = 1.5;
-
-/// Samples of the old version that a length class needs before it serves as a reference.
-const REFERENCE_SAMPLES_MIN: u32 = 8;
-
-/// Samples after which a reference follows new samples as a moving average.
-const REFERENCE_SAMPLES_MAX: f64 = 200.0;
-
-/// Output tokens below which a stream shows no time per token.
-const STREAM_TOKENS_MIN: u32 = 8;
-
-/// Classes of prompt length: powers of two.
-const PROMPT_CLASSES: usize = 20;
-
-/// Classes of load: quarters of the concurrency.
-const LOAD_CLASSES: usize = 4;
+use crate::{credit::Side, pace::Pace};
 
 /// Time within which lost connections to one endpoint count as one loss.
 ///
@@ -64,6 +46,8 @@
     pub fingerprint: Body,
     /// Requests in flight on the endpoint at dispatch, as a part of its concurrency.
     pub load: f64,
+    /// Prompt tokens of other requests that the endpoint still had to read at dispatch.
+    pub ahead: u32,
     /// What the attempt showed.
     pub report: &'a Report,
 }
@@ -71,7 +55,7 @@
 /// Counts of one version on one route.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Count {
-    /// Requests that ended, without abandoned ones.
+    /// Requests that ended, without abandoned ones that were not slow.
     pub requests: u64,
     /// Requests that failed by the endpoint's fault.
     pub errors: u64,
@@ -105,7 +89,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Book {
     counts: BTreeMap<id::Route, Counts>,
-    references: BTreeMap<String, Reference>,
+    pace: Pace,
     served: BTreeMap<id::Endpoint, (Side, Millis)>,
     losses: Vec<Loss>,
     overflow: [u64; 2],
@@ -121,6 +105,11 @@
 }
 
 impl Book {
+    /// Returns a book that knows the old version's pace from before the move.
+    pub fn new(pace: Pace) -> Self {
+        Self { pace, ..Self::default() }
+    }
+
     /// Takes an ended request into account, of whose prompt the endpoint had `cached` tokens in its
     /// prefix cache, by the owner's own knowledge.
     ///
@@ -129,11 +118,17 @@
     pub fn observe(&mut self, now: Millis, seen: Observation<'_>, cached: u32) {
         self.served.insert(seen.endpoint.clone(), (seen.side, now));
         match seen.report.end {
-            End::Abandoned => {}
+            End::Abandoned => {
+                // A caller that leaves says nothing of the endpoint, but what came until then may
+                // already be too slow. A slow version would otherwise hide its longest answers.
+                if self.pace.is_slow(now, &seen, cached) {
+                    self.count(&seen, Count { requests: 1, errors: 0, slow: 1 });
+                }
+            }
             End::Finished => {
-                let slow = self.is_slow(&seen, cached);
+                let slow = self.pace.is_slow(now, &seen, cached);
                 if seen.side == Side::Old {
-                    self.learn(&seen, cached);
+                    self.pace.learn(now, &seen, cached);
                 }
                 self.count(&seen, Count { requests: 1, errors: 0, slow: u64::from(slow) });
             }
@@ -211,22 +206,6 @@
             requests: vec![seen.fingerprint],
         });
     }
-
-    fn learn(&mut self, seen: &Observation<'_>, cached: u32) {
-        if !self.references.contains_key(seen.hardware) {
-            self.references.insert(seen.hardware.to_owned(), Reference::default());
-        }
-        if let Some(reference) = self.references.get_mut(seen.hardware) {
-            reference.learn(seen, cached);
-        }
-    }
-
-    fn is_slow(&self, seen: &Observation<'_>, cached: u32) -> bool {
-        self.references
-            .get(seen.hardware)
-            .and_then(|reference| reference.ratio(seen, cached))
-            .is_some_and(|ratio| SLOW_RATIO < ratio)
-    }
 }
 
 impl Loss {
@@ -234,86 +213,3 @@
         self.requests.iter().any(|request| other.requests.contains(request))
     }
 }
-
-/// The old version's pace on one hardware generation, by prompt tokens to read and by load.
-#[derive(Debug, Clone, Default)]
-struct Reference {
-    cells: [[Cell; LOAD_CLASSES]; PROMPT_CLASSES],
-    /// Time per token over all prompt lengths, for cells that have too few samples, as those of
-    /// high load do.
-    per_token: [Mean; LOAD_CLASSES],
-}
-
-#[derive(Debug, Clone, Copy, Default)]
-struct Cell {
-    first_token: Mean,
-    per_token: Mean,
-}
-
-#[derive(Debug, Clone, Copy, Default)]
-struct Mean {
-    samples: u32,
-    value: f64,
-}
-
-impl Reference {
-    fn learn(&mut self, seen: &Observation<'_>, cached: u32) {
-        let report = seen.report;
-        let cell = &mut self.cells[prompt_class(report, cached)][load_class(seen.load)];
-        if let Some(first) = report.first_token {
-            cell.first_token.add(first.0 as f64);
-        }
-        if let Some(per_token) = per_token(report) {
-            cell.per_token.add(per_token);
-            self.per_token[load_class(seen.load)].add(per_token);
-        }
-    }
-
-    /// Returns the request's time relative to the reference for its length and load, or `None`
-    /// when the old version did not show enough of them.
-    fn ratio(&self, seen: &Observation<'_>, cached: u32) -> Option<f64> {
-        let report = seen.report;
-        let cell = &self.cells[prompt_class(report, cached)][load_class(seen.load)];
-        let first = cell
-            .first_token
-            .known()
-            .and_then(|expected| Some((report.first_token?.0 as f64, expected)));
-        let any_length = || self.per_token[load_class(seen.load)].known();
-        let stream = cell.per_token.known().or_else(any_length).and_then(|expected| {
-            let tokens = f64::from(report.output_tokens);
-            Some((per_token(report)? * tokens, expected * tokens))
-        });
-        let (actual, expected) = match (first, stream) {
-            (Some(first), Some(stream)) => (first.0 + stream.0, first.1 + stream.1),
-            (Some(part), None) | (None, Some(part)) => part,
-            (None, None) => return None,
-        };
-        Some(actual / expected.max(1.0))
-    }
-}
-
-impl Mean {
-    fn add(&mut self, value: f64) {
-        self.samples = self.samples.saturating_add(1);
-        self.value += (value - self.value) / f64::from(self.samples).min(REFERENCE_SAMPLES_MAX);
-    }
-
-    fn known(&self) -> Option<f64> {
-        (REFERENCE_SAMPLES_MIN <= self.samples).then_some(self.value)
-    }
-}
-
-fn per_token(report: &Report) -> Option<f64> {
-    (STREAM_TOKENS_MIN <= report.output_tokens)
-        .then(|| report.stream.0 as f64 / f64::from(report.output_tokens - 1))
-}
-
-fn prompt_class(report: &Report, cached: u32) -> usize {
-    let read = report.prompt_tokens.saturating_sub(cached);
-    let class = u32::BITS - read.leading_zeros();
-    (class as usize).min(PROMPT_CLASSES - 1)
-}
-
-fn load_class(load: f64) -> usize {
-    ((load.max(0.0) * LOAD_CLASSES as f64) as usize).min(LOAD_CLASSES - 1)
-}
--- a/crates/wasabi-rollout/src/lib.rs
+++ b/crates/wasabi-rollout/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod decision;
 pub mod evidence;
 pub mod loss;
+pub mod pace;
 pub mod sequential;
 pub mod stop;
 pub mod trial;
--- a/crates/wasabi-rollout/src/stop.rs
+++ b/crates/wasabi-rollout/src/stop.rs
@@ -8,6 +8,7 @@
     credit::Side,
     evidence::{Book, Count, Observation},
     loss,
+    pace::Pace,
     sequential::Verdict,
     trial,
 };
@@ -29,8 +30,13 @@
 impl Watch {
     /// Returns a watch over a move that concerns `routes` routes.
     pub fn new(routes: usize) -> Self {
+        Self::with_pace(routes, Pace::default())
+    }
+
+    /// Returns a watch that knows the old version's pace from before the move.
+    pub fn with_pace(routes: usize, pace: Pace) -> Self {
         Self {
-            book: Book::default(),
+            book: Book::new(pace),
             trials: trial::Set::new(routes),
             losses: loss::Trial::new(routes),
             settled: None,
--- a/crates/wasabi-rollout/src/trial.rs
+++ b/crates/wasabi-rollout/src/trial.rs
@@ -75,7 +75,10 @@
     tests: Tests,
     old: Baseline,
     new: Count,
+    /// Requests that are not in the tests of errors yet.
     held: Count,
+    /// Requests that are not in the tests of slowness yet.
+    held_pace: Count,
     accepted: Option<Millis>,
 }
 
@@ -135,7 +138,8 @@
             let Some(trial) = self.trials.get_mut(&seen.route) else { continue };
             let errors = trial.old.errors(self.old.outage());
             trial.add_new(now, seen.all, errors, &mut self.all);
-            if trial.old.is_sure() && 0 < seen.high_load.requests {
+            if 0 < seen.high_load.requests {
+                let errors = trial.old.is_sure().then_some(errors);
                 self.add_high_load(seen.high_load, errors);
             }
             let is_rejected = |tests: &Tests| tests.verdict() == Verdict::Rejected;
@@ -148,16 +152,17 @@
     /// Takes requests of the new version under high load into account.
     ///
     /// The old version's rate under high load counts when it is higher than its rate at any load.
-    fn add_high_load(&mut self, new: Count, errors: Rates) {
-        let mut errors = errors;
+    /// `errors` has the route's rates, once the old version's is known.
+    fn add_high_load(&mut self, new: Count, errors: Option<Rates>) {
         let old = self.old_high;
+        if HIGH_LOAD_MIN <= old.requests {
+            self.high.slow.add(new.requests, new.slow, slow_rates(&old));
+        }
+        let Some(mut errors) = errors else { return };
         if RECENT_ERRORS_MIN <= old.errors {
             let good = errors.good.max(upper_rate(old.errors, old.requests));
             errors = rates(rate(old.errors, old.requests), good, ERRORS_RISE);
         }
-        if HIGH_LOAD_MIN <= old.requests {
-            self.high.slow.add(new.requests, new.slow, slow_rates(&old));
-        }
         self.high.errors.add(new.requests, new.errors, errors);
         self.high.gross.add(new.requests, new.errors, gross(errors));
     }
@@ -189,17 +194,27 @@
             let by = [(&self.all, "all routes together"), (&self.high, "under high load")];
             let (_, what) =
                 by.into_iter().find(|(tests, _)| tests.verdict() == Verdict::Rejected)?;
-            Some({
-                let counts = |(route, trial): (&id::Route, &Trial)| {
-                    let Count { requests, errors, slow } = trial.new;
-                    format!("{route}: {errors} failed and {slow} slow of {requests}")
-                };
-                let routes = self.trials.iter().map(counts).collect::<Vec<_>>();
-                format!("{what}: {}", routes.join(", "))
-            })
+            Some(format!("{what}: {}", self.counts()))
         })
     }
 
+    /// Returns what both versions showed on each route, in words for the operator.
+    pub fn counts(&self) -> String {
+        let counts = |(route, trial): (&id::Route, &Trial)| {
+            let (new, old) = (trial.new, trial.old.all);
+            format!(
+                "{route}: {} failed and {} slow of {}, old version {} and {} of {}",
+                new.errors, new.slow, new.requests, old.errors, old.slow, old.requests
+            )
+        };
+        self.trials.iter().map(counts).collect::<Vec<_>>().join("; ")
+    }
+
+    /// Returns whether the pace of all routes together was accepted.
+    pub const fn is_pace_accepted(&self) -> bool {
+        0 < self.all.slow.acceptances()
+    }
+
     /// Returns the routes without an acceptance at or after `since`.
     pub fn unproven(&self, since: Millis) -> Vec<&id::Route> {
         self.trials
@@ -230,6 +245,7 @@
             old: Baseline::default(),
             new: Count::default(),
             held: Count::default(),
+            held_pace: Count::default(),
             accepted: None,
         }
     }
@@ -238,19 +254,24 @@
     fn add_new(&mut self, now: Millis, count: Count, errors: Rates, all: &mut Tests) {
         self.new.add(count);
         self.held.add(count);
+        self.held_pace.add(count);
         let gross = gross(errors);
         for tests in [&mut self.tests, &mut *all] {
             tests.gross.add(count.requests, count.errors, gross);
         }
-        if !self.old.is_sure() {
-            return;
-        }
-        let held = std::mem::take(&mut self.held);
         let accepted = self.tests.acceptances();
-        let slow = self.old.slow();
-        for tests in [&mut self.tests, all] {
-            tests.errors.add(held.requests, held.errors, errors);
-            tests.slow.add(held.requests, held.slow, slow);
+        if self.old.is_pace_sure() {
+            let held = std::mem::take(&mut self.held_pace);
+            let slow = self.old.slow();
+            for tests in [&mut self.tests, &mut *all] {
+                tests.slow.add(held.requests, held.slow, slow);
+            }
+        }
+        if self.old.is_sure() {
+            let held = std::mem::take(&mut self.held);
+            for tests in [&mut self.tests, all] {
+                tests.errors.add(held.requests, held.errors, errors);
+            }
         }
         if accepted < self.tests.acceptances() {
             self.accepted = Some(now);
--- a/crates/wasabi-rollout/tests/evidence.rs
+++ b/crates/wasabi-rollout/tests/evidence.rs
@@ -44,6 +44,7 @@
         hardware: "h1",
         fingerprint: Body(body),
         load,
+        ahead: 0,
         report,
     });
 }
--- a/crates/wasabi-scheduler/src/pool/release.rs
+++ b/crates/wasabi-scheduler/src/pool/release.rs
@@ -7,7 +7,7 @@
     request::{End, Report},
     rpc::Release,
 };
-use wasabi_rollout::evidence::Observation;
+use wasabi_rollout::{credit::Side, evidence::Observation};
 use wasabi_routing::pace::Sample;
 
 use super::{owner::Pool, running::Running};
@@ -83,18 +83,30 @@
     }
 
     fn learn_version(&mut self, now: Millis, running: &Running, report: &Report) {
-        let Some(side) = running.side else { return };
-        let hardware = self.endpoints.get_mut(&running.endpoint);
-        let hardware = hardware.map(|slot| slot.announcement.hardware.clone()).unwrap_or_default();
+        let slot = self.endpoints.get_mut(&running.endpoint);
+        let announced = slot
+            .map(|slot| (slot.announcement.hardware.clone(), slot.announcement.version.clone()));
+        let (hardware, version) = announced.unzip();
+        let hardware = hardware.unwrap_or_default();
+        let own = running.request.prompt_tokens.saturating_sub(running.cached);
         let seen = Observation {
             route: &running.request.route,
-            side,
+            side: running.side.unwrap_or(Side::Old),
             endpoint: &running.endpoint,
             hardware: &hardware,
             fingerprint: running.request.fingerprint,
             load: running.load,
+            ahead: running.prefill_tokens.saturating_sub(own),
             report,
         };
+        if running.side.is_none() {
+            // An adopted attempt was started by an owner that knew its load.
+            let is_known = report.end == End::Finished && running.grant.is_some();
+            if let Some(version) = version.filter(|_| is_known) {
+                self.versions.learn(now, &version, &seen, running.cached);
+            }
+            return;
+        }
         self.versions.observe(now, seen, running.cached);
         // The evidence may have stopped the new version.
         self.versions.mark(&mut self.endpoints.slots);
--- a/crates/wasabi-scheduler/src/pool/versions.rs
+++ b/crates/wasabi-scheduler/src/pool/versions.rs
@@ -11,6 +11,7 @@
 use wasabi_rollout::{
     credit::{self, Placement, Side},
     evidence::Observation,
+    pace::Pace,
     sequential::Verdict,
     stop::Watch,
 };
@@ -24,6 +25,8 @@
     /// The version in use while no move runs. An endpoint of another version gets no work then,
     /// since nothing limits the share of a version that no move names.
     settled: Option<id::Version>,
+    /// The pace of the version in use, learned before a move needs it.
+    pace: Pace,
     active: Option<Active>,
 }
 
@@ -70,13 +73,13 @@
         if let Some(order) = ended {
             let is_done = order.stage == Stage::Done;
             let version = if is_done { &order.plan.to } else { &order.plan.from };
-            self.settled = Some(version.clone());
+            self.use_version(version.clone());
         }
         let Some(order) = active else {
             self.active = None;
             return;
         };
-        self.settled = Some(order.plan.from.clone());
+        self.use_version(order.plan.from.clone());
         match &mut self.active {
             Some(known) if known.name == order.plan.name => {
                 known.stage = order.stage;
@@ -88,7 +91,7 @@
                     to: order.plan.to.clone(),
                     stage: order.stage,
                     ledger: credit::Ledger::new(order.stage, 1),
-                    watch: Watch::new(routes),
+                    watch: Watch::with_pace(routes, self.pace.clone()),
                 });
             }
         }
@@ -112,10 +115,34 @@
             return;
         }
         let count = |version: &id::Version| versions().filter(|other| *other == version).count();
-        self.settled = versions()
+        let most = versions()
             .filter(|version| !self.banned.contains(version))
-            .max_by_key(|version| (count(version), *version))
-            .cloned();
+            .max_by_key(|version| (count(version), *version));
+        match most.cloned() {
+            Some(version) => self.use_version(version),
+            None => self.settled = None,
+        }
+    }
+
+    /// Notes the version in use. The pace of another one says nothing about it.
+    fn use_version(&mut self, version: id::Version) {
+        if self.settled.as_ref() != Some(&version) {
+            self.pace = Pace::default();
+            self.settled = Some(version);
+        }
+    }
+
+    /// Learns from a finished request while no move runs.
+    pub(super) fn learn(
+        &mut self,
+        now: Millis,
+        version: &id::Version,
+        seen: &Observation<'_>,
+        cached: u32,
+    ) {
+        if self.active.is_none() && self.settled.as_ref() == Some(version) {
+            self.pace.learn(now, seen, cached);
+        }
     }
 
     /// Notes on each endpoint how its version may be used.
--- a/crates/wasabi-scheduler/tests/versions.rs
+++ b/crates/wasabi-scheduler/tests/versions.rs
@@ -139,3 +139,27 @@
         assert_eq!(run(&mut pool, u64::from(tier) * 100, 50, tier, End::Finished), 50);
     }
 }
+
+/// Guards against a slow version that cannot be told, because the old version's pace is learned
+/// from the order of the move on only. Here the old version gets no request after it.
+#[test]
+fn knows_the_pace_of_the_version_in_use_before_a_move() {
+    let mut pool = kit::ready(3, 8);
+    run(&mut pool, 0, 400, 2, End::Finished);
+    announce_version(&mut pool, 1_500, "n", 8, "v2");
+    let mut config = config(2, &["e1"]);
+    config.moves = vec![order(Stage::Watching { until: Millis(60_000) })];
+    pool.step(Millis(1_500), Event::Config(&config));
+    for number in 500..503 {
+        let (_, grant) = grants(&acquire(&mut pool, 1_500, number, 2)).remove(0);
+        assert_eq!(grant.version.as_str(), "v2");
+        let mut event = release(&grant, request(number, 2).attempt, End::Finished);
+        if let Event::Release(release) = &mut event {
+            release.report.stream = Millis(4_000);
+        }
+        pool.step(Millis(1_500), event);
+    }
+    let evidence = pool.evidence();
+    let new = evidence.iter().find(|item| item.version.as_str() == "v2");
+    assert_eq!(new.map(|item| (item.requests, item.slow)), Some((3, 3)));
+}
