control, entry: the log names what the verdict on a move rests on

Cause: the line of a stage named the routes without a verdict, not the counts, so a log could not tell a slow version with few requests from one whose slowness did not count. Change: each stage is logged with both versions' counts on each route and the endpoints of the new version; the owner of a pool logs why it stopped a version. No decision changes.

--- a/crates/wasabi-control/src/moves.rs
+++ b/crates/wasabi-control/src/moves.rs
@@ -91,7 +91,11 @@
             let supply = Supply { new, full: evidence.old_most.max(1) };
             let next = decision::decide(unix_now(), &order, &evidence.ledger, supply);
             if let Some(next) = next {
-                info!(name = %order.plan.name, stage = ?next.stage, reason = next.reason, "move");
+                let counts = evidence.ledger.trials().counts();
+                info!(
+                    name = %order.plan.name, stage = ?next.stage, reason = next.reason, counts,
+                    new_endpoints = supply.new, "move"
+                );
                 let command = Command::StageMove {
                     name: order.plan.name,
                     from: order.stage,
--- a/crates/wasabi-entry/src/pools/owner.rs
+++ b/crates/wasabi-entry/src/pools/owner.rs
@@ -53,6 +53,8 @@
     holders: HashMap<id::Attempt, id::Entry>,
     /// The number of endpoints as it was logged last.
     endpoints: usize,
+    /// Whether the stop of a new version was logged.
+    is_stop_logged: bool,
 }
 
 /// The owned pools.
@@ -79,7 +81,13 @@
         let seed = fastrand::u64(..);
         let mut pool = Pool::new(name.clone(), backend.clone(), owner.clone(), seed);
         pool.step(now, Event::Config(config));
-        let owned = Owned { pool, waiting: HashMap::new(), holders: HashMap::new(), endpoints: 0 };
+        let owned = Owned {
+            pool,
+            waiting: HashMap::new(),
+            holders: HashMap::new(),
+            endpoints: 0,
+            is_stop_logged: false,
+        };
         self.owned.insert(name.clone(), owned);
     }
 
@@ -200,6 +208,7 @@
         let mut effects = Vec::new();
         let mut actions = self.pool.step(now, event);
         self.note_endpoints();
+        self.note_stop();
         while !actions.is_empty() {
             let mut follow = Vec::new();
             for action in actions {
@@ -242,6 +251,15 @@
         }
     }
 
+    /// Logs what the stop of a new version rests on.
+    fn note_stop(&mut self) {
+        let reason = self.pool.stopped_version();
+        if let Some(reason) = reason.filter(|_| !self.is_stop_logged) {
+            tracing::info!(pool = %self.pool.name(), reason, "new version stopped");
+        }
+        self.is_stop_logged = reason.is_some();
+    }
+
     fn grant(&mut self, now: Millis, ticket: u64, grant: Grant, follow: &mut Vec<Action>) {
         let Some(waiting) = self.waiting.remove(&ticket) else { return };
         let attempt = waiting.request.attempt;
--- a/crates/wasabi-scheduler/src/pool/owner.rs
+++ b/crates/wasabi-scheduler/src/pool/owner.rs
@@ -170,6 +170,11 @@
         }
     }
 
+    /// Returns why the new version of a running move gets no more requests, if it was stopped.
+    pub fn stopped_version(&self) -> Option<&str> {
+        self.versions.stopped()
+    }
+
     /// Returns what the versions of a running move showed since the last call.
     pub fn evidence(&mut self) -> Vec<Evidence> {
         self.versions.evidence()
--- a/crates/wasabi-scheduler/src/pool/versions.rs
+++ b/crates/wasabi-scheduler/src/pool/versions.rs
@@ -231,6 +231,11 @@
         }
     }
 
+    /// Returns why the owner stopped the new version of the running move, if it did.
+    pub(super) fn stopped(&self) -> Option<&str> {
+        self.active.as_ref()?.watch.stopped()
+    }
+
     /// Returns the evidence since the last call.
     pub(super) fn evidence(&mut self) -> Vec<Evidence> {
         let Some(active) = &mut self.active else { return Vec::new() };
