rollout, control: a move of seconds ends in time, on evidence

Cause: each stage lasted 10 s at least, so a move of 15 s was still at 4% when its time was over, neither completed nor taken back; its new version met 11 requests, of which 3 ended in time. The watch came after the deadline. Ruled out: lost evidence, endpoints that come late (all 18 are announced within 0.9 s of the order). Change: a short move spends a quarter of a planned stage at least; the platform's order keeps its watch and a twentieth for commits inside the time and starts at up to 8%; above 32% a short move widens only once the pace of all routes was accepted. Conclusion: a bad version is not completed by time alone; a good one with little traffic may be late.

--- a/crates/wasabi-control/src/local.rs
+++ b/crates/wasabi-control/src/local.rs
@@ -23,7 +23,7 @@
     pub kind: endpoint::Kind,
     /// The version to move to.
     pub to: id::Version,
-    /// Time until all traffic must have moved, in milliseconds.
+    /// Time until the move must be done or taken back, in milliseconds.
     pub within: Millis,
 }
 
--- a/crates/wasabi-control/src/serve.rs
+++ b/crates/wasabi-control/src/serve.rs
@@ -16,6 +16,7 @@
     },
     site,
 };
+use wasabi_rollout::decision::Schedule;
 use wasabi_state::Machine;
 
 use crate::{
@@ -29,12 +30,6 @@
 /// Longest time that an operator's command waits to be in force everywhere, in milliseconds.
 const FORCE_WAIT_MAX: Millis = Millis::from_secs(60);
 
-/// First share of a move that is ordered without one, in thousandths.
-const MOVE_START_PERMILLE: u32 = 20;
-
-/// Time for which a move that is ordered without one is watched after its end.
-const MOVE_WATCH: Millis = Millis(1_000);
-
 impl Member {
     /// Handles an input of a connection.
     pub(crate) fn handle(&mut self, input: Input) {
@@ -233,15 +228,16 @@
             }
         }
         let most = counts.into_iter().max_by_key(|(_, count)| *count);
+        let schedule = Schedule::of(order.within);
         Plan {
             name: format!("{}-{}-{}", order.backend, order.to, self.machine.index()).into(),
             kind: order.kind,
             backend: order.backend.clone(),
             from: most.map_or_else(|| "".into(), |(version, _)| version),
             to: order.to.clone(),
-            finish_by: unix_now() + order.within,
-            start_permille: MOVE_START_PERMILLE,
-            watch: MOVE_WATCH,
+            finish_by: unix_now() + schedule.finish_after,
+            start_permille: schedule.start_permille,
+            watch: schedule.watch,
         }
     }
 
--- a/crates/wasabi-rollout/src/decision.rs
+++ b/crates/wasabi-rollout/src/decision.rs
@@ -1,5 +1,7 @@
 //! The stage of a version move as a pure function of time and evidence.
 
+use std::ops::RangeInclusive;
+
 use wasabi_protocol::{
     clock::Millis,
     command::{Move, Plan, Stage},
@@ -20,9 +22,33 @@
 /// Part of the time until `finish_by` at which all traffic has moved, if evidence allows.
 pub const MOVED_PART: f64 = 0.9;
 
-/// Shortest time in one stage, also when the move is late.
+/// Longest time that a late move must spend in one stage, before it may widen.
+///
+/// A short move spends a quarter of its planned stages instead; with ten seconds a stage, a move of
+/// fifteen seconds could neither end in time nor show its new version to enough requests.
 pub const STAGE_MIN: Millis = Millis::from_secs(10);
 
+/// Share from which on a move with stages below [`STAGE_MIN`] widens only when the pace was accepted
+/// over all routes, in thousandths.
+///
+/// Its stages end before their requests are judged. By time alone, a slow version would be
+/// completed before it shows.
+const PACE_FROM_PERMILLE: u32 = 320;
+
+/// Longest watch of a move that is ordered by the time until its end.
+const ORDERED_WATCH_MAX: Millis = Millis(1_000);
+
+/// Parts of the time until its end that such a move keeps at most for its watch, and for commits
+/// and check-ins on the way, as divisors.
+const ORDERED_WATCH_DIVISOR: u64 = 10;
+const ORDERED_SPARE_DIVISOR: u64 = 20;
+
+/// First share of such a move, in thousandths, times its milliseconds.
+///
+/// A verdict needs a number of requests, so a shorter move starts with a larger share.
+const ORDERED_START: u64 = 1_200_000;
+const ORDERED_START_PERMILLE: RangeInclusive<u64> = 20..=80;
+
 /// The full share, in thousandths.
 const FULL: u32 = 1_000;
 
@@ -97,6 +123,31 @@
     }
 }
 
+/// The times and the first share of a move that must have ended within a time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Schedule {
+    /// Time from the order until all traffic must have moved.
+    pub finish_after: Millis,
+    /// The watch after that.
+    pub watch: Millis,
+    /// The first share, in thousandths.
+    pub start_permille: u32,
+}
+
+impl Schedule {
+    /// Returns the schedule of a move that must be done or taken back `within` this time.
+    pub fn of(within: Millis) -> Self {
+        let watch = ORDERED_WATCH_MAX.min(Millis(within.0 / ORDERED_WATCH_DIVISOR));
+        let spare = Millis(within.0 / ORDERED_SPARE_DIVISOR);
+        let (least, most) = (*ORDERED_START_PERMILLE.start(), *ORDERED_START_PERMILLE.end());
+        Self {
+            finish_after: within - watch - spare,
+            watch,
+            start_permille: (ORDERED_START / within.0.max(1)).clamp(least, most) as u32,
+        }
+    }
+}
+
 /// Returns the next stage of a move, or `None` while it stays where it is.
 ///
 /// `now` and the times of the move are in milliseconds since the Unix epoch.
@@ -135,11 +186,8 @@
     ledger: &Ledger,
     supply: Supply,
 ) -> Option<Next> {
-    if now < order.changed + STAGE_MIN {
-        return None;
-    }
-    let (planned, latest) = leave_times(order, permille);
-    if now < planned {
+    let Times { planned, latest, least } = leave_times(order, permille);
+    if now < planned || now < order.changed + least {
         return None;
     }
     let stage = if FULL <= permille {
@@ -150,6 +198,10 @@
     if supply.new < credit::replicas(stage, supply.full).min(supply.full).max(1) {
         return None;
     }
+    let is_short = least < STAGE_MIN;
+    if is_short && PACE_FROM_PERMILLE <= permille && !ledger.trials.is_pace_accepted() {
+        return None;
+    }
     let unproven = ledger.trials.unproven(order.changed);
     let has_evidence = ledger.trials.iter().any(|(_, trial)| 0 < trial.new_counts().requests);
     if (!unproven.is_empty() || !has_evidence) && now < latest {
@@ -159,8 +211,18 @@
     Some(Next { stage, reason: summary(reason, &unproven) })
 }
 
-/// Returns when a stage should be left, and when at the latest.
-fn leave_times(order: &Move, permille: u32) -> (Millis, Millis) {
+/// When a stage is left.
+struct Times {
+    /// When it should be left.
+    planned: Millis,
+    /// When at the latest.
+    latest: Millis,
+    /// The shortest time in it.
+    least: Millis,
+}
+
+/// Returns when a stage should be left.
+fn leave_times(order: &Move, permille: u32) -> Times {
     let span = order.plan.finish_by.since(order.started).0 as f64;
     let doublings = |from: u32| {
         let mut share = from.clamp(1, FULL);
@@ -176,7 +238,11 @@
     let step = (MOVED_PART - START_PART) / f64::from(all);
     let planned = START_PART + step * f64::from(done);
     let at = |part: f64| order.started + Millis((span * part) as u64);
-    (at(planned), at(planned + step / 2.0))
+    Times {
+        planned: at(planned),
+        latest: at(planned + step / 2.0),
+        least: STAGE_MIN.min(Millis((span * step / 4.0) as u64)),
+    }
 }
 
 fn summary(reason: &str, unproven: &[&id::Route]) -> String {
--- a/crates/wasabi-rollout/tests/short.rs
+++ b/crates/wasabi-rollout/tests/short.rs
@@ -3,18 +3,24 @@
 use rstest::rstest;
 use wasabi_protocol::{
     clock::Millis,
+    command::{Move, Plan, Stage},
+    endpoint::Kind,
     fingerprint::Body,
     id,
     request::{End, Report},
+    rpc,
 };
 use wasabi_rollout::{
     credit::Side,
+    decision::{self, Ledger, Schedule, Supply},
     evidence::{Count, Counts, Observation},
     sequential::Verdict,
     stop::Watch,
     trial::{JUDGED_AFTER, Set},
 };
 
+const SUPPLY: Supply = Supply { new: 18, full: 18 };
+
 /// Times per token of the old endpoints, which announce no hardware.
 const FAST_MS: f64 = 3.5;
 const SLOW_MS: f64 = 9.0;
@@ -33,6 +39,86 @@
     ("f", SLOW_MS),
 ];
 
+fn order(finish_by: Millis, start_permille: u32, watch: Millis) -> Move {
+    let plan = Plan {
+        name: "move".into(),
+        kind: Kind::Model,
+        backend: "model".into(),
+        from: "v1".into(),
+        to: "v2".into(),
+        finish_by,
+        start_permille,
+        watch,
+    };
+    let stage = Stage::Share(start_permille);
+    Move { plan, stage, reason: String::new(), started: Millis(0), changed: Millis(0) }
+}
+
+/// Returns what a leader knows after this many requests of the new version, none of them slow.
+fn ledger(new: u64) -> Ledger {
+    let (order, mut ledger) = (order(Millis(1), 20, Millis(1)), Ledger::new(3));
+    let seen = [("v1", 400), ("v2", new)].map(|(version, requests)| rpc::Evidence {
+        name: "move".into(),
+        route: "r".into(),
+        version: version.into(),
+        requests,
+        errors: 0,
+        slow: 0,
+        stopped: false,
+    });
+    ledger.add(Millis(0), &order.plan, &seen);
+    ledger.add(JUDGED_AFTER, &order.plan, &[]);
+    ledger
+}
+
+/// Guards against a short move that is completed by time, before enough requests were judged.
+#[test]
+fn a_short_move_needs_evidence_for_its_full_share() {
+    let mut order = order(Millis(15_000), 320, Millis(1_000));
+    assert_eq!(decision::decide(Millis(14_000), &order, &ledger(5), SUPPLY), None);
+    assert!(decision::decide(Millis(14_000), &order, &ledger(40), SUPPLY).is_some());
+    // A long move with little traffic still ends by time.
+    order.plan.finish_by = Millis(1_800_000);
+    assert!(decision::decide(Millis(1_700_000), &order, &ledger(5), SUPPLY).is_some());
+}
+
+/// Guards against stages of a fixed length, which kept a move of seconds far below its full share
+/// when its time was over.
+#[rstest]
+#[case::seconds(15_000)]
+#[case::few_seconds(6_000)]
+#[case::a_minute(60_000)]
+fn a_short_move_has_moved_in_time(#[case] within: u64) {
+    let mut order = order(Millis(within), 20, Millis(1_000));
+    let ledger = ledger(40);
+    let mut stages = 0;
+    for now in (0..within).step_by(250).map(Millis) {
+        if let Some(next) = decision::decide(now, &order, &ledger, SUPPLY) {
+            (order.stage, order.changed) = (next.stage, now);
+            stages += 1;
+        }
+    }
+    assert!(matches!(order.stage, Stage::Watching { .. } | Stage::Done), "{:?}", order.stage);
+    assert!(7 <= stages, "{stages} stages");
+}
+
+/// Guards against a move that moves all traffic at its deadline and ends its watch after it.
+#[rstest]
+#[case::seconds(15_000)]
+#[case::few_seconds(6_000)]
+#[case::half_an_hour(1_800_000)]
+fn an_ordered_move_is_done_within_its_time(#[case] within: u64) {
+    let schedule = Schedule::of(Millis(within));
+    let mut order = order(schedule.finish_after, schedule.start_permille, schedule.watch);
+    let ledger = ledger(40);
+    for now in (0..within).step_by(250).map(Millis) {
+        if let Some(next) = decision::decide(now, &order, &ledger, SUPPLY) {
+            (order.stage, order.changed) = (next.stage, now);
+        }
+    }
+    assert_eq!(order.stage, Stage::Done);
+}
+
 /// Ends a request of `tokens` output tokens on an endpoint, with `per_token` between them and
 /// `ahead` prompt tokens of others read before its own.
 fn end(
