--- /dev/null
+++ b/crates/wasabi-rollout/tests/short.rs
@@ -0,0 +1,205 @@
+//! Tests of moves that must end within seconds, with few requests to judge by.
+
+use rstest::rstest;
+use wasabi_protocol::{
+    clock::Millis,
+    command::{Move, Plan, Stage},
+    endpoint::Kind,
+    fingerprint::Body,
+    id,
+    request::{End, Report},
+    rpc,
+};
+use wasabi_rollout::{
+    credit::Side,
+    decision::{self, Ledger, Schedule, Supply},
+    evidence::{Count, Counts, Observation},
+    sequential::Verdict,
+    stop::Watch,
+    trial::{JUDGED_AFTER, Set},
+};
+
+const SUPPLY: Supply = Supply { new: 18, full: 18 };
+
+/// Times per token of the old endpoints, which announce no hardware.
+const FAST_MS: f64 = 3.5;
+const SLOW_MS: f64 = 9.0;
+
+/// The endpoints of requests in turn: the two fast ones of six get six of ten.
+const OLD: [(&str, f64); 10] = [
+    ("a", FAST_MS),
+    ("d", FAST_MS),
+    ("a", FAST_MS),
+    ("b", SLOW_MS),
+    ("d", FAST_MS),
+    ("a", FAST_MS),
+    ("c", SLOW_MS),
+    ("d", FAST_MS),
+    ("e", SLOW_MS),
+    ("f", SLOW_MS),
+];
+
+fn order(finish_by: Millis, start_permille: u32, watch: Millis) -> Move {
+    let plan = Plan {
+        name: "move".into(),
+        kind: Kind::Model,
+        backend: "model".into(),
+        from: "v1".into(),
+        to: "v2".into(),
+        finish_by,
+        start_permille,
+        watch,
+    };
+    let stage = Stage::Share(start_permille);
+    Move { plan, stage, reason: String::new(), started: Millis(0), changed: Millis(0) }
+}
+
+/// Returns what a leader knows after this many requests of the new version, none of them slow.
+fn ledger(new: u64) -> Ledger {
+    let (order, mut ledger) = (order(Millis(1), 20, Millis(1)), Ledger::new(3));
+    let seen = [("v1", 400), ("v2", new)].map(|(version, requests)| rpc::Evidence {
+        name: "move".into(),
+        route: "r".into(),
+        version: version.into(),
+        requests,
+        errors: 0,
+        slow: 0,
+        stopped: false,
+    });
+    ledger.add(Millis(0), &order.plan, &seen);
+    ledger.add(JUDGED_AFTER, &order.plan, &[]);
+    ledger
+}
+
+/// Guards against a short move that is completed by time, before enough requests were judged.
+#[test]
+fn a_short_move_needs_evidence_for_its_full_share() {
+    let mut order = order(Millis(15_000), 320, Millis(1_000));
+    assert_eq!(decision::decide(Millis(14_000), &order, &ledger(5), SUPPLY), None);
+    assert!(decision::decide(Millis(14_000), &order, &ledger(40), SUPPLY).is_some());
+    // A long move with little traffic still ends by time.
+    order.plan.finish_by = Millis(1_800_000);
+    assert!(decision::decide(Millis(1_700_000), &order, &ledger(5), SUPPLY).is_some());
+}
+
+/// Guards against stages of a fixed length, which kept a move of seconds far below its full share
+/// when its time was over.
+#[rstest]
+#[case::seconds(15_000)]
+#[case::few_seconds(6_000)]
+#[case::a_minute(60_000)]
+fn a_short_move_has_moved_in_time(#[case] within: u64) {
+    let mut order = order(Millis(within), 20, Millis(1_000));
+    let ledger = ledger(40);
+    let mut stages = 0;
+    for now in (0..within).step_by(250).map(Millis) {
+        if let Some(next) = decision::decide(now, &order, &ledger, SUPPLY) {
+            (order.stage, order.changed) = (next.stage, now);
+            stages += 1;
+        }
+    }
+    assert!(matches!(order.stage, Stage::Watching { .. } | Stage::Done), "{:?}", order.stage);
+    assert!(7 <= stages, "{stages} stages");
+}
+
+/// Guards against a move that moves all traffic at its deadline and ends its watch after it.
+#[rstest]
+#[case::seconds(15_000)]
+#[case::few_seconds(6_000)]
+#[case::half_an_hour(1_800_000)]
+fn an_ordered_move_is_done_within_its_time(#[case] within: u64) {
+    let schedule = Schedule::of(Millis(within));
+    let mut order = order(schedule.finish_after, schedule.start_permille, schedule.watch);
+    let ledger = ledger(40);
+    for now in (0..within).step_by(250).map(Millis) {
+        if let Some(next) = decision::decide(now, &order, &ledger, SUPPLY) {
+            (order.stage, order.changed) = (next.stage, now);
+        }
+    }
+    assert_eq!(order.stage, Stage::Done);
+}
+
+/// Ends a request of `tokens` output tokens on an endpoint, with `per_token` between them and
+/// `ahead` prompt tokens of others read before its own.
+fn end(
+    watch: &mut Watch,
+    now: Millis,
+    (side, endpoint): (Side, &str),
+    (per_token, tokens, ahead): (f64, u32, u32),
+    end: End,
+) {
+    let first = 5.0 + per_token * (500.0 + f64::from(ahead)) / 75.0;
+    let report = Report {
+        end,
+        first_token: Some(Millis(first as u64)),
+        stream: Millis((f64::from(tokens - 1) * per_token) as u64),
+        output_tokens: tokens,
+        prompt_tokens: 500,
+    };
+    let seen = Observation {
+        route: &"r".into(),
+        side,
+        endpoint: &endpoint.into(),
+        hardware: "",
+        fingerprint: Body(1),
+        load: 0.4,
+        ahead,
+        report: &report,
+    };
+    watch.observe(now, seen);
+}
+
+/// Returns a watch that saw 600 requests of the old version, from long to short ones.
+fn watch() -> Watch {
+    let mut watch = Watch::new(3);
+    for index in 0..600_u32 {
+        let (endpoint, per_token) = OLD[index as usize % OLD.len()];
+        let noise = 0.8 + 0.1 * f64::from(index / 10 % 5);
+        let shape = (per_token * noise, 2 + (index * 7) % 300, 0);
+        end(&mut watch, Millis(u64::from(index)), (Side::Old, endpoint), shape, End::Finished);
+    }
+    watch
+}
+
+/// Ends `requests` requests of the new version, has them judged and returns why it was stopped.
+fn judge(watch: &mut Watch, requests: u32, shape: (f64, u32, u32), how: End) -> Option<String> {
+    for index in 0..requests {
+        let tokens = shape.1.max(2 + (index * 11) % 60);
+        let shape = (shape.0, tokens, shape.2);
+        end(watch, Millis(1_000), (Side::New, "new"), shape, how);
+    }
+    watch.settle(Millis(1_000) + JUDGED_AFTER, |_| false);
+    watch.stopped().map(str::to_owned)
+}
+
+/// Guards against a good version that is taken back because it runs on the slower kind of endpoint
+/// where no hardware is announced, or since its first tokens wait for prompts sent before them.
+#[rstest]
+#[case::on_slow_endpoints(SLOW_MS, 0)]
+#[case::on_fast_endpoints(FAST_MS, 0)]
+#[case::behind_other_prompts(SLOW_MS, 8_000)]
+fn a_good_version_on_any_endpoint_is_kept(#[case] per_token: f64, #[case] ahead: u32) {
+    assert_eq!(judge(&mut watch(), 400, (per_token, 2, ahead), End::Finished), None);
+}
+
+/// Guards against a version four times slower that few requests do not show, because the unlike
+/// speeds of the old endpoints make a third of the old version's requests look slow as well.
+#[rstest]
+#[case::finished(End::Finished, 2)]
+#[case::abandoned(End::Abandoned, 100)]
+fn twenty_requests_show_a_version_four_times_slower(#[case] how: End, #[case] tokens: u32) {
+    let stopped = judge(&mut watch(), 20, (4.0 * SLOW_MS, tokens, 0), how);
+    assert!(stopped.is_some_and(|reason| reason.contains("slow")));
+}
+
+/// Guards against a test of slowness that waits until the old version's error rate is known to a
+/// point, for which a route of a short move has too few requests.
+#[test]
+fn slowness_is_judged_before_the_error_rate_is_known() {
+    let (route, mut set) = (id::Route::from("r"), Set::new(3));
+    let old = Count { requests: 120, errors: 0, slow: 2 };
+    let new = Count { requests: 14, errors: 0, slow: 14 };
+    set.add(Millis(0), &route, Counts { old, new, ..Counts::default() });
+    set.judge(JUDGED_AFTER);
+    assert_eq!(set.verdict(&route), Verdict::Rejected);
+}
