control: random schedules of faults around a repair, in virtual time

Callers saw: nothing of this; the incident showed that the steps of a repair had no test of faults in between.

The next loss comes as early as it must be borne. The stand-in repeats Member::join and Member::lead by hand; Situation::next_change, Situation::shortage, search::Round and Node are the real ones.

Found: five voters stop for good when one whose disk is full for 2 s is removed before the learner that takes its place has its vote, and two others are then lost. A group of three can need somewhat more than 4 s for a host that was replaced as planned when the leader's host goes: an election, then 2 s of silence.

Ruled out: seeds that are all gone or all lost; the schedules keep one alive, since such a host has no way to the group (docs/control.md).

--- /dev/null
+++ b/crates/wasabi-control/tests/repair_sim/sim.rs
@@ -0,0 +1,413 @@
+//! The network, the duties of a leader, and what must always hold.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use wasabi_consensus::{Action, Event, Message, Payload, Restored};
+use wasabi_protocol::{clock::Millis, id, rpc::Joined};
+
+use super::host::{Disk, Host, Machine, Process, Waiting};
+
+/// What must hold and does not.
+pub type Broken = String;
+
+/// Time after which the place of a lost member is taken, in milliseconds.
+pub const CATCH_UP: u64 = 4_000;
+
+/// The present rules, or one rule as it was before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Variant {
+    Present,
+    PromoteBeforeRemove,
+    RedirectOverwritten,
+    AskEndsAfterDiskError,
+    SilentBeforeAdded,
+}
+
+/// A step of a repair at the leader.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Moment {
+    Asked,
+    AddressPlaced,
+    AddressCommitted,
+    AddPlaced,
+    ChunkSent,
+    RemovePlaced,
+    PromotePlaced,
+    ChangeCommitted,
+}
+
+/// What happens at a moment.
+#[derive(Debug, Clone, Copy)]
+pub enum Strike {
+    KillLeader,
+    FreezeLeader(u64),
+    FillDisk(u64),
+    CutLeader(u64),
+    KillSubject,
+    FreezeSubject(u64),
+}
+
+#[derive(Debug)]
+pub enum Due {
+    Tick(usize, u64),
+    Stored(usize, u64),
+    Reopen(usize, u64),
+    Deliver { to: usize, from: id::Member, address: String, name: id::Member, message: Message },
+    AskRound(usize, u64),
+    Join { to: usize, name: id::Member, address: String, asker: Option<(usize, u64, u64)> },
+    Answer { at: usize, life: u64, number: u64, address: String, answer: Option<Joined> },
+    Start(usize),
+    Client,
+}
+
+#[derive(Debug)]
+pub struct Sim {
+    pub now: u64,
+    pub hosts: Vec<Host>,
+    pub variant: Variant,
+    pub rng: fastrand::Rng,
+    pub size: usize,
+    pub seeds: Vec<String>,
+    /// Directed links that are cut, with the time of their return.
+    pub cuts: BTreeMap<(usize, usize), u64>,
+    /// Lost messages, in thousandths, and until when.
+    pub loss: (u64, u64),
+    pub sync_delay: (u64, u64),
+    /// When the last disturbance ends.
+    pub disturbed_until: u64,
+    /// Losses that have not been made good for long enough.
+    pub losses: usize,
+    pub trap: Option<(Moment, Strike)>,
+    pub moments: HashMap<Moment, u64>,
+    pub acknowledged: BTreeSet<u64>,
+    queue: BTreeMap<(u64, u64), Due>,
+    sequence: u64,
+    pub requests: u64,
+    terms: BTreeSet<u64>,
+    chosen: BTreeMap<u64, (u64, Payload)>,
+    /// Until when each host was out of touch.
+    pub away_until: BTreeMap<usize, u64>,
+}
+
+impl Sim {
+    pub fn new(size: usize, seed: u64, variant: Variant) -> Self {
+        let mut hosts: Vec<_> = (0..size).map(|at| Host::new(format!("10.0.0.{at}:1"))).collect();
+        let names: Vec<id::Member> = (0..size).map(|at| format!("m{at}").into()).collect();
+        for (host, name) in hosts.iter_mut().zip(&names) {
+            let restored = Restored::founding(names.iter().cloned());
+            host.disk = Some(Disk { name: name.clone(), restored });
+        }
+        let seeds = hosts.iter().take(3).map(|host| host.address.clone()).collect();
+        for at in 0..3 {
+            let observed = Some(BTreeMap::new());
+            hosts.push(Host { observed, ..Host::new(format!("10.0.1.{at}:1")) });
+        }
+        let mut sim = Self {
+            now: 0,
+            hosts,
+            variant,
+            rng: fastrand::Rng::with_seed(seed),
+            size,
+            seeds,
+            cuts: BTreeMap::new(),
+            loss: (0, 0),
+            sync_delay: (4, 0),
+            disturbed_until: 0,
+            losses: 0,
+            trap: None,
+            moments: HashMap::new(),
+            acknowledged: BTreeSet::new(),
+            queue: BTreeMap::new(),
+            sequence: 0,
+            requests: 0,
+            terms: BTreeSet::new(),
+            chosen: BTreeMap::new(),
+            away_until: BTreeMap::new(),
+        };
+        (0..size).for_each(|at| sim.start(at));
+        // The settings name the founders' addresses.
+        for at in 0..size {
+            let addresses = (0..size).map(|at| (names[at].clone(), format!("10.0.0.{at}:1")));
+            sim.hosts[at].process.as_mut().unwrap().learned = addresses.collect();
+        }
+        sim.push(50, Due::Client);
+        sim
+    }
+
+    pub fn contacts(&self) -> Vec<String> {
+        self.seeds.clone()
+    }
+
+    pub fn push(&mut self, delay: u64, due: Due) {
+        self.sequence += 1;
+        self.queue.insert((self.now + delay, self.sequence), due);
+    }
+
+    pub fn run(&mut self, span: u64) -> Result<(), Broken> {
+        let end = self.now + span;
+        while let Some(entry) = self.queue.first_entry().filter(|entry| entry.key().0 <= end) {
+            let ((at, _), due) = entry.remove_entry();
+            self.now = self.now.max(at);
+            self.handle(due).map_err(|broken| format!("at {}: {broken}", self.now))?;
+        }
+        self.now = end;
+        Ok(())
+    }
+
+    /// Starts the process of a host; one with an empty disk is a new member.
+    pub fn start(&mut self, at: usize) {
+        let (now, seed) = (self.now, self.rng.u64(..));
+        let host = &mut self.hosts[at];
+        if host.is_gone || host.process.is_some() || host.observed.is_some() {
+            return;
+        }
+        host.lives += 1;
+        let (lives, address) = (host.lives, host.address.clone());
+        let fresh =
+            || Disk { name: format!("{address}-{lives}").into(), restored: Restored::default() };
+        let disk = host.disk.get_or_insert_with(fresh);
+        host.process = Some(Process::new(lives, disk, seed, now));
+        self.push(0, Due::Tick(at, lives));
+        self.push(1, Due::AskRound(at, lives));
+    }
+
+    /// Ends a process. What it was writing reaches the disk or not, by chance.
+    pub fn kill(&mut self, at: usize, down: u64) {
+        let kept = self.rng.bool();
+        let host = &mut self.hosts[at];
+        if host.observed.is_some() || host.is_gone {
+            return;
+        }
+        if let (Some(process), Some(disk)) = (&mut host.process, &mut host.disk)
+            && let Some(persist) = process.outstanding.take().filter(|_| kept)
+        {
+            disk.write(persist.batch());
+        }
+        host.process = None;
+        self.push(down, Due::Start(at));
+        self.disturb(&[at], down);
+    }
+
+    /// Notes that hosts are out of touch for a while.
+    pub fn disturb(&mut self, hosts: &[usize], span: u64) {
+        let until = self.now + span;
+        self.disturbed_until = self.disturbed_until.max(until);
+        for at in hosts {
+            let away = self.away_until.entry(*at).or_default();
+            *away = until.max(*away);
+        }
+    }
+
+    pub fn passes(&mut self, from: usize, to: usize) -> bool {
+        let is_cut = self.cuts.get(&(from, to)).is_some_and(|until| self.now < *until);
+        let is_lost = self.now < self.loss.1 && self.rng.u64(0..1_000) < self.loss.0;
+        !is_cut && !is_lost
+    }
+
+    pub fn leader(&self) -> Option<usize> {
+        let term = |at: &usize| {
+            let process = self.hosts[*at].process.as_ref().filter(|process| process.is_leader())?;
+            process.node.as_ref().map(wasabi_consensus::Node::term)
+        };
+        (0..self.hosts.len()).filter(|at| term(at).is_some()).max_by_key(term)
+    }
+
+    pub fn step(&mut self, at: usize, event: Event) -> Result<(), Broken> {
+        let now = Millis(self.now);
+        let Some(process) = &mut self.hosts[at].process else { return Ok(()) };
+        let Some(node) = &mut process.node else { return Ok(()) };
+        for action in node.step(now, event) {
+            self.act(at, action)?;
+        }
+        Ok(())
+    }
+
+    fn act(&mut self, at: usize, action: Action) -> Result<(), Broken> {
+        let (now, full_until) = (self.now, self.hosts[at].full_until);
+        let Some(process) = &mut self.hosts[at].process else { return Ok(()) };
+        if process.node.is_none() {
+            return Ok(());
+        }
+        match action {
+            Action::Send(to, message) => {
+                let Some(address) = process.address_of(&to) else { return Ok(()) };
+                let from = process.name.clone();
+                let is_chunk = matches!(message, Message::Install { .. });
+                self.send(at, from, to, &address, message);
+                if is_chunk {
+                    self.moment(at, Moment::ChunkSent);
+                }
+            }
+            Action::Persist(persist) => {
+                let life = process.life;
+                if now < full_until {
+                    process.close();
+                    self.push(300, Due::Reopen(at, life));
+                    return Ok(());
+                }
+                process.outstanding = Some(persist);
+                let most = if now < self.sync_delay.1 { self.sync_delay.0 } else { 4 };
+                let delay = self.rng.u64(0..=most);
+                self.push(delay, Due::Stored(at, life));
+            }
+            Action::Restore(snapshot) => {
+                process.machine = Machine::restore(snapshot.last.index, &snapshot.data);
+            }
+            Action::Commit(entries) => {
+                for entry in entries {
+                    self.commit(at, &entry)?;
+                }
+            }
+            Action::Accepted { request, position } => {
+                if let Some(waiting) = process.requests.remove(&request) {
+                    process.placed.insert((position.index, position.term), waiting);
+                    if waiting == Waiting::Address {
+                        self.moment(at, Moment::AddressPlaced);
+                    }
+                }
+            }
+            Action::Refuse { request, .. } => {
+                process.requests.remove(&request);
+            }
+            Action::Lead { term } => {
+                process.led_since = now;
+                if !self.terms.insert(term) {
+                    return Err(format!("two members lead term {term}"));
+                }
+            }
+            Action::StepDown => {
+                process.placed.clear();
+                process.requests.clear();
+            }
+            Action::Halt(reason) => return Err(reason.to_owned()),
+        }
+        Ok(())
+    }
+
+    fn commit(&mut self, at: usize, entry: &wasabi_consensus::Entry) -> Result<(), Broken> {
+        let value = (entry.term, entry.data.clone());
+        if *self.chosen.entry(entry.index).or_insert_with(|| value.clone()) != value {
+            return Err(format!("index {} has two values", entry.index));
+        }
+        let Some(process) = &mut self.hosts[at].process else { return Ok(()) };
+        process.machine.apply(entry);
+        let waiting = process.placed.remove(&(entry.index, entry.term));
+        if entry.index.is_multiple_of(40) && process.node.is_some() {
+            let (index, data) = (process.machine.index, process.machine.snapshot());
+            self.step(at, Event::Compact { index, data })?;
+        }
+        match waiting {
+            Some(Waiting::Write(write)) => {
+                self.acknowledged.insert(write);
+            }
+            Some(Waiting::Address) => self.moment(at, Moment::AddressCommitted),
+            Some(Waiting::Members) => self.moment(at, Moment::ChangeCommitted),
+            None => {}
+        }
+        Ok(())
+    }
+
+    fn send(
+        &mut self,
+        at: usize,
+        from: id::Member,
+        name: id::Member,
+        address: &str,
+        message: Message,
+    ) {
+        let Some(to) = self.hosts.iter().position(|host| host.address == address) else { return };
+        if self.passes(at, to) {
+            let delay = self.rng.u64(1..6);
+            let address = self.hosts[at].address.clone();
+            self.push(delay, Due::Deliver { to, from, address, name, message });
+        }
+    }
+
+    fn handle(&mut self, due: Due) -> Result<(), Broken> {
+        let (at, life) = match &due {
+            Due::Tick(at, life)
+            | Due::Stored(at, life)
+            | Due::Reopen(at, life)
+            | Due::AskRound(at, life)
+            | Due::Answer { at, life, .. } => (*at, Some(*life)),
+            Due::Deliver { to, .. } | Due::Join { to, .. } => (*to, None),
+            Due::Start(at) => {
+                self.start(*at);
+                return Ok(());
+            }
+            Due::Client => return self.write(),
+        };
+        let host = &mut self.hosts[at];
+        let running = host.process.as_ref().map(|process| process.life);
+        if host.is_gone || life.is_some_and(|life| Some(life) != running) {
+            return Ok(());
+        }
+        if self.now < host.frozen_until {
+            let wait = host.frozen_until - self.now;
+            self.push(wait, due);
+            return Ok(());
+        }
+        match due {
+            Due::Tick(_, life) => {
+                self.push(20, Due::Tick(at, life));
+                self.step(at, Event::Tick)?;
+                self.lead(at)
+            }
+            Due::Stored(..) => self.stored(at),
+            Due::Reopen(_, life) => {
+                if self.now < host.full_until {
+                    self.push(300, Due::Reopen(at, life));
+                } else if let (Some(process), Some(disk)) = (&mut host.process, &host.disk) {
+                    process.open(disk, self.rng.u64(..), self.now);
+                }
+                Ok(())
+            }
+            Due::Deliver { from, address, name, message, .. } => {
+                let Some(process) = &mut host.process else { return Ok(()) };
+                if process.name != name || process.node.is_none() {
+                    return Ok(());
+                }
+                process.learned.insert(from.clone(), address);
+                self.step(at, Event::Receive(from, message))
+            }
+            Due::AskRound(..) => {
+                self.ask_round(at);
+                Ok(())
+            }
+            Due::Join { name, address, asker, .. } => self.answer(at, &name, &address, asker),
+            Due::Answer { number, address, answer, .. } => {
+                self.answered(at, number, address, answer);
+                Ok(())
+            }
+            Due::Start(_) | Due::Client => Ok(()),
+        }
+    }
+
+    fn stored(&mut self, at: usize) -> Result<(), Broken> {
+        let host = &mut self.hosts[at];
+        let (Some(process), Some(disk)) = (&mut host.process, &mut host.disk) else {
+            return Ok(());
+        };
+        let Some(persist) = process.outstanding.take() else { return Ok(()) };
+        let proof = persist.store(|batch| {
+            disk.write(batch);
+            Ok::<_, Broken>(())
+        })?;
+        self.step(at, Event::Persisted(proof))
+    }
+
+    /// Returns the host on which a member runs.
+    pub fn host_of(&self, name: &id::Member) -> Option<usize> {
+        let runs = |host: &Host| host.process.as_ref().is_some_and(|it| it.name == *name);
+        self.hosts.iter().position(|host| !host.is_gone && runs(host))
+    }
+
+    /// Counts a step of a repair, and strikes when it was waited for.
+    pub fn moment(&mut self, at: usize, moment: Moment) {
+        *self.moments.entry(moment).or_default() += 1;
+        if self.trap.is_some_and(|trap| trap.0 == moment) {
+            let Some((_, strike)) = self.trap.take() else { return };
+            super::ops::strike(self, at, strike);
+        }
+    }
+}
