rollout: a short move without any traffic ends by time

Callers saw: nothing; the whole test script found it on the merged code.

Cause: above 32% a short move waited for its pace to be accepted, also when nobody sent a request of either version, so that it never ended.

Change: where no request of either version was counted, time alone decides, as before.

Before / after: a_short_move_without_traffic_ends_by_time and moves_go_on_under_the_next_leader_and_end_once fail / pass.

--- a/crates/wasabi-rollout/src/decision.rs
+++ b/crates/wasabi-rollout/src/decision.rs
@@ -32,7 +32,7 @@
 /// over all routes, in thousandths.
 ///
 /// Its stages end before their requests are judged. By time alone, a slow version would be
-/// completed before it shows.
+/// completed before it shows. A model or service without requests has no pace to judge.
 const PACE_FROM_PERMILLE: u32 = 320;
 
 /// Longest watch of a move that is ordered by the time until its end.
@@ -199,7 +199,8 @@
         return None;
     }
     let is_short = least < STAGE_MIN;
-    if is_short && PACE_FROM_PERMILLE <= permille && !ledger.trials.is_pace_accepted() {
+    let is_due = is_short && PACE_FROM_PERMILLE <= permille && !ledger.trials.is_idle();
+    if is_due && !ledger.trials.is_pace_accepted() {
         return None;
     }
     let unproven = ledger.trials.unproven(order.changed);
--- a/crates/wasabi-rollout/src/trial.rs
+++ b/crates/wasabi-rollout/src/trial.rs
@@ -215,6 +215,11 @@
         0 < self.all.slow.acceptances()
     }
 
+    /// Returns whether no request of either version was counted.
+    pub fn is_idle(&self) -> bool {
+        self.trials.values().all(|trial| trial.new.requests + trial.old.all.requests == 0)
+    }
+
     /// Returns the routes without an acceptance at or after `since`.
     pub fn unproven(&self, since: Millis) -> Vec<&id::Route> {
         self.trials
--- a/crates/wasabi-rollout/tests/short.rs
+++ b/crates/wasabi-rollout/tests/short.rs
@@ -82,6 +82,25 @@
     assert!(decision::decide(Millis(1_700_000), &order, &ledger(5), SUPPLY).is_some());
 }
 
+/// Guards against a short move that never ends, since nobody sends requests to be judged.
+#[test]
+fn a_short_move_without_traffic_ends_by_time() {
+    let order = order(Millis(15_000), 320, Millis(1_000));
+    assert!(decision::decide(Millis(14_900), &order, &Ledger::new(3), SUPPLY).is_some());
+    let mut old_only = Ledger::new(3);
+    let seen = rpc::Evidence {
+        name: "move".into(),
+        route: "r".into(),
+        version: "v1".into(),
+        requests: 400,
+        errors: 0,
+        slow: 0,
+        stopped: false,
+    };
+    old_only.add(Millis(0), &order.plan, &[seen]);
+    assert_eq!(decision::decide(Millis(14_900), &order, &old_only, SUPPLY), None);
+}
+
 /// Guards against stages of a fixed length, which kept a move of seconds far below its full share
 /// when its time was over.
 #[rstest]
