testkit, platform: a process that starts does not hold the ports that another test probes

Cause: a test looks for free ports by binding them for a moment. A process that another thread of the test starts in that moment holds copies of these listeners until it runs its program, so that the ports were still in use when the first test's own process came to them.

Ruled out: ports that the system hands out (its range starts at 32768), and ports chosen twice by one test process (each choice is another set).

Change: probing ports and starting a process exclude each other.

Also: tests/join.rs founds a group and waits for a successor in one place.

--- a/crates/wasabi-control/tests/join.rs
+++ b/crates/wasabi-control/tests/join.rs
@@ -92,38 +92,53 @@
     running.ended().await.unwrap();
 }
 
-/// Guards against a host that lost its disk and stays outside of its group for good, against one
-/// that comes back under the name whose promises it forgot, and against a second loss after that.
-#[actix_rt::test]
-async fn a_member_without_its_disk_joins_and_a_second_loss_is_survived() {
-    let addresses = [free(), free(), free()];
-    let folders = [(); 3].map(|()| TempDir::new().unwrap());
-    let start = |index: usize, founders: &[SocketAddr]| {
-        Running::start(options(addresses[index], founders, &addresses, folders[index].path()))
+/// Starts the founders of a group, each with its folder, and waits until it takes a change.
+async fn found(addresses: &[SocketAddr; 3], contacts: &[SocketAddr], data: &Path) -> [Running; 3] {
+    let start = |index: usize| {
+        let folder = data.join(index.to_string());
+        Running::start(options(addresses[index], addresses, contacts, &folder))
     };
-    let (one, two, three) =
-        tokio::join!(start(0, &addresses), start(1, &addresses), start(2, &addresses));
-    let (one, two, three) = (one.unwrap(), two.unwrap(), three.unwrap());
-    put(1, &[&one, &two, &three]).await;
-    stop(three).await;
-    std::fs::remove_dir_all(folders[2].path()).unwrap();
-    std::fs::create_dir(folders[2].path()).unwrap();
+    let (one, two, three) = tokio::join!(start(0), start(1), start(2));
+    let running = [one.unwrap(), two.unwrap(), three.unwrap()];
+    put(1, &running.each_ref()).await;
+    running
+}
+
+/// Starts a member at the address of one that was stopped.
+async fn start_again(options: Options) -> Running {
     let begun = std::time::Instant::now();
-    let three = loop {
+    loop {
         // The port of the process before is free once its connections have ended.
-        match start(2, &[]).await {
-            Ok(running) => break running,
+        match Running::start(options.clone()).await {
+            Ok(running) => return running,
             Err(error) => assert!(begun.elapsed() < BOUND, "{error}"),
         }
         tokio::time::sleep(Duration::from_millis(50)).await;
-    };
-    let old = id::Member::from(addresses[2].to_string());
-    wait(addresses[0], "the joined member", |members| {
+    }
+}
+
+/// Waits until the asked member knows three voters without the one that founded at an address.
+async fn wait_for_successor(asked: SocketAddr, lost: SocketAddr) {
+    let lost = id::Member::from(lost.to_string());
+    wait(asked, "the member in the lost one's place", |members| {
         let is_voter = |status: &&MemberStatus| status.role != Role::Learner;
         let voters: Vec<_> = members.iter().filter(is_voter).collect();
-        voters.len() == 3 && voters.iter().all(|status| status.member != old)
+        voters.len() == 3 && voters.iter().all(|status| status.member != lost)
     })
     .await;
+}
+
+/// Guards against a host that lost its disk and stays outside of its group for good, against one
+/// that comes back under the name whose promises it forgot, and against a second loss after that.
+#[actix_rt::test]
+async fn a_member_without_its_disk_joins_and_a_second_loss_is_survived() {
+    let addresses = [free(), free(), free()];
+    let data = TempDir::new().unwrap();
+    let [one, two, three] = found(&addresses, &addresses, data.path()).await;
+    stop(three).await;
+    let empty = data.path().join("empty");
+    let three = start_again(options(addresses[2], &[], &addresses, &empty)).await;
+    wait_for_successor(addresses[0], addresses[2]).await;
     stop(two).await;
     put(2, &[&one, &three]).await;
     stop(three).await;
@@ -135,30 +150,12 @@
 #[actix_rt::test]
 async fn a_host_without_its_disk_finds_its_group_without_seeds() {
     let addresses = [free(), free(), free()];
-    let folders = [(); 4].map(|()| TempDir::new().unwrap());
-    let start = |index: usize| {
-        Running::start(options(addresses[index], &addresses, &[], folders[index].path()))
-    };
-    let (one, two, three) = tokio::join!(start(0), start(1), start(2));
-    let (one, two, three) = (one.unwrap(), two.unwrap(), three.unwrap());
-    put(1, &[&one, &two, &three]).await;
+    let data = TempDir::new().unwrap();
+    let [one, two, three] = found(&addresses, &[], data.path()).await;
     stop(three).await;
-    let begun = std::time::Instant::now();
-    let three = loop {
-        let lost = options(addresses[2], &[], &[free()], folders[3].path());
-        match Running::start(lost).await {
-            Ok(running) => break running,
-            Err(error) => assert!(begun.elapsed() < BOUND, "{error}"),
-        }
-        tokio::time::sleep(Duration::from_millis(50)).await;
-    };
-    let old = id::Member::from(addresses[2].to_string());
-    wait(addresses[0], "the member in the lost one's place", |members| {
-        let is_voter = |status: &&MemberStatus| status.role != Role::Learner;
-        let voters: Vec<_> = members.iter().filter(is_voter).collect();
-        voters.len() == 3 && voters.iter().all(|status| status.member != old)
-    })
-    .await;
+    let empty = data.path().join("empty");
+    let three = start_again(options(addresses[2], &[], &[free()], &empty)).await;
+    wait_for_successor(addresses[0], addresses[2]).await;
     for running in [one, two, three] {
         stop(running).await;
     }
@@ -212,14 +209,9 @@
 #[actix_rt::test]
 async fn a_host_whose_seeds_know_a_follower_finds_the_leader() {
     let addresses = [free(), free(), free()];
-    let folders = [(); 4].map(|()| TempDir::new().unwrap());
+    let data = TempDir::new().unwrap();
     // Without contacts, the founders introduce themselves to nobody.
-    let start = |index: usize| {
-        Running::start(options(addresses[index], &addresses, &[], folders[index].path()))
-    };
-    let (one, two, three) = tokio::join!(start(0), start(1), start(2));
-    let running = [one.unwrap(), two.unwrap(), three.unwrap()];
-    put(1, &[&running[0], &running[1], &running[2]]).await;
+    let running = found(&addresses, &[], data.path()).await;
     let observers = [free(), free()];
     let (first, second) =
         tokio::join!(Observer::start(observers[0]), Observer::start(observers[1]));
@@ -229,7 +221,8 @@
         introduce(follower, observer).await;
     }
     let host = free();
-    let joined = Running::start(options(host, &[], &observers, folders[3].path())).await.unwrap();
+    let joined =
+        Running::start(options(host, &[], &observers, &data.path().join("host"))).await.unwrap();
     wait(addresses[0], "the host that was taken in", |members| {
         let is_voter = |status: &&MemberStatus| status.role != Role::Learner;
         members.iter().filter(is_voter).any(|status| status.address == host.to_string())
--- a/crates/wasabi-testkit/src/process.rs
+++ b/crates/wasabi-testkit/src/process.rs
@@ -9,7 +9,10 @@
     ops::Range,
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
-    sync::atomic::{AtomicU32, Ordering},
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU32, Ordering},
+    },
     time::Duration,
 };
 
@@ -61,6 +64,7 @@
         log: &Path,
     ) -> io::Result<Self> {
         let output = File::options().create(true).append(true).open(log)?;
+        let _forks = forks();
         let child = Command::new(binary)
             .args(arguments)
             .stdin(Stdio::null())
@@ -147,6 +151,13 @@
     }
 }
 
+/// Returns a guard that is held while a process starts and while ports are probed: until it runs its
+/// program, a new process holds copies of all listeners, so that their ports are in use.
+fn forks() -> MutexGuard<'static, ()> {
+    static FORKS: Mutex<()> = Mutex::new(());
+    FORKS.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Ports that the system does not hand out by itself, so that a connection of another test cannot
 /// take one between the choice and the listener's start.
 const PORTS: Range<u16> = 20_000..32_000;
@@ -161,6 +172,7 @@
 /// Panics when no port is free.
 pub fn free_address() -> SocketAddr {
     static NEXT: AtomicU32 = AtomicU32::new(0);
+    let _forks = forks();
     let first = std::process::id().wrapping_mul(PORTS_PER_PROCESS);
     for _ in PORTS {
         let step = first.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
