control: every address that serves control makes an operator's call at the leader

Cause: hosts without a disk serve control, and knew members only from introductions. Members introduce themselves to the addresses in their own settings, which named hosts with a disk.

Change: an observer follows the group by its own contacts, by those that it is told later, and by the members that a member listed. Every control host that does not lead finds the leader and makes the call there for its caller; only an address that says that it leads gets the call. An address that did not answer is not named to others and is asked last. A line and a counter for each such call.

--- a/crates/wasabi-control/src/input.rs
+++ b/crates/wasabi-control/src/input.rs
@@ -6,14 +6,12 @@
     command::{Config, Move, View},
     id,
     rpc::{
-        ChangeMembers, Checked, Checkin, Drain, Drained, Inquire, Inquired, Join, Joined,
-        MembersChanged, Operate, Operated, Propose, Proposed,
+        ChangeMembers, Checked, Checkin, Drain, Drained, Inquire, Inquired, Join, Joined, Lead,
+        MembersChanged, MoveOrder, Operate, Operated, Propose, Proposed, Read,
     },
     site,
 };
 
-use crate::local::{MoveOrder, Read};
-
 /// One input of the control thread, with the place for its answer.
 #[derive(Debug)]
 pub(crate) enum Input {
@@ -33,6 +31,8 @@
     Config(Sender<Config>),
     /// A member that asks to be in the group.
     Join(Join, Sender<Joined>),
+    /// A question who leads.
+    Lead(Sender<Lead>),
     /// A question for the addresses of the other members.
     Addresses(Sender<Vec<String>>),
     /// A site configuration.
--- a/crates/wasabi-control/src/lib.rs
+++ b/crates/wasabi-control/src/lib.rs
@@ -4,8 +4,10 @@
 //! of entries, operators and other members are served on the thread that calls
 //! [`Running::start`].
 
+mod access;
 mod founding;
 mod group;
+mod guide;
 mod heard;
 mod input;
 mod introductions;
@@ -27,9 +29,10 @@
 mod serve;
 mod server;
 
+pub use access::Access;
 pub use introductions::Introductions;
 pub use liveness::{Liveness, SILENT_AFTER};
-pub use local::{Local, MoveOrder, Read};
+pub use local::Local;
 pub use metrics::Metrics;
 pub use observer::Observer;
 pub use options::{Batching, Contacts, Options};
--- a/crates/wasabi-control/src/local.rs
+++ b/crates/wasabi-control/src/local.rs
@@ -4,38 +4,14 @@
 
 use tokio::sync::oneshot;
 use wasabi_protocol::{
-    clock::Millis,
     command::{Move, View},
-    endpoint, id,
-    rpc::Proposed,
+    id,
+    rpc::{MoveOrder, Proposed, Read},
     site,
 };
 
 use crate::input::Input;
 
-/// A version move as a caller in the same process orders it. The leader fills in the version in
-/// use and the revision.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct MoveOrder {
-    /// The model or service.
-    pub backend: id::Backend,
-    /// Whether model engines or plain services provide it.
-    pub kind: endpoint::Kind,
-    /// The version to move to.
-    pub to: id::Version,
-    /// Time until the move must be done or taken back, in milliseconds.
-    pub within: Millis,
-}
-
-/// What the leader's state says, or who may know it.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Read<T> {
-    /// This member leads, and its state is the newest.
-    Held(T),
-    /// Another member may lead; its address, when it is known.
-    Elsewhere(Option<String>),
-}
-
 /// The way to the control thread of this process.
 #[derive(Debug, Clone)]
 pub struct Local {
@@ -75,6 +51,11 @@
         self.ask(Input::View).await.unwrap_or_default()
     }
 
+    /// Returns the addresses of the other members, the likely leader first.
+    pub(crate) async fn addresses(&self) -> Vec<String> {
+        self.ask(Input::Addresses).await.unwrap_or_default()
+    }
+
     async fn ask<T>(&self, input: impl FnOnce(oneshot::Sender<T>) -> Input) -> Option<T> {
         let (reply, answer) = oneshot::channel();
         self.inputs.send(input(reply)).ok()?;
--- a/crates/wasabi-control/src/metrics.rs
+++ b/crates/wasabi-control/src/metrics.rs
@@ -3,7 +3,8 @@
 use std::sync::{Arc, atomic::AtomicU64};
 
 use prometheus_client::{
-    metrics::{counter::Counter, gauge::Gauge},
+    encoding::{EncodeLabelSet, EncodeLabelValue},
+    metrics::{counter::Counter, family::Family, gauge::Gauge},
     registry::Registry,
 };
 
@@ -20,6 +21,25 @@
     pub(crate) voters: Gauge,
     pub(crate) short_seconds: Gauge<f64, AtomicU64>,
     pub(crate) commits: Counter,
+    forwarded: Family<Forwarded, Counter>,
+}
+
+/// A kind of calls that this host made at the leader for its own callers.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct Forwarded {
+    call: &'static str,
+    end: End,
+}
+
+/// How a call at the leader ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelValue)]
+pub(crate) enum End {
+    /// The leader answered.
+    Answered,
+    /// No leader was found, or it did not answer in time.
+    Unavailable,
 }
 
 impl Metrics {
@@ -43,7 +63,16 @@
             "Time for which the group that this member leads has been short of a member, in seconds",
             self.short_seconds.clone(),
         );
+        registry.register(
+            "forwarded_calls",
+            "Operators' calls that this host made at the leader, by their end",
+            self.forwarded.clone(),
+        );
         registry.register("commits", "Committed log entries", self.commits.clone());
         Arc::new(registry)
     }
+
+    pub(crate) fn count_forwarded(&self, call: &'static str, end: End) {
+        self.forwarded.get_or_create(&Forwarded { call, end }).inc();
+    }
 }
--- a/crates/wasabi-control/src/search.rs
+++ b/crates/wasabi-control/src/search.rs
@@ -33,6 +33,11 @@
         self.open.push_front(address);
     }
 
+    /// Has the addresses asked last, unless they were asked in this round.
+    pub fn extend(&mut self, addresses: impl IntoIterator<Item = String>) {
+        self.open.extend(addresses);
+    }
+
     /// Returns whether the address was asked in this round.
     pub fn has_asked(&self, address: &str) -> bool {
         self.asked.contains(address)
--- a/crates/wasabi-control/src/serve.rs
+++ b/crates/wasabi-control/src/serve.rs
@@ -11,8 +11,8 @@
     fault::{Fault, Kind},
     fingerprint, id,
     rpc::{
-        Checked, Checkin, Drain, Drained, Force, Inquire, Inquired, MemberStatus, Operate,
-        Operated, Proposed, Role, Source, Status,
+        Checked, Checkin, Drain, Drained, Force, Inquire, Inquired, Lead, MemberStatus, MoveOrder,
+        Operate, Operated, Proposed, Read, Role, Source, Status,
     },
     site,
 };
@@ -22,7 +22,6 @@
 use crate::{
     input::Input,
     lead::ForceWait,
-    local::{MoveOrder, Read},
     member::{Duty, Lost, Member, Waiting},
     record::Item,
 };
@@ -67,6 +66,9 @@
             Input::Join(join, reply) => {
                 let _ = reply.send(self.join(&join));
             }
+            Input::Lead(reply) => {
+                let _ = reply.send(self.who_leads());
+            }
             Input::Addresses(reply) => {
                 let _ = reply.send(self.member_addresses());
             }
@@ -105,6 +107,14 @@
         self.addresses.get(leader).or_else(|| self.learned.get(leader)).cloned()
     }
 
+    fn who_leads(&self) -> Lead {
+        let own = self.options.listen.to_string();
+        let leader = if self.leads() { Some(own.clone()) } else { self.leader_address() };
+        let mut members = self.member_addresses();
+        members.push(own);
+        Lead { leader, members }
+    }
+
     fn check_in(&mut self, checkin: Checkin) -> Checked {
         if !self.leads() {
             return Checked::NotLeader { leader: self.leader_address() };
--- a/crates/wasabi-control/src/server.rs
+++ b/crates/wasabi-control/src/server.rs
@@ -24,11 +24,13 @@
 use tracing::{error, warn};
 use wasabi_protocol::{
     id,
-    rpc::{Hello, Join, Met, Step, method},
+    rpc::{Forwarded, Hello, Join, Met, Step, method},
 };
 
 use crate::{
+    access::Access,
     founding,
+    guide::Guide,
     heard::Heard,
     input::{self, Input},
     join, link,
@@ -45,7 +47,7 @@
 const DISK_AGAIN_AFTER: Duration = Duration::from_millis(300);
 
 /// Longest message, in bytes.
-const MESSAGE_BYTES_MAX: u32 = 64 * 1024 * 1024;
+pub(crate) const MESSAGE_BYTES_MAX: u32 = 64 * 1024 * 1024;
 
 /// Why a member cannot start or had to end.
 #[derive(Debug)]
@@ -95,6 +97,7 @@
     address: SocketAddr,
     server: ServerHandle,
     inputs: mpsc::Sender<Input>,
+    access: Access,
     ended: oneshot::Receiver<Result<(), member::Error>>,
 }
 
@@ -158,6 +161,8 @@
                 inputs.clone(),
             ));
         }
+        let guide = Guide::new(options.contacts.clone());
+        let access = Access::new(Some(Local::new(inputs.clone())), guide, &options);
         let (end, ended) = oneshot::channel();
         thread::Builder::new()
             .name("control".to_owned())
@@ -165,7 +170,7 @@
                 let _ = end.send(run(&options, start, &heard, &parcels, &receiver));
             })
             .context(ThreadSnafu)?;
-        Ok(Self { address, server, inputs, ended })
+        Ok(Self { address, server, inputs, access, ended })
     }
 
     /// Returns the address that is listened on.
@@ -178,6 +183,11 @@
         Local::new(self.inputs.clone())
     }
 
+    /// Returns the way to the leader for other servers of this process.
+    pub fn access(&self) -> Access {
+        self.access.clone()
+    }
+
     /// Starts a planned stop.
     pub fn stop(&self) {
         let _ = self.inputs.send(Input::Stop);
@@ -257,6 +267,17 @@
     callers: Contacts,
 }
 
+impl Shared {
+    /// Returns an error unless one of the proofs is a member's.
+    fn check(&self, proofs: &[String]) -> Result<(), ErrorObjectOwned> {
+        if proofs.iter().any(|proof| self.proofs.contains(proof)) {
+            return Ok(());
+        }
+        let message = "the sender is not known to be a member";
+        Err(ErrorObjectOwned::owned(INVALID_PARAMS_CODE, message, None::<()>))
+    }
+}
+
 fn methods(shared: Shared) -> Result<RpcModule<Shared>, RegisterMethodError> {
     let mut module = RpcModule::new(shared);
     serve(&mut module, method::CONTROL_HEARTBEAT, Input::Checkin)?;
@@ -265,11 +286,16 @@
     serve(&mut module, method::STATUS, Input::Inquire)?;
     serve(&mut module, method::MEMBERS, Input::ChangeMembers)?;
     serve(&mut module, method::DRAIN, Input::Drain)?;
+    serve_forwarded(&mut module, method::PUT_SITE, Input::PutSite)?;
+    serve_forwarded(&mut module, method::SITE, |(), reply| Input::Site(reply))?;
+    serve_forwarded(&mut module, method::START_MOVE, Input::StartMove)?;
+    serve_forwarded(&mut module, method::LAST_MOVE, Input::LastMove)?;
+    module.register_async_method(method::LEADER, |_, shared, _| async move {
+        ask(&shared.inputs, Input::Lead).await
+    })?;
     module.register_async_method(method::JOIN, |params, shared, _| async move {
         let join: Join = read(&params)?;
-        if !join.proofs.iter().any(|proof| shared.proofs.contains(proof)) {
-            return Err(unknown_sender());
-        }
+        shared.check(&join.proofs)?;
         ask(&shared.inputs, |reply| Input::Join(join, reply)).await
     })?;
     module.register_async_method(method::CONFIG, |_, shared, _| async move {
@@ -288,9 +314,7 @@
 /// Passes messages of another member on, if they are meant for this one.
 fn step(step: &Step, shared: &Shared) -> Result<(), ErrorObjectOwned> {
     let refused = |message: &str| ErrorObjectOwned::owned(INVALID_PARAMS_CODE, message, None::<()>);
-    if !step.proofs.iter().any(|proof| shared.proofs.contains(proof)) {
-        return Err(unknown_sender());
-    }
+    shared.check(&step.proofs)?;
     if shared.name.borrow().as_ref() != Some(&step.to) {
         // The leader still sends to the one that lost its disk here.
         shared.callers.add(&step.address);
@@ -301,11 +325,6 @@
     shared.inputs.send(Input::Step(input)).map_err(|_| refused("the control thread has ended"))
 }
 
-fn unknown_sender() -> ErrorObjectOwned {
-    let message = "the sender is not known to be a member";
-    ErrorObjectOwned::owned(INVALID_PARAMS_CODE, message, None::<()>)
-}
-
 /// Registers a method with one parameter that the control thread answers.
 fn serve<Q, A>(
     module: &mut RpcModule<Shared>,
@@ -323,6 +342,24 @@
     Ok(())
 }
 
+/// Registers a method with one parameter that a control host calls for its own caller.
+fn serve_forwarded<Q, A>(
+    module: &mut RpcModule<Shared>,
+    name: &'static str,
+    input: fn(Q, oneshot::Sender<A>) -> Input,
+) -> Result<(), RegisterMethodError>
+where
+    Q: DeserializeOwned + Send + 'static,
+    A: Serialize + Clone + Send + 'static,
+{
+    module.register_async_method(name, move |params, shared, _| async move {
+        let Forwarded { proofs, call } = read(&params)?;
+        shared.check(&proofs)?;
+        ask(&shared.inputs, |reply| input(call, reply)).await
+    })?;
+    Ok(())
+}
+
 /// Reads the only parameter, which stands in a list or alone.
 fn read<Q: DeserializeOwned>(params: &Params<'_>) -> Result<Q, ErrorObjectOwned> {
     params.one().or_else(|_| params.parse())
--- a/crates/wasabi-protocol/src/rpc/method.rs
+++ b/crates/wasabi-protocol/src/rpc/method.rs
@@ -30,6 +30,16 @@
 pub const CONTROL_HEARTBEAT: &str = "control.heartbeat";
 /// Proposes a command to the control leader.
 pub const PROPOSE: &str = "control.propose";
+/// Asks who leads the control group; needs no credential.
+pub const LEADER: &str = "control.leader";
+/// Passes a site configuration to the leader for a control host's caller.
+pub const PUT_SITE: &str = "site.put";
+/// Reads the site configuration at the leader for a control host's caller.
+pub const SITE: &str = "site.read";
+/// Passes the order of a version move to the leader for a control host's caller.
+pub const START_MOVE: &str = "move.start";
+/// Reads the last version move at the leader for a control host's caller.
+pub const LAST_MOVE: &str = "move.last";
 /// Carries a message of the agreement between control members.
 pub const CONSENSUS: &str = "consensus.step";
 /// Asks a member whether it ever heard the asker, before the asker founds a group.
--- a/crates/wasabi-protocol/src/rpc/mod.rs
+++ b/crates/wasabi-protocol/src/rpc/mod.rs
@@ -1,11 +1,13 @@
 //! Messages between entries, control and operators.
 
+mod control;
 mod entry;
 mod member;
 pub mod method;
 mod operator;
 mod pool;
 
+pub use control::{Forwarded, Lead, MoveOrder, Read};
 pub use entry::{Checked, Checkin, Evidence, Heartbeat, Propose, Proposed, Suspect};
 pub use member::{Hello, Join, Joined, Met, Step};
 pub use operator::{
--- a/crates/wasabi-testkit/src/process.rs
+++ b/crates/wasabi-testkit/src/process.rs
@@ -63,14 +63,19 @@
         arguments: impl IntoIterator<Item = A>,
         log: &Path,
     ) -> io::Result<Self> {
+        Self::start_command(Command::new(binary).args(arguments), log)
+    }
+
+    /// Starts a command with its standard output and standard error appended to the file `log`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the log cannot be opened or the command cannot be started.
+    pub fn start_command(command: &mut Command, log: &Path) -> io::Result<Self> {
         let output = File::options().create(true).append(true).open(log)?;
         let _forks = forks();
-        let child = Command::new(binary)
-            .args(arguments)
-            .stdin(Stdio::null())
-            .stdout(output.try_clone()?)
-            .stderr(output)
-            .spawn()?;
+        let child =
+            command.stdin(Stdio::null()).stdout(output.try_clone()?).stderr(output).spawn()?;
         Ok(Self { child, log: log.to_owned() })
     }
 
