consensus, control: messages between members are bounded in bytes, and go in parts

Cause: a leader sent up to 8,192 entries ahead of the answers, and the messages of one turn went in one request. Some sixty entries of some hundred kilobytes pass the 10 MiB that the link's client takes ("The message was too large; restart required"): the connection was replaced, the leader went back and sent the same again with the next answer.

Change: a request holds at most 64 KiB of messages; what is larger goes in parts, at most 128 KiB of which wait for an answer on a link. A leader has entries of 1 MiB at most on their way to a member, and the one that passes this bound.

Not covered: the answer to a check-in and a proposal, which go whole between entries and control (32 and 64 MiB).

--- a/crates/wasabi-consensus/src/config.rs
+++ b/crates/wasabi-consensus/src/config.rs
@@ -25,6 +25,8 @@
     pub chunk_again: Millis,
     /// Most entries sent to one member ahead of its answers.
     pub ahead_max: u64,
+    /// Bytes of entries sent to one member ahead of its answers from which on no more are sent.
+    pub ahead_bytes_max: usize,
     /// Most uncommitted entries at the leader; further proposals are refused.
     pub uncommitted_max: u64,
     /// Seed of the election timeouts.
@@ -45,6 +47,7 @@
             bytes_max: 64 * 1_024,
             chunk_again: Millis(300),
             ahead_max: 8_192,
+            ahead_bytes_max: 1_024 * 1_024,
             uncommitted_max: 65_536,
             seed,
         }
--- a/crates/wasabi-consensus/src/leader.rs
+++ b/crates/wasabi-consensus/src/leader.rs
@@ -4,7 +4,7 @@
 use wasabi_protocol::{clock::Millis, id};
 
 use crate::{
-    Action, Message, Node, Payload, Position, Reason, Request, Verdict,
+    Action, Entry, Message, Node, Payload, Position, Reason, Request, Verdict,
     node::State,
     progress::{Mode, Progress},
 };
@@ -52,8 +52,11 @@
         let term = self.vote.term;
         let State::Leader(leader) = &mut self.state else { return };
         for (member, peer) in &mut leader.peers {
-            let Progress { next, matched, mode: Mode::Stream, .. } = peer else { continue };
-            while *next <= self.durable.issued() && *next - *matched <= self.config.ahead_max {
+            let Progress { next, matched, mode: Mode::Stream, flight, .. } = peer else { continue };
+            while *next <= self.durable.issued()
+                && *next - *matched <= self.config.ahead_max
+                && flight.bytes() < self.config.ahead_bytes_max
+            {
                 let Some(prev_term) = self.log.term_at(*next - 1) else { break };
                 let prev = Position { term: prev_term, index: *next - 1 };
                 let left = self.durable.issued() - prev.index;
@@ -64,6 +67,7 @@
                     break;
                 }
                 *next += entries.len() as u64;
+                flight.add(*next - 1, entries.iter().map(Entry::size).sum());
                 let commit = self.commit;
                 let message = Message::Append { term, prev, entries, commit, sent: now };
                 // Needs no wait: the term is durable since the election, and the leader counts its
@@ -89,6 +93,7 @@
             Verdict::Matched(index) => {
                 peer.contact = peer.contact.max(Some(sent));
                 peer.matched = peer.matched.max(index.min(last));
+                peer.flight.settle(peer.matched);
                 peer.next = peer.next.max(peer.matched + 1);
                 let covered = match &peer.mode {
                     Mode::Probe => true,
@@ -98,6 +103,7 @@
                 if covered {
                     peer.next = peer.matched + 1;
                     peer.mode = Mode::Stream;
+                    peer.flight.clear();
                 }
             }
             Verdict::Conflict(index) => {
@@ -115,6 +121,7 @@
                 }
                 peer.next = next;
                 peer.mode = Mode::Probe;
+                peer.flight.clear();
                 let from = from.clone();
                 self.probe(now, &from, actions);
             }
--- a/crates/wasabi-consensus/src/progress.rs
+++ b/crates/wasabi-consensus/src/progress.rs
@@ -1,6 +1,6 @@
 //! What a leader knows of another member.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use wasabi_protocol::{clock::Millis, id};
 
@@ -36,11 +36,49 @@
     /// The leader's clock before the latest message that the member answered was sent.
     pub(crate) contact: Option<Millis>,
     pub(crate) mode: Mode,
+    /// The messages of entries without an answer.
+    pub(crate) flight: Flight,
+}
+
+/// Messages of entries that were sent ahead of the answers.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Flight {
+    /// The last index of each message with its bytes of entries, in order.
+    sent: VecDeque<(u64, usize)>,
+    bytes: usize,
+}
+
+impl Flight {
+    pub(crate) fn add(&mut self, last: u64, bytes: usize) {
+        self.sent.push_back((last, bytes));
+        self.bytes += bytes;
+    }
+
+    /// Takes into account that the member holds all entries up to the index.
+    pub(crate) fn settle(&mut self, matched: u64) {
+        while let Some((last, bytes)) = self.sent.front().copied()
+            && last <= matched
+        {
+            self.sent.pop_front();
+            self.bytes -= bytes;
+        }
+    }
+
+    /// Forgets all messages, which are sent again.
+    pub(crate) fn clear(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Returns the bytes of entries without an answer.
+    pub(crate) const fn bytes(&self) -> usize {
+        self.bytes
+    }
 }
 
 impl Progress {
-    pub(crate) const fn new(next: u64, since: Millis) -> Self {
-        Self { next, matched: 0, since, contact: None, mode: Mode::Probe }
+    pub(crate) fn new(next: u64, since: Millis) -> Self {
+        let flight = Flight::default();
+        Self { next, matched: 0, since, contact: None, mode: Mode::Probe, flight }
     }
 }
 
--- a/crates/wasabi-consensus/tests/node.rs
+++ b/crates/wasabi-consensus/tests/node.rs
@@ -2,7 +2,7 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 use wasabi_consensus::{
-    Action, Change, Config, Event, Message, Node, Persist, Position, Reason, Restored, Role,
+    Action, Change, Config, Entry, Event, Message, Node, Persist, Position, Reason, Restored, Role,
     Verdict,
 };
 use wasabi_protocol::{clock::Millis, id};
@@ -104,6 +104,47 @@
     assert_eq!(probes, 1);
 }
 
+/// Returns the bytes of entries that the messages to a member hold.
+fn bytes_to(actions: &[Action], to: &str) -> usize {
+    let bytes = |action: &Action| match action {
+        Action::Send(receiver, Message::Append { entries, .. }) if *receiver == member(to) => {
+            entries.iter().map(Entry::size).sum()
+        }
+        _ => 0,
+    };
+    actions.iter().map(bytes).sum()
+}
+
+/// Guards against a member that is sent all that it lacks at once: the messages that wait for its
+/// answers then fit neither its link nor the memory of the leader.
+#[test]
+fn bytes_ahead_of_the_answers_are_bounded() {
+    const ENTRY_BYTES: usize = 256 * 1_024;
+    const ENTRIES: u64 = 40;
+    const AHEAD_BYTES_MAX: usize = 1_024 * 1_024;
+    let most = AHEAD_BYTES_MAX + ENTRY_BYTES + 1_024;
+    let mut node = leader();
+    answer(&mut node, "b", 2);
+    let mut sent = 0;
+    for request in 0..ENTRIES {
+        let data = vec![1; ENTRY_BYTES].into();
+        let actions = node.step(LATER, Event::Propose { data, request });
+        sent += bytes_to(&actions, "b");
+        let actions = stored(&mut node, persist(actions).unwrap());
+        sent += bytes_to(&actions, "b");
+    }
+    assert!(ENTRY_BYTES < sent && sent <= most, "{sent} bytes without an answer");
+    let mut matched = 2;
+    while matched < 2 + ENTRIES {
+        matched += 1;
+        let actions = answer(&mut node, "b", matched);
+        sent += bytes_to(&actions, "b");
+        let open = sent - (matched as usize - 2) * ENTRY_BYTES;
+        assert!(open <= most, "{open} bytes without an answer at {matched}");
+    }
+    assert!(ENTRIES as usize * ENTRY_BYTES <= sent, "the member got all entries");
+}
+
 /// Guards against a group of one that waits for others.
 #[test]
 fn a_single_member_commits_alone() {
--- a/crates/wasabi-control/src/lib.rs
+++ b/crates/wasabi-control/src/lib.rs
@@ -22,6 +22,7 @@
 mod moves;
 mod observer;
 mod options;
+pub mod parts;
 mod record;
 mod relay;
 pub mod repair;
--- a/crates/wasabi-control/src/link.rs
+++ b/crates/wasabi-control/src/link.rs
@@ -5,7 +5,8 @@
 //! peer. Messages of an ended connection are lost; the node sends again by itself.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, VecDeque},
+    sync::{Mutex, PoisonError},
     time::{Duration, Instant},
 };
 
@@ -21,9 +22,11 @@
 use wasabi_consensus::Message;
 use wasabi_protocol::{
     id,
-    rpc::{Step, method},
+    rpc::{Part, Step, method},
 };
 
+use crate::parts::{self, Assembly};
+
 /// Longest time until a request is answered or a connection is open.
 ///
 /// With a heartbeat every 100 ms a silent connection is replaced within half of the shortest
@@ -40,6 +43,10 @@
 /// Most requests without an answer on one link.
 const OPEN_MAX: usize = 64;
 
+/// Bytes without an answer from which on a link sends no more: twice a part, so that one is on its way
+/// while the other is answered.
+const OPEN_BYTES_MAX: usize = 2 * parts::PART_BYTES;
+
 /// Most batches that wait for a link; later ones are dropped.
 const QUEUE_MAX: usize = 256;
 
@@ -60,23 +67,28 @@
 ) {
     let mut links: BTreeMap<(id::Member, String), Link> = BTreeMap::new();
     while let Some(parcel) = parcels.recv().await {
-        let Ok(bytes) = postcard::to_stdvec(&parcel.messages) else { continue };
-        let step = Step {
+        let step = |(part, piece): (Option<Part>, &[u8])| Step {
             from: name.clone(),
             address: own_address.clone(),
             proofs: proofs.clone(),
             to: parcel.to.clone(),
-            messages: STANDARD.encode(bytes),
+            part,
+            messages: STANDARD.encode(piece),
         };
+        let mut batch = Vec::new();
+        for bytes in encode(&parcel.messages) {
+            batch.extend(parts::cut(&bytes, fastrand::u64(..)).into_iter().map(step));
+        }
         // Heartbeats go to every member, so that a link without messages is one to a former member.
         links.retain(|_, link| link.used.elapsed() < UNUSED_AFTER);
-        let link = links.entry((parcel.to, parcel.address)).or_insert_with_key(|(to, address)| {
-            let (steps, receiver) = mpsc::channel(QUEUE_MAX);
-            actix_rt::spawn(serve(to.clone(), address.clone(), receiver));
-            Link { steps, used: Instant::now() }
-        });
+        let link =
+            links.entry((parcel.to.clone(), parcel.address)).or_insert_with_key(|(to, address)| {
+                let (steps, receiver) = mpsc::channel(QUEUE_MAX);
+                actix_rt::spawn(serve(to.clone(), address.clone(), receiver));
+                Link { steps, used: Instant::now() }
+            });
         link.used = Instant::now();
-        if link.steps.try_send(step).is_err() {
+        if link.steps.try_send(batch).is_err() {
             debug!("a link is full; its messages are dropped");
         }
     }
@@ -84,17 +96,47 @@
 
 /// The way to one member; its task ends when this is dropped.
 struct Link {
-    steps: mpsc::Sender<Step>,
+    steps: mpsc::Sender<Vec<Step>>,
     used: Instant,
 }
 
-/// Returns the messages of a step, or `None` when they cannot be read.
-pub(crate) fn messages(step: &Step) -> Option<Vec<Message>> {
-    postcard::from_bytes(&STANDARD.decode(&step.messages).ok()?).ok()
+/// Returns the messages as they are sent: together when they fit one request, or else each by
+/// itself, so that one that is lost takes no other with it.
+fn encode(messages: &[Message]) -> Vec<Vec<u8>> {
+    match postcard::to_stdvec(messages) {
+        Ok(bytes) if bytes.len() <= parts::PART_BYTES || messages.len() <= 1 => vec![bytes],
+        _ => {
+            messages.iter().filter_map(|message| postcard::to_stdvec(&[message][..]).ok()).collect()
+        }
+    }
 }
 
+/// Returns the messages that a step holds or completes.
+///
+/// # Errors
+///
+/// Returns an error when the messages cannot be read.
+pub(crate) fn messages(
+    step: &Step,
+    assembly: &Mutex<Assembly>,
+) -> Result<Vec<Message>, Unreadable> {
+    let mut bytes = STANDARD.decode(&step.messages).map_err(|_| Unreadable)?;
+    if let Some(part) = step.part {
+        let mut assembly = assembly.lock().unwrap_or_else(PoisonError::into_inner);
+        match assembly.add(&step.from, part, bytes) {
+            Some(whole) => bytes = whole,
+            None => return Ok(Vec::new()),
+        }
+    }
+    postcard::from_bytes(&bytes).map_err(|_| Unreadable)
+}
+
+/// The messages of a step cannot be read.
+#[derive(Debug)]
+pub(crate) struct Unreadable;
+
 /// Serves one link: opens connections and replaces silent ones.
-async fn serve(to: id::Member, address: String, mut steps: mpsc::Receiver<Step>) {
+async fn serve(to: id::Member, address: String, mut steps: mpsc::Receiver<Vec<Step>>) {
     let url = format!("ws://{address}");
     let mut last = String::new();
     while !steps.is_closed() || !steps.is_empty() {
@@ -128,15 +170,27 @@
 
 /// Sends steps over one connection until it makes no progress. Returns why, or none when no more
 /// come.
-async fn use_connection(client: &WsClient, steps: &mut mpsc::Receiver<Step>) -> Option<Error> {
+async fn use_connection(client: &WsClient, steps: &mut mpsc::Receiver<Vec<Step>>) -> Option<Error> {
+    let mut waiting = VecDeque::new();
     let mut open = FuturesUnordered::new();
+    let mut open_bytes = 0;
     loop {
+        while open.len() < OPEN_MAX
+            && open_bytes < OPEN_BYTES_MAX
+            && let Some(step) = waiting.pop_front()
+        {
+            let step: Step = step;
+            let bytes = step.messages.len();
+            open_bytes += bytes;
+            open.push(async move {
+                let answer = client.request::<(), _>(method::CONSENSUS, rpc_params![step]).await;
+                (bytes, answer)
+            });
+        }
         tokio::select! {
-            step = steps.recv(), if open.len() < OPEN_MAX => {
-                let step = step?;
-                open.push(client.request::<(), _>(method::CONSENSUS, rpc_params![step]));
-            }
-            Some(answer) = open.next() => {
+            batch = steps.recv(), if waiting.is_empty() => waiting.extend(batch?),
+            Some((bytes, answer)) = open.next() => {
+                open_bytes -= bytes;
                 if let Err(error) = answer {
                     return Some(error);
                 }
--- a/crates/wasabi-control/src/server.rs
+++ b/crates/wasabi-control/src/server.rs
@@ -38,6 +38,7 @@
     local::Local,
     member::{self, Member},
     options::{Contacts, Options},
+    parts::Assembly,
 };
 
 /// Most connections at one time: entries, members and operators.
@@ -134,6 +135,7 @@
             name: identity,
             proofs: options.proofs().into(),
             callers: callers.clone(),
+            assembly: Arc::default(),
         };
         let server = server.start(methods(shared).context(MethodsSnafu)?);
         // Founders answer each other's questions while each of them waits here.
@@ -265,6 +267,8 @@
     proofs: Arc<[String]>,
     /// Members that sent messages for another member of this address.
     callers: Contacts,
+    /// Parts of messages.
+    assembly: Arc<Mutex<Assembly>>,
 }
 
 impl Shared {
@@ -320,7 +324,11 @@
         shared.callers.add(&step.address);
         return Err(refused("the message is for another member"));
     }
-    let messages = link::messages(step).ok_or_else(|| refused("the messages cannot be read"))?;
+    let messages = link::messages(step, &shared.assembly)
+        .map_err(|_| refused("the messages cannot be read"))?;
+    if messages.is_empty() {
+        return Ok(());
+    }
     let input = input::Step { from: step.from.clone(), address: step.address.clone(), messages };
     shared.inputs.send(Input::Step(input)).map_err(|_| refused("the control thread has ended"))
 }
--- /dev/null
+++ b/crates/wasabi-control/tests/running/mod.rs
@@ -0,0 +1,127 @@
+//! Members of a control group that run in the test's own process.
+
+#![allow(dead_code, unreachable_pub, reason = "each test file uses a part of the support")]
+
+use std::{net::SocketAddr, path::Path, time::Duration};
+
+use jsonrpsee::{core::client::ClientT as _, rpc_params, ws_client::WsClientBuilder};
+use wasabi_control::{Batching, Contacts, Options, Running};
+use wasabi_protocol::{
+    command::Outcome,
+    fingerprint,
+    rpc::{Inquire, Inquired, MemberStatus, Proposed, Source, method},
+    site,
+};
+
+/// The operator's credential.
+pub const CREDENTIAL: &str = "operator";
+
+/// Longest time for anything that a test waits for.
+pub const BOUND: Duration = Duration::from_secs(30);
+
+/// Returns an address whose port was free a moment ago.
+pub fn free() -> SocketAddr {
+    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+/// Returns the options of a member.
+pub fn options(
+    listen: SocketAddr,
+    founders: &[SocketAddr],
+    all: &[SocketAddr],
+    data: &Path,
+) -> Options {
+    let member = |address: &SocketAddr| (address.to_string().as_str().into(), address.to_string());
+    Options {
+        name: listen.to_string().as_str().into(),
+        listen,
+        data: data.to_owned(),
+        members: founders.iter().map(member).collect(),
+        contacts: Contacts::new(all.iter().map(ToString::to_string).collect()),
+        self_repair: true,
+        operator_digests: vec![fingerprint::token(CREDENTIAL)],
+        snapshot_every: 100,
+        batching: Batching::Shared,
+        metrics: Default::default(),
+    }
+}
+
+/// Returns the members as the asked one knows them.
+pub async fn members(address: SocketAddr) -> Option<Vec<MemberStatus>> {
+    let client = WsClientBuilder::default().build(format!("ws://{address}")).await.ok()?;
+    let ask = Inquire { credential: CREDENTIAL.to_owned(), source: Source::Member };
+    match client.request(method::STATUS, rpc_params![ask]).await.ok()? {
+        Inquired::Status(status) => Some(status.members),
+        _ => None,
+    }
+}
+
+/// Waits until the asked member knows a group that is as stated.
+pub async fn wait(address: SocketAddr, what: &str, holds: impl Fn(&[MemberStatus]) -> bool) {
+    let started = std::time::Instant::now();
+    loop {
+        let known = members(address).await.unwrap_or_default();
+        if holds(&known) {
+            return;
+        }
+        assert!(started.elapsed() < BOUND, "{what} did not come; the members are {known:?}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Puts a configuration of this version in force.
+pub async fn put(version: u64, running: &[&Running]) {
+    put_text(version, &version.to_string(), running).await;
+}
+
+/// Puts a configuration of this version, which was sent as this text, in force.
+pub async fn put_text(version: u64, text: &str, running: &[&Running]) {
+    let config = site::Config { version, ..site::Config::default() };
+    let document = site::Document { config, source: text.to_owned() };
+    let started = std::time::Instant::now();
+    while started.elapsed() < BOUND {
+        for one in running {
+            let proposed = one.local().put_site(document.clone()).await;
+            if matches!(proposed, Proposed::Committed(Outcome::Accepted { .. } | Outcome::Done)) {
+                return;
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("version {version} was not committed");
+}
+
+/// Stops a member and waits for its end.
+pub async fn stop(mut running: Running) {
+    running.stop();
+    running.ended().await.unwrap();
+}
+
+/// Starts the founders of a group, each with its folder, and waits until it takes a change.
+pub async fn found(
+    addresses: &[SocketAddr; 3],
+    contacts: &[SocketAddr],
+    data: &Path,
+) -> [Running; 3] {
+    let start = |index: usize| {
+        let folder = data.join(index.to_string());
+        Running::start(options(addresses[index], addresses, contacts, &folder))
+    };
+    let (one, two, three) = tokio::join!(start(0), start(1), start(2));
+    let running = [one.unwrap(), two.unwrap(), three.unwrap()];
+    put(1, &running.each_ref()).await;
+    running
+}
+
+/// Starts a member at the address of one that was stopped.
+pub async fn start_again(options: Options) -> Running {
+    let begun = std::time::Instant::now();
+    loop {
+        // The port of the process before is free once its connections have ended.
+        match Running::start(options.clone()).await {
+            Ok(running) => return running,
+            Err(error) => assert!(begun.elapsed() < BOUND, "{error}"),
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
--- a/crates/wasabi-control/tests/single.rs
+++ b/crates/wasabi-control/tests/single.rs
@@ -176,6 +176,7 @@
         let recorded: Proposed = call(&client, method::PROPOSE, record).await;
         assert_eq!(recorded, Proposed::Committed(Outcome::Recorded));
         let forged = |proof: String| Step {
+            part: None,
             from: "m2".into(),
             address: "127.0.0.1:1".to_owned(),
             proofs: vec![proof],
--- a/crates/wasabi-protocol/src/rpc/member.rs
+++ b/crates/wasabi-protocol/src/rpc/member.rs
@@ -17,10 +17,25 @@
     pub proofs: Vec<String>,
     /// The member that the sender means.
     pub to: id::Member,
-    /// The messages, encoded with postcard and then base64.
+    /// Which part of the messages this is; none when it holds them whole.
+    #[serde(default)]
+    pub part: Option<Part>,
+    /// The messages, encoded with postcard and then base64, or a part of what postcard gave.
     pub messages: String,
 }
 
+/// One of several parts of messages that are too large for one request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Part {
+    /// Tells the messages from all others of the sender.
+    pub number: u64,
+    /// The place of this part, from 0 on.
+    pub index: u32,
+    /// The number of parts.
+    pub count: u32,
+}
+
 /// Asks a member whether it ever got a message from the asker.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/wasabi-protocol/src/rpc/mod.rs
+++ b/crates/wasabi-protocol/src/rpc/mod.rs
@@ -9,7 +9,7 @@
 
 pub use control::{Forwarded, Lead, MoveOrder, Read};
 pub use entry::{Checked, Checkin, Evidence, Heartbeat, Propose, Proposed, Suspect};
-pub use member::{Hello, Join, Joined, Met, Step};
+pub use member::{Hello, Join, Joined, Met, Part, Step};
 pub use operator::{
     ChangeMembers, Drain, Drained, EntryStatus, Force, Inquire, Inquired, MemberChange,
     MemberStatus, MembersChanged, Operate, Operated, Role, Source, Standing, Status,
