entry, control: a stopping process takes only what it can end, and is gone in its grace time

Cause: a stopping entry serves the callers whose list still names it, and took whatever they sent; a stream of 5 to 7.4 s that came 0.5 to 3 s after the signal could not end. After the bound of its drain the entry waited 2 s more for the connections that it meant to cut. A control process without a member waited for idle connections.

Ruled out: a control member beside the entry that holds it up; the processes end apart, and the killed ones were entries past their bound and control processes without a disk, by their last lines.

Change: a draining entry refuses a request (503, not run) that may not end before the bound, by its deadline and by one and a half times the longest request of its route in the last 10 to 20 s. What is left at the bound is cut at once. Control processes wait a second for open calls, and a member whose disk does not answer ends 4 s after the signal. Each second a drain says what it waits for, and each stream that it cuts is named.

The stop of a member whose disk does not answer has no test.

--- a/crates/wasabi-control/src/server.rs
+++ b/crates/wasabi-control/src/server.rs
@@ -7,7 +7,7 @@
         mpsc::{self, TryRecvError},
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use jsonrpsee::{
@@ -47,6 +47,10 @@
 /// Pause before a disk that refused a write is used again.
 const DISK_AGAIN_AFTER: Duration = Duration::from_millis(300);
 
+/// Longest time of a planned stop: what the control thread takes for it when its disk answers, and a
+/// second.
+const STOP_TIME: Duration = Duration::from_secs(4);
+
 /// Longest message, in bytes.
 pub(crate) const MESSAGE_BYTES_MAX: u32 = 64 * 1024 * 1024;
 
@@ -99,6 +103,7 @@
     server: ServerHandle,
     inputs: mpsc::Sender<Input>,
     access: Access,
+    stopping: Option<Instant>,
     ended: oneshot::Receiver<Result<(), member::Error>>,
 }
 
@@ -172,7 +177,7 @@
                 let _ = end.send(run(&options, start, &heard, &parcels, &receiver));
             })
             .context(ThreadSnafu)?;
-        Ok(Self { address, server, inputs, access, ended })
+        Ok(Self { address, server, inputs, access, stopping: None, ended })
     }
 
     /// Returns the address that is listened on.
@@ -191,17 +196,32 @@
     }
 
     /// Starts a planned stop.
-    pub fn stop(&self) {
+    pub fn stop(&mut self) {
+        self.stopping.get_or_insert_with(Instant::now);
         let _ = self.inputs.send(Input::Stop);
     }
 
-    /// Waits until the control thread has ended.
+    /// Waits until the control thread has ended, or a planned stop has taken too long: a thread that
+    /// waits for its disk must not keep the process from its end. Nothing is lost by that, as by a
+    /// crash.
     ///
     /// # Errors
     ///
     /// Returns why the process must end, unless a stop was asked for.
     pub async fn ended(&mut self) -> Result<(), Error> {
-        let end = (&mut self.ended).await;
+        let end = match self.stopping {
+            None => (&mut self.ended).await,
+            Some(since) => {
+                let left = STOP_TIME.saturating_sub(since.elapsed());
+                match tokio::time::timeout(left, &mut self.ended).await {
+                    Ok(end) => end,
+                    Err(_) => {
+                        warn!("the member waits for its disk; ending without it");
+                        Ok(Ok(()))
+                    }
+                }
+            }
+        };
         let _ = self.server.stop();
         match end {
             Ok(end) => end.context(MemberSnafu),
--- a/crates/wasabi-entry/src/dispatch/relay.rs
+++ b/crates/wasabi-entry/src/dispatch/relay.rs
@@ -128,11 +128,10 @@
             record.finish(gate::answered(StatusCode::OK, "text/event-stream", &self.kept));
         }
         if let Some(held) = self.held.take() {
-            let metrics = &self.worker.shared.metrics;
-            let tier = self.call.route.tier.into();
-            metrics.finished.get_or_create(&tier).inc();
+            let (shared, route) = (&self.worker.shared, &self.call.route);
+            shared.finished(route.tier, &route.name, self.call.arrived);
             if held.first_token().is_some_and(|first| first <= self.call.route.first_token_ms) {
-                metrics.goodput.get_or_create(&tier).inc();
+                shared.metrics.goodput.get_or_create(&route.tier.into()).inc();
             }
             held.end(End::Finished);
         }
--- a/crates/wasabi-entry/src/dispatch/way.rs
+++ b/crates/wasabi-entry/src/dispatch/way.rs
@@ -41,6 +41,9 @@
         Ok(call) => Rc::new(call),
         Err(fault) => return server::refuse(&shared, &fault),
     };
+    if let Err(fault) = shared.check_time_left(&call.route.name, call.deadline) {
+        return server::refuse(&shared, &fault);
+    }
     let name = call.id.to_string();
     let mut response = if call.route.repeat.is_idempotent() {
         run(worker, call, open).await
@@ -229,10 +232,9 @@
         held.end(End::Failed);
         return Attempted::Answered(whole.response);
     }
-    let metrics = &worker.shared.metrics;
-    metrics.finished.get_or_create(&call.route.tier.into()).inc();
+    worker.shared.finished(call.route.tier, &call.route.name, call.arrived);
     if worker.shared.clock.now() <= call.deadline {
-        metrics.goodput.get_or_create(&call.route.tier.into()).inc();
+        worker.shared.metrics.goodput.get_or_create(&call.route.tier.into()).inc();
     }
     held.end(End::Finished);
     Attempted::Answered(whole.response)
--- a/crates/wasabi-entry/src/drain.rs
+++ b/crates/wasabi-entry/src/drain.rs
@@ -8,6 +8,7 @@
 use wasabi_protocol::clock::Millis;
 
 use crate::{
+    callers::server::STOP_S,
     control::checkin,
     shared::{Mode, Shared},
     shell::Shell,
@@ -20,6 +21,12 @@
 /// Time between two looks at the open requests.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 
+/// Time between two log lines about what a drain waits for, in milliseconds.
+const SAY_EVERY: Millis = Millis(1_000);
+
+/// Time for the connections of callers to close, in milliseconds.
+const CLOSE_TIME: Millis = Millis(300);
+
 /// Time for the last releases and outcomes to reach their owners.
 const LAST_MESSAGES: Duration = Duration::from_millis(200);
 
@@ -53,8 +60,17 @@
             if shell.shared.mode == Mode::Controlled {
                 checkin::check_in(&shell).await;
             }
-            finish(&shell.shared).await;
-            stop(&self.servers, true).await;
+            let end = finish(&shell.shared).await;
+            // The last bytes of answers may still be on their way.
+            let left = match (end, shell.shared.cuts_at()) {
+                (End::Drained, Some(cuts_at)) => cuts_at.since(shell.now()) + CLOSE_TIME,
+                (End::Drained, None) => Millis::from_secs(STOP_S) + CLOSE_TIME,
+                (End::Cut, _) => CLOSE_TIME,
+            };
+            let stopping = stop(&self.servers, end == End::Drained);
+            if tokio::time::timeout(left.duration(), stopping).await.is_err() {
+                tracing::warn!("connections are still open; ending without them");
+            }
             tokio::time::sleep(LAST_MESSAGES).await;
             if self.ended.send(()).is_err() {
                 tracing::debug!("the control thread has ended already");
@@ -67,21 +83,38 @@
     join_all(servers.iter().map(|server| server.stop(graceful))).await;
 }
 
+/// How a drain ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    /// Every request has ended.
+    Drained,
+    /// The bound of the settings has passed.
+    Cut,
+}
+
 /// Waits until the last list that names this entry has run out and every request has ended, or
 /// until the bound of the settings.
-async fn finish(shared: &Shared) {
-    let started = shared.clock.now();
-    let bound = shared.settings.drain.bound.as_ref().map(|bound| **bound);
+async fn finish(shared: &Shared) -> End {
+    let mut said = shared.clock.now();
     loop {
         let now = shared.clock.now();
         let open = shared.open_count();
-        if shared.listed_until() < now && open == 0 {
+        let listed_ms = shared.listed_until().since(now).0;
+        if listed_ms == 0 && open == 0 {
             tracing::info!("drained");
-            return;
+            return End::Drained;
         }
-        if bound.is_some_and(|bound| bound <= now.since(started)) {
+        if shared.cuts_at().is_some_and(|cuts_at| cuts_at <= now) {
             tracing::warn!(cut = open, "drain.bound has passed; open requests are cut");
-            return;
+            return End::Cut;
+        }
+        if SAY_EVERY <= now.since(said) {
+            said = now;
+            tracing::info!(
+                open,
+                listed_ms,
+                "waiting for open requests and lists that name this entry"
+            );
         }
         tokio::time::sleep(LOOK_EVERY).await;
     }
--- a/crates/wasabi-entry/src/forward/relay.rs
+++ b/crates/wasabi-entry/src/forward/relay.rs
@@ -24,6 +24,19 @@
     _open: Open,
 }
 
+impl Drop for Relay {
+    /// Names a stream that the end of a draining entry cuts.
+    fn drop(&mut self) {
+        let Attempts { worker, call, .. } = &self.attempts;
+        let Some(cuts_at) = worker.shared.cuts_at().filter(|_| self.held.is_some()) else { return };
+        let now = worker.shared.clock.now();
+        if cuts_at <= now {
+            let (request, age_ms) = (&call.id, now.since(call.arrived).0);
+            tracing::warn!(request, age_ms, sent = self.reader.count(), "stream cut by the stop");
+        }
+    }
+}
+
 /// Returns the events of a relay. It ends without an error only when the answer is whole.
 pub(crate) fn stream(relay: Relay) -> impl Stream<Item = io::Result<Bytes>> {
     stream::unfold(Some(relay), |relay| async {
@@ -134,7 +147,7 @@
         if let Some(held) = self.held.take() {
             held.end(End::Finished);
         }
-        let metrics = &self.attempts.worker.shared.metrics;
-        metrics.finished.get_or_create(&self.attempts.call.tier.into()).inc();
+        let Attempts { worker, call, .. } = &self.attempts;
+        worker.shared.finished(call.tier, &call.route.name, call.arrived);
     }
 }
--- a/crates/wasabi-entry/src/forward/way.rs
+++ b/crates/wasabi-entry/src/forward/way.rs
@@ -49,6 +49,9 @@
             return refuse_unread(&worker, request_id(request.headers(), &dialect), &fault);
         }
     };
+    if let Err(fault) = shared.check_time_left(&call.route.name, call.deadline) {
+        return refuse(&worker, &call, &fault);
+    }
     let mut attempts = Attempts::new(Rc::clone(&worker), dialect, call);
     match attempts.run().await {
         Outcome::Stream(begun) => {
@@ -244,7 +247,8 @@
         let Opened { status, headers, .. } = opened;
         if !status.is_server_error() {
             held.end(End::Finished);
-            metrics.finished.get_or_create(&self.call.tier.into()).inc();
+            let call = &self.call;
+            self.worker.shared.finished(call.tier, &call.route.name, call.arrived);
             return Attempted::Done(Outcome::Whole(status, headers, body));
         }
         let message = format!("the endpoint answered with {status}");
--- a/crates/wasabi-entry/src/lib.rs
+++ b/crates/wasabi-entry/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod daemon;
 pub mod dispatch;
 mod drain;
+mod durations;
 mod endpoints;
 pub mod events;
 pub mod forward;
@@ -22,3 +23,4 @@
 mod shell;
 
 pub use daemon::Daemon;
+pub use durations::Durations;
--- a/crates/wasabi-entry/src/shared.rs
+++ b/crates/wasabi-entry/src/shared.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::HashMap,
     sync::{
-        Arc, PoisonError, RwLock,
+        Arc, Mutex, PoisonError, RwLock,
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
 };
@@ -11,13 +11,13 @@
 use wasabi_protocol::{
     clock::{Clock, Millis},
     command::{Config, Duty, Entry},
-    contract::Contract,
+    contract::{Contract, Tier},
     fault::{Fault, Kind},
     fingerprint, id,
 };
 use wasabi_settings::entry::Settings;
 
-use crate::{forward::site, metrics::Metrics};
+use crate::{durations::Durations, forward::site, metrics::Metrics};
 
 /// Time for which an entry serves after it last heard control or a majority of its peers.
 pub(crate) const SERVING_SPAN: Millis = Millis::from_secs(2);
@@ -92,6 +92,9 @@
     draining: AtomicBool,
     /// End of the last lifetime of a list that names this entry, on `clock`.
     listed_until: AtomicU64,
+    /// When a draining entry cuts what is left, on `clock`; the largest value when it never does.
+    cuts_at: AtomicU64,
+    durations: Mutex<Durations>,
     open: AtomicUsize,
     /// The serving entries that answered lately, this one included unless it drains.
     live: RwLock<Arc<[Entry]>>,
@@ -110,6 +113,8 @@
             serving_until: AtomicU64::new(0),
             draining: AtomicBool::new(false),
             listed_until: AtomicU64::new(0),
+            cuts_at: AtomicU64::new(u64::MAX),
+            durations: Mutex::default(),
             open: AtomicUsize::new(0),
             live: RwLock::new(Arc::new([])),
         }
@@ -194,11 +199,48 @@
     /// Starts draining. `elsewhere` is the time within which the other entries stop naming this one.
     pub(crate) fn drain(&self, elsewhere: Millis) {
         if !self.draining.swap(true, Ordering::AcqRel) {
-            let until = self.clock.now() + elsewhere + *self.settings.callers.list_lifetime;
+            let now = self.clock.now();
+            let until = now + elsewhere + *self.settings.callers.list_lifetime;
             self.listed_until.fetch_max(until.0, Ordering::AcqRel);
+            if let Some(bound) = &self.settings.drain.bound {
+                self.cuts_at.store((now + **bound).0, Ordering::Release);
+            }
         }
     }
 
+    /// Returns when a draining entry cuts what is left, if it ever does.
+    pub(crate) fn cuts_at(&self) -> Option<Millis> {
+        let at = self.cuts_at.load(Ordering::Acquire);
+        (at != u64::MAX).then_some(Millis(at))
+    }
+
+    /// Returns whether a request of this route ends before a draining entry cuts it, judged by how
+    /// long others took lately, and by its deadline.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal when it may not.
+    pub(crate) fn check_time_left(&self, route: &id::Route, deadline: Millis) -> Result<(), Fault> {
+        let Some(cuts_at) = self.cuts_at() else { return Ok(()) };
+        let now = self.clock.now();
+        let durations = self.durations.lock().unwrap_or_else(PoisonError::into_inner);
+        // Half more, since load may rise.
+        let lately = durations.longest(now, route).map(|took| now + took + Millis(took.0 / 2));
+        if lately.map_or(deadline, |ends| ends.min(deadline)) <= cuts_at {
+            return Ok(());
+        }
+        let message = "this entry is stopping before the request would end; use another entry";
+        Err(Fault::new(Kind::EntryDraining, message))
+    }
+
+    /// Counts a request that was answered, and how long that took.
+    pub(crate) fn finished(&self, tier: Tier, route: &id::Route, arrived: Millis) {
+        self.metrics.finished.get_or_create(&tier.into()).inc();
+        let now = self.clock.now();
+        let mut durations = self.durations.lock().unwrap_or_else(PoisonError::into_inner);
+        durations.add(now, route, now.since(arrived));
+    }
+
     /// Returns whether the entry drains.
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Acquire)
--- a/crates/wasabi-testkit/src/process.rs
+++ b/crates/wasabi-testkit/src/process.rs
@@ -170,6 +170,29 @@
 /// Ports that one test process tries first, so that processes started together rarely meet.
 const PORTS_PER_PROCESS: u32 = 97;
 
+/// Returns the first of some consecutive loopback ports that are free, other ones at each call.
+///
+/// # Panics
+///
+/// Panics when there are none.
+pub fn free_ports(count: u16) -> u16 {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let _forks = forks();
+    let sets = u32::from((PORTS.end - PORTS.start) / count);
+    let start = std::process::id().wrapping_mul(PORTS_PER_PROCESS);
+    for _ in 0..sets {
+        let set = start.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % sets;
+        let first = PORTS.start + set as u16 * count;
+        // All are held until the last one is bound.
+        let bound =
+            (first..first + count).map_while(|port| TcpListener::bind(("127.0.0.1", port)).ok());
+        if bound.collect::<Vec<_>>().len() == usize::from(count) {
+            return first;
+        }
+    }
+    panic!("no {count} consecutive ports between {} and {} are free", PORTS.start, PORTS.end)
+}
+
 /// Returns a loopback address with a free port, another one at each call.
 ///
 /// # Panics
