control, scheduler: a version move knows the version that it leads away from

Cause: a leader fills in the old version of an order from the endpoints that entries report to it. One that had just been elected had heard of none and filled in no version. To the pools every endpoint of the old version was then of a third version, which gets no work while a move runs, so that all traffic went to the new one; and no evidence counted for the old one.

Ruled out: a share that is not obeyed (the ledger of the share is not asked when no other endpoint may be used), and evidence that is lost on its way (the log has 523 requests of the new version, and "old version 0 of 0" on every route).

In the pools an old version without a name stands for every version but the new one.

--- a/crates/wasabi-control/src/liveness.rs
+++ b/crates/wasabi-control/src/liveness.rs
@@ -70,6 +70,11 @@
         }
     }
 
+    /// Returns the time before which nothing is known of any entry.
+    pub const fn since(&self) -> Millis {
+        self.since
+    }
+
     /// Discards all silence so far, after a time in which this process did not run.
     pub fn resume(&mut self, now: Millis) {
         self.since = now;
--- a/crates/wasabi-control/src/serve.rs
+++ b/crates/wasabi-control/src/serve.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use tokio::sync::oneshot::Sender;
+use tracing::info;
 use wasabi_consensus::Part;
 use wasabi_protocol::{
     clock::{Millis, unix_now},
@@ -29,6 +30,10 @@
 /// Longest time that an operator's command waits to be in force everywhere, in milliseconds.
 const FORCE_WAIT_MAX: Millis = Millis::from_secs(60);
 
+/// Time after which a leader has heard of all endpoints that entries know, in milliseconds: two
+/// check-ins, and the time to find this leader.
+const REPORTED_AFTER: Millis = Millis(3_000);
+
 impl Member {
     /// Handles an input of a connection.
     pub(crate) fn handle(&mut self, input: Input) {
@@ -221,7 +226,11 @@
             let _ = reply.send(Proposed::Committed(Outcome::Done));
             return;
         }
-        let plan = self.plan(order);
+        let Some(plan) = self.plan(order) else {
+            info!(backend = %order.backend, "no entry has reported endpoints yet; a move is not taken");
+            let _ = reply.send(Proposed::NotLeader { leader: None });
+            return;
+        };
         let command = id::Command::from(format!("{} {}", plan.name, self.machine.index()));
         let base = self.machine.revision();
         let order = Order { command, operator: "operator".to_owned(), base };
@@ -229,8 +238,9 @@
         self.propose(Item::Command(command), Waiting::Propose(reply));
     }
 
-    /// Returns the plan of an order, which moves away from the version that most endpoints run.
-    fn plan(&self, order: &MoveOrder) -> Plan {
+    /// Returns the plan of an order, which moves away from the version that most endpoints run, or
+    /// nothing while this leader has not led long enough to have heard of the endpoints.
+    fn plan(&self, order: &MoveOrder) -> Option<Plan> {
         let mut counts = BTreeMap::new();
         for endpoint in self.liveness.endpoints(self.clock.now()) {
             if endpoint.backend == order.backend && endpoint.version != order.to {
@@ -238,17 +248,21 @@
             }
         }
         let most = counts.into_iter().max_by_key(|(_, count)| *count);
+        let from = most.map(|(version, _)| version);
+        if from.is_none() && self.clock.now().since(self.liveness.since()) < REPORTED_AFTER {
+            return None;
+        }
         let schedule = Schedule::of(order.within);
-        Plan {
+        Some(Plan {
             name: format!("{}-{}-{}", order.backend, order.to, self.machine.index()).into(),
             kind: order.kind,
             backend: order.backend.clone(),
-            from: most.map_or_else(|| "".into(), |(version, _)| version),
+            from: from.unwrap_or_else(|| "".into()),
             to: order.to.clone(),
             finish_by: unix_now() + schedule.finish_after,
             start_permille: schedule.start_permille,
             watch: schedule.watch,
-        }
+        })
     }
 
     /// Answers what waited for a proposal that is committed.
--- a/crates/wasabi-scheduler/src/pool/versions.rs
+++ b/crates/wasabi-scheduler/src/pool/versions.rs
@@ -34,6 +34,7 @@
 #[derive(Debug)]
 struct Active {
     name: id::Move,
+    /// The old version; an empty name stands for every version but the new one.
     from: id::Version,
     to: id::Version,
     stage: Stage,
@@ -52,6 +53,12 @@
     Never,
 }
 
+impl Active {
+    fn is_old(&self, version: &id::Version) -> bool {
+        *version == self.from || self.from.as_str().is_empty() && *version != self.to
+    }
+}
+
 impl Versions {
     /// Takes a configuration into account.
     pub(super) fn configure(&mut self, config: &Config, backend: &id::Backend, slots: &[Slot]) {
@@ -124,8 +131,12 @@
         }
     }
 
-    /// Notes the version in use. The pace of another one says nothing about it.
+    /// Notes the version in use, unless a move did not name it. The pace of another one says nothing
+    /// about it.
     fn use_version(&mut self, version: id::Version) {
+        if version.as_str().is_empty() {
+            return;
+        }
         if self.settled.as_ref() != Some(&version) {
             self.pace = Pace::default();
             self.settled = Some(version);
@@ -166,7 +177,7 @@
             let is_settled = self.settled.as_ref().is_none_or(|settled| settled == version);
             return if is_settled { Offer::Proven } else { Offer::Never };
         };
-        if *version == active.from {
+        if active.is_old(version) {
             return Offer::Proven;
         }
         let is_stopped = active.watch.stopped().is_some();
@@ -185,7 +196,7 @@
         if *version == active.to {
             Some(Side::New)
         } else {
-            (*version == active.from).then_some(Side::Old)
+            active.is_old(version).then_some(Side::Old)
         }
     }
 
--- a/crates/wasabi-scheduler/tests/versions.rs
+++ b/crates/wasabi-scheduler/tests/versions.rs
@@ -53,6 +53,27 @@
     assert!((20..=50).contains(&new), "{new} of 5,000 at a share of 1%");
 }
 
+/// Guards against all traffic on the new version when the old one is not named, since the leader that
+/// took the order knew of no endpoint: every other version is the old one.
+#[test]
+fn a_move_from_an_unnamed_version_keeps_its_share() {
+    let mut pool = kit::ready(3, 8);
+    announce_version(&mut pool, 1_000, "n", 8, "v2");
+    let mut config = config(2, &["e1"]);
+    let mut unnamed = order(Stage::Share(10));
+    unnamed.plan.from = "".into();
+    config.moves = vec![unnamed.clone()];
+    pool.step(Millis(1_000), Event::Config(&config));
+    let new = run(&mut pool, 0, 5_000, 2, End::Finished);
+    assert!((20..=50).contains(&new), "{new} of 5,000 at a share of 1%");
+    unnamed.stage = Stage::TakenBack;
+    config.revision.0 += 1;
+    config.moves = vec![unnamed];
+    config.banned = vec![("chat".into(), "v2".into())];
+    pool.step(Millis(6_500), Event::Config(&config));
+    assert_eq!(run(&mut pool, 5_500, 100, 2, End::Finished), 0, "the old version serves on");
+}
+
 /// Guards against urgent requests on an unproven version while another endpoint is left, and
 /// against refusing them when none is.
 #[test]
