rollout: requests of a short move are judged in a tenth of its time

What operators saw: a version half of whose answers are failures was not taken back by the end of a move of ten seconds.

Cause: requests of the new version wait three seconds until they are judged, so that an outage of both versions is seen as one. Three errors among them suspend the version for that time, and the test needs some twelve requests: three or four rounds of three seconds.

Ruled out: the leader's way (a verdict is committed within 0.3 s of its evidence) and the share (it is suspended, not used up).

Change: in a move below 30 s they wait for a tenth of its time, a second at least, which is two check-ins. Longer moves are judged as before.

Test: a_failing_version_is_rejected_in_half_of_a_short_move; with three seconds the verdict takes more than 5 s of 10, which the same test shows for a move of 30 s.

--- a/crates/wasabi-control/src/moves.rs
+++ b/crates/wasabi-control/src/moves.rs
@@ -38,6 +38,12 @@
     old_most: usize,
 }
 
+impl Evidence {
+    fn new(machine: &wasabi_state::Machine, order: &Move) -> Self {
+        Self { ledger: Ledger::new(routes(machine, order)).within(order.span()), old_most: 0 }
+    }
+}
+
 impl Member {
     /// Takes the evidence of a check-in into account.
     pub(crate) fn add_evidence(&mut self, checkin: &Checkin) {
@@ -48,9 +54,7 @@
         let moves = self.machine.moves().filter(|order| !order.stage.is_final());
         for order in moves {
             let evidence = self.duties.moves.by_move.entry(order.plan.name.clone());
-            let routes = || routes(&self.machine, order);
-            let evidence =
-                evidence.or_insert_with(|| Evidence { ledger: Ledger::new(routes()), old_most: 0 });
+            let evidence = evidence.or_insert_with(|| Evidence::new(&self.machine, order));
             evidence.ledger.add(now, &order.plan, &checkin.evidence);
         }
     }
@@ -83,10 +87,8 @@
                 endpoints.iter().filter(is_one).count()
             };
             let (new, old) = (announced(&order.plan.to), announced(&order.plan.from));
-            let routes = routes(&self.machine, &order);
             let evidence = self.duties.moves.by_move.entry(order.plan.name.clone());
-            let evidence =
-                evidence.or_insert_with(|| Evidence { ledger: Ledger::new(routes), old_most: 0 });
+            let evidence = evidence.or_insert_with(|| Evidence::new(&self.machine, &order));
             evidence.old_most = evidence.old_most.max(old);
             let supply = Supply { new, full: evidence.old_most.max(1) };
             let next = decision::decide(unix_now(), &order, &evidence.ledger, supply);
--- a/crates/wasabi-protocol/src/command.rs
+++ b/crates/wasabi-protocol/src/command.rs
@@ -128,6 +128,13 @@
     pub changed: Millis,
 }
 
+impl Move {
+    /// Returns the time from the order until all traffic must have moved, in milliseconds.
+    pub fn span(&self) -> Millis {
+        self.plan.finish_by.since(self.started)
+    }
+}
+
 /// The configuration that entries hold.
 #[derive(Debug, Clone, PartialEq, Default)]
 #[derive(Serialize, Deserialize)]
--- a/crates/wasabi-rollout/src/decision.rs
+++ b/crates/wasabi-rollout/src/decision.rs
@@ -83,6 +83,13 @@
         Self { trials: trial::Set::new(routes), stopped: None }
     }
 
+    /// Has requests judged in the time of a move that takes `span`.
+    #[must_use]
+    pub fn within(mut self, span: Millis) -> Self {
+        self.trials = self.trials.within(span);
+        self
+    }
+
     /// Takes the evidence of one check-in into account. Evidence of other moves is ignored.
     pub fn add(&mut self, now: Millis, plan: &Plan, evidence: &[rpc::Evidence]) {
         // The old version first, so that the new one is compared with the same span of time.
@@ -224,7 +231,7 @@
 
 /// Returns when a stage should be left.
 fn leave_times(order: &Move, permille: u32) -> Times {
-    let span = order.plan.finish_by.since(order.started).0 as f64;
+    let span = order.span().0 as f64;
     let doublings = |from: u32| {
         let mut share = from.clamp(1, FULL);
         let mut steps = 0_u32;
--- a/crates/wasabi-rollout/src/stop.rs
+++ b/crates/wasabi-rollout/src/stop.rs
@@ -45,6 +45,13 @@
         }
     }
 
+    /// Has requests judged in the time of a move that takes `span`.
+    #[must_use]
+    pub fn within(mut self, span: Millis) -> Self {
+        self.trials = self.trials.within(span);
+        self
+    }
+
     /// Takes an ended request into account.
     pub fn observe(&mut self, now: Millis, seen: Observation<'_>) {
         self.observe_cached(now, seen, 0);
--- a/crates/wasabi-rollout/src/trial.rs
+++ b/crates/wasabi-rollout/src/trial.rs
@@ -18,12 +18,19 @@
 /// Highest probability that one round accepts a bad version.
 pub const MISS: f64 = 1e-2;
 
-/// Time after which requests of the new version are judged.
+/// Time after which requests of the new version are judged, unless the move is short.
 ///
 /// By then the old version has shown the same span of time. Without the wait the first errors of
 /// an outage that both versions share look like the new version's own.
 pub const JUDGED_AFTER: Millis = Millis(3_000);
 
+/// Shortest such time: two check-ins of an owner, so that the leader has the old version's counts.
+pub const JUDGED_AFTER_MIN: Millis = Millis(1_000);
+
+/// Part of a short move's time for which its requests wait to be judged, as a divisor. A version that
+/// fails is suspended while they wait, so that a verdict takes a few such times.
+const JUDGED_AFTER_DIVISOR: u64 = 10;
+
 /// Errors among the requests that wait to be judged from which on the new version is suspended.
 ///
 /// At 1,000 requests/s and a share of 10%, 300 requests would meet a version that always fails
@@ -58,6 +65,7 @@
     waiting_errors: u64,
     is_rejected: bool,
     routes: usize,
+    judged_after: Millis,
 }
 
 /// Requests of the new version that are not judged yet.
@@ -103,9 +111,18 @@
             waiting_errors: 0,
             is_rejected: false,
             routes,
+            judged_after: JUDGED_AFTER,
         }
     }
 
+    /// Has requests judged in the time of a move that takes `span`.
+    #[must_use]
+    pub fn within(mut self, span: Millis) -> Self {
+        let part = Millis(span.0 / JUDGED_AFTER_DIVISOR);
+        self.judged_after = part.clamp(JUDGED_AFTER_MIN, JUDGED_AFTER);
+        self
+    }
+
     /// Takes requests on one route into account, and judges those that waited long enough.
     pub fn add(&mut self, now: Millis, route: &id::Route, seen: Counts) {
         if !self.trials.contains_key(route) {
@@ -129,9 +146,11 @@
         self.judge(now);
     }
 
-    /// Judges the requests of the new version that waited for [`JUDGED_AFTER`].
+    /// Judges the requests of the new version that waited for [`JUDGED_AFTER`], or less in a short
+    /// move.
     pub fn judge(&mut self, now: Millis) {
-        while self.waiting.front().is_some_and(|first| JUDGED_AFTER <= now.since(first.since)) {
+        while self.waiting.front().is_some_and(|first| self.judged_after <= now.since(first.since))
+        {
             let Some(seen) = self.waiting.pop_front() else { return };
             self.waiting_requests -= seen.all.requests;
             self.waiting_errors -= seen.all.errors;
--- a/crates/wasabi-rollout/tests/short.rs
+++ b/crates/wasabi-rollout/tests/short.rs
@@ -222,3 +222,33 @@
     set.judge(JUDGED_AFTER);
     assert_eq!(set.verdict(&route), Verdict::Rejected);
 }
+
+/// Returns when a version half of whose requests fail is rejected, in a move that takes `span`. The
+/// old version has 40 requests a second, and the new one five unless it is suspended.
+fn rejected_after(span: Millis) -> Option<Millis> {
+    let (route, mut set) = (id::Route::from("r"), Set::new(3).within(span));
+    let old = Count { requests: 8, errors: 0, slow: 0 };
+    let mut sent = 0_u64;
+    for now in (0..span.0).step_by(200).map(Millis) {
+        let mut new = Count::default();
+        if !set.is_suspended() {
+            sent += 1;
+            new = Count { requests: 1, errors: sent % 2, slow: 0 };
+        }
+        set.add(now, &route, Counts { old, new, ..Counts::default() });
+        if set.is_rejected() {
+            return Some(now);
+        }
+    }
+    None
+}
+
+/// Guards against a failing version that is suspended again and again while its requests wait to be
+/// judged, and has not been taken back when the time of its move is over.
+#[test]
+fn a_failing_version_is_rejected_in_half_of_a_short_move() {
+    let rejected = rejected_after(Millis(10_000));
+    assert!(rejected.is_some_and(|after| after <= Millis(5_000)), "{rejected:?}");
+    // A move of half a minute and more has the time to wait for an outage that both share.
+    assert!(rejected_after(Millis(30_000)).is_some_and(|after| Millis(5_000) < after));
+}
--- a/crates/wasabi-scheduler/src/pool/versions.rs
+++ b/crates/wasabi-scheduler/src/pool/versions.rs
@@ -98,7 +98,7 @@
                     to: order.plan.to.clone(),
                     stage: order.stage,
                     ledger: credit::Ledger::new(order.stage, 1),
-                    watch: Watch::with_pace(routes, self.pace.clone()),
+                    watch: Watch::with_pace(routes, self.pace.clone()).within(order.span()),
                 });
             }
         }
