admission: what a lender lent after its last report counts at the next one

Cause: a new lender took over what its predecessor had reported, up to a heartbeat before, and no later report once it had been informed. The predecessor lent on until it heard of the change; an organisation that presses is lent 60,000 tokens and more in half a second. The owner of the pool, whose own count would have told, often changes with the lender.

Change: reports count as long as they come, unless the present owner of the pool has counted what it started in the whole window. When a lender begins, what may have been lent since the last report counts.

--- a/crates/wasabi-admission/src/lender.rs
+++ b/crates/wasabi-admission/src/lender.rs
@@ -28,6 +28,10 @@
 /// Time after which a report of another lender is dropped, in milliseconds.
 const REPORT_KEPT: Millis = Millis::from_secs(30);
 
+/// Longest time after its report for which a lender counts as going on, in milliseconds: two
+/// heartbeats, by which its end is noticed.
+const UNREPORTED_MOST: Millis = Millis(1_000);
+
 /// Age at which a slice has either been used or ended, in milliseconds: its answer and the next ask
 /// take up to a slice.
 const SETTLED_AFTER: Millis = Millis(2 * SLICE.0);
@@ -70,9 +74,12 @@
     borrowers: HashMap<id::Pool, Borrower>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Borrower {
+    owner: id::Entry,
     asked: Millis,
+    /// Time for which its account has counted, a window at most.
+    counted: Millis,
     requests: f64,
     tokens: f64,
     running: u32,
@@ -127,12 +134,17 @@
     }
 
     /// Takes over what another entry reports to have lent, for the case that this one follows it.
+    ///
+    /// A lender goes on for a moment after another one has begun, and its last report before that is
+    /// old by up to a heartbeat, so that later ones count as well. What the present owner of a pool
+    /// was lent is known better from what it says that it started.
     pub fn hear(&mut self, now: Millis, from: &id::Entry, lent: &[Lent]) {
-        let uninformed = self.purses.iter_mut().filter(|(_, purse)| purse.restarted.is_some());
-        for (organisation, purse) in uninformed {
+        for (organisation, purse) in &mut self.purses {
             for one in lent.iter().filter(|one| one.organisation == *organisation) {
-                purse.restarted = None;
-                purse.inherit(now, purse.span, one);
+                if !purse.knows(now, &one.pool, &one.owner) {
+                    purse.restarted = None;
+                    purse.inherit(now, purse.span, one);
+                }
             }
         }
         self.reports.insert(from.clone(), Report { at: now, lent: lent.to_vec() });
@@ -146,6 +158,21 @@
     }
 }
 
+impl Borrower {
+    const fn new(owner: id::Entry) -> Self {
+        Self {
+            owner,
+            asked: Millis::ZERO,
+            counted: Millis::ZERO,
+            requests: 0.0,
+            tokens: 0.0,
+            running: 0,
+            wanted: 0,
+            allotted: 0,
+        }
+    }
+}
+
 impl Purse {
     /// Returns a purse in which what is known of earlier lenders counts.
     fn open<'a>(
@@ -170,11 +197,24 @@
             for one in report.lent.iter().filter(|one| one.organisation == *organisation) {
                 purse.restarted = None;
                 purse.inherit(report.at, burst.window, one);
+                purse.extrapolate(now, report.at, one);
             }
         }
         purse
     }
 
+    /// Counts what another lender may have lent after its report: as much in a time as in the second
+    /// before, or what has left the window since. It may be gone, so that no other report tells.
+    fn extrapolate(&mut self, now: Millis, reported: Millis, report: &Lent) {
+        let gap = now.since(reported).min(UNREPORTED_MOST);
+        let last_second = report.tokens.first().copied().unwrap_or(0);
+        let key = (report.pool.clone(), report.owner.clone());
+        if let Some(lent) = self.lent_to.get_mut(&key) {
+            let (then, left) = (lent.sum(reported), lent.sum(now.min(reported + gap)));
+            lent.add(now, (last_second as f64 * gap.seconds()).max(then - left));
+        }
+    }
+
     fn fill(&mut self, now: Millis, limits: &Limits) {
         let elapsed = now.since(self.filled).seconds();
         self.filled = self.filled.max(now);
@@ -228,8 +268,11 @@
             self.learn(now, burst.window, &lent_to, used);
             self.tokens = self.window_limit - self.lent(now) - self.assumed(now);
         }
-        let borrower = self.borrowers.entry(pool.clone()).or_default();
+        let borrower =
+            self.borrowers.entry(pool.clone()).or_insert_with(|| Borrower::new(owner.clone()));
+        borrower.owner.clone_from(owner);
         borrower.asked = now;
+        borrower.counted = used.counted;
         // What was used since the last ask is the best guess of what will be used until the next.
         borrower.requests = used.requests as f64 + f64::from(used.waiting) + 1.0;
         borrower.tokens = wanted_tokens(limits, used) + 1.0;
@@ -262,6 +305,15 @@
         Slice { requests, tokens, concurrency, headroom, span: SLICE }
     }
 
+    /// Returns whether the owner of a pool has said lately what it started in the whole window. One
+    /// whose process was started anew, maybe under the same name, has not.
+    fn knows(&self, now: Millis, pool: &id::Pool, owner: &id::Entry) -> bool {
+        self.borrowers.get(pool).is_some_and(|known| {
+            let is_asking = known.owner == *owner && now.since(known.asked) < FORGET;
+            is_asking && self.span <= known.counted
+        })
+    }
+
     /// Counts what another lender reported at `at` to have lent to a pool, as far as it is more than
     /// what counts already.
     fn inherit(&mut self, at: Millis, span: Millis, report: &Lent) {
--- a/crates/wasabi-admission/tests/window.rs
+++ b/crates/wasabi-admission/tests/window.rs
@@ -146,15 +146,61 @@
 fn successors_of_both_owners_hold_one_limit() {
     let (mut first, mut account) = (Lender::new(), Account::new(Millis::ZERO, WINDOWED));
     let mut started = vec![0; 400];
-    press(&mut first, &mut account, (0, 9_000), &mut started);
+    press(&mut first, &mut account, (0, 8_500), &mut started);
     let mut next = Lender::new();
     // The last heartbeat of the lost entry is half a second old.
     next.hear(Millis(8_500), &"first".into(), &first.lent(Millis(8_500)));
+    press(&mut first, &mut account, (8_500, 9_000), &mut started);
     let mut account = Account::new(Millis(9_000), WINDOWED);
     press(&mut next, &mut account, (9_000, 40_000), &mut started);
     assert_one_limit(&started);
 }
 
+/// Guards against what a lender lent after its last report: an organisation that has just begun to press
+/// started it while lender and owner of the pool changed together, and nobody else knew of it.
+#[test]
+fn what_was_lent_after_the_last_report_counts() {
+    let (mut first, mut account) = (Lender::new(), Account::new(Millis::ZERO, WINDOWED));
+    let mut started = vec![0; 400];
+    press(&mut first, &mut account, (8_000, 8_500), &mut started);
+    let mut next = Lender::new();
+    next.hear(Millis(8_500), &"first".into(), &first.lent(Millis(8_500)));
+    press(&mut first, &mut account, (8_500, 9_000), &mut started);
+    let mut account = Account::new(Millis(9_000), WINDOWED);
+    let borrower = (&"pool".into(), &"next".into());
+    for now in 9_000..40_000 {
+        let at = Millis(now);
+        if now % 500 == 200 {
+            next.hear(at, &"first".into(), &first.lent(at));
+        }
+        if now % 20 == 0 && account.shortage(Tier::TOP, 0).is_none() && account.may_start(at) {
+            account.start(at, 1_000);
+            account.end();
+            started[now as usize / 100] += 1_000;
+        }
+        if let Some(used) = account.ask(at, 0, 0) {
+            account.lend(at, &next.lend(at, &"org".into(), &WINDOWED, borrower, &used));
+        }
+    }
+    assert_one_limit(&started);
+}
+
+/// Guards against an owner of a pool that was killed and is back under its name: what it started
+/// before, only the lender before knew.
+#[test]
+fn an_owner_that_is_back_under_its_name_holds_one_limit() {
+    let (mut first, mut account) = (Lender::new(), Account::new(Millis::ZERO, WINDOWED));
+    let mut started = vec![0; 400];
+    press(&mut first, &mut account, (0, 9_000), &mut started);
+    let report = first.lent(Millis(9_000));
+    let mut next = Lender::restarted(Millis(9_000));
+    let mut account = Account::new(Millis(9_000), WINDOWED);
+    press(&mut next, &mut account, (9_000, 9_300), &mut started);
+    next.hear(Millis(9_300), &"first".into(), &report);
+    press(&mut next, &mut account, (9_300, 40_000), &mut started);
+    assert_one_limit(&started);
+}
+
 /// Guards against a limit that is lent twice when every process is killed while an organisation
 /// presses on its limit, so that nobody knows what was started, and against one that is held below
 /// its usual load after the kill.
