--- a/crates/wasabi-control/src/lib.rs
+++ b/crates/wasabi-control/src/lib.rs
@@ -18,6 +18,7 @@
 mod local;
 mod member;
 mod members;
+mod methods;
 mod metrics;
 mod moves;
 mod observer;
--- a/crates/wasabi-control/src/server.rs
+++ b/crates/wasabi-control/src/server.rs
@@ -1,44 +1,32 @@
-//! The connections of entries, operators and other members.
+//! Start, run and stop of a member.
 
 use std::{
     net::SocketAddr,
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc, Mutex,
         mpsc::{self, TryRecvError},
     },
     thread,
     time::{Duration, Instant},
 };
 
-use jsonrpsee::{
-    RpcModule,
-    server::{PingConfig, RegisterMethodError, Server, ServerConfig, ServerHandle},
-    types::{
-        ErrorObjectOwned, Params,
-        error::{ErrorCode, INVALID_PARAMS_CODE},
-    },
-};
-use serde::{Serialize, de::DeserializeOwned};
+use jsonrpsee::server::{PingConfig, RegisterMethodError, Server, ServerConfig, ServerHandle};
 use snafu::{ResultExt as _, Snafu};
 use tokio::sync::{mpsc::UnboundedSender, oneshot, watch};
 use tracing::{error, warn};
-use wasabi_protocol::{
-    id,
-    rpc::{Forwarded, Hello, Join, Met, Step, method},
-};
 
 use crate::{
     access::Access,
     founding,
     guide::Guide,
     heard::Heard,
-    input::{self, Input},
+    input::Input,
     join, link,
     link::Parcel,
     local::Local,
     member::{self, Member},
+    methods::{Shared, methods},
     options::{Contacts, Options},
-    parts::Assembly,
 };
 
 /// Most connections at one time: entries, members and operators.
@@ -275,133 +263,3 @@
         }
     }
 }
-
-/// What connections need.
-#[derive(Debug, Clone)]
-struct Shared {
-    inputs: mpsc::Sender<Input>,
-    heard: Arc<Mutex<Heard>>,
-    /// This member's name, once it is known.
-    name: watch::Receiver<Option<id::Member>>,
-    /// The proofs that members of this group send.
-    proofs: Arc<[String]>,
-    /// Members that sent messages for another member of this address.
-    callers: Contacts,
-    /// Parts of messages.
-    assembly: Arc<Mutex<Assembly>>,
-}
-
-impl Shared {
-    /// Returns an error unless one of the proofs is a member's.
-    fn check(&self, proofs: &[String]) -> Result<(), ErrorObjectOwned> {
-        if proofs.iter().any(|proof| self.proofs.contains(proof)) {
-            return Ok(());
-        }
-        let message = "the sender is not known to be a member";
-        Err(ErrorObjectOwned::owned(INVALID_PARAMS_CODE, message, None::<()>))
-    }
-}
-
-fn methods(shared: Shared) -> Result<RpcModule<Shared>, RegisterMethodError> {
-    let mut module = RpcModule::new(shared);
-    serve(&mut module, method::CONTROL_HEARTBEAT, Input::Checkin)?;
-    serve(&mut module, method::PROPOSE, Input::Propose)?;
-    serve(&mut module, method::OPERATE, Input::Operate)?;
-    serve(&mut module, method::STATUS, Input::Inquire)?;
-    serve(&mut module, method::MEMBERS, Input::ChangeMembers)?;
-    serve(&mut module, method::DRAIN, Input::Drain)?;
-    serve_forwarded(&mut module, method::PUT_SITE, Input::PutSite)?;
-    serve_forwarded(&mut module, method::SITE, |(), reply| Input::Site(reply))?;
-    serve_forwarded(&mut module, method::START_MOVE, Input::StartMove)?;
-    serve_forwarded(&mut module, method::LAST_MOVE, Input::LastMove)?;
-    module.register_async_method(method::LEADER, |_, shared, _| async move {
-        ask(&shared.inputs, Input::Lead).await
-    })?;
-    module.register_async_method(method::JOIN, |params, shared, _| async move {
-        let join: Join = read(&params)?;
-        shared.check(&join.proofs)?;
-        ask(&shared.inputs, |reply| Input::Join(join, reply)).await
-    })?;
-    module.register_async_method(method::CONFIG, |_, shared, _| async move {
-        ask(&shared.inputs, Input::Config).await
-    })?;
-    module.register_method(method::CONSENSUS, |params, shared, _| step(&read(&params)?, shared))?;
-    module.register_method(method::HELLO, |params, shared, _| {
-        let hello: Hello = read(&params)?;
-        let heard = shared.heard.lock().unwrap_or_else(PoisonError::into_inner);
-        let met = if heard.contains(&hello.from) { Met::Before } else { Met::Never };
-        Ok::<_, ErrorObjectOwned>(met)
-    })?;
-    Ok(module)
-}
-
-/// Passes messages of another member on, if they are meant for this one.
-fn step(step: &Step, shared: &Shared) -> Result<(), ErrorObjectOwned> {
-    let refused = |message: &str| ErrorObjectOwned::owned(INVALID_PARAMS_CODE, message, None::<()>);
-    shared.check(&step.proofs)?;
-    if shared.name.borrow().as_ref() != Some(&step.to) {
-        // The leader still sends to the one that lost its disk here.
-        shared.callers.add(&step.address);
-        return Err(refused("the message is for another member"));
-    }
-    let messages = link::messages(step, &shared.assembly)
-        .map_err(|_| refused("the messages cannot be read"))?;
-    if messages.is_empty() {
-        return Ok(());
-    }
-    let input = input::Step { from: step.from.clone(), address: step.address.clone(), messages };
-    shared.inputs.send(Input::Step(input)).map_err(|_| refused("the control thread has ended"))
-}
-
-/// Registers a method with one parameter that the control thread answers.
-fn serve<Q, A>(
-    module: &mut RpcModule<Shared>,
-    name: &'static str,
-    input: fn(Q, oneshot::Sender<A>) -> Input,
-) -> Result<(), RegisterMethodError>
-where
-    Q: DeserializeOwned + Send + 'static,
-    A: Serialize + Clone + Send + 'static,
-{
-    module.register_async_method(name, move |params, shared, _| async move {
-        let question: Q = read(&params)?;
-        ask(&shared.inputs, |reply| input(question, reply)).await
-    })?;
-    Ok(())
-}
-
-/// Registers a method with one parameter that a control host calls for its own caller.
-fn serve_forwarded<Q, A>(
-    module: &mut RpcModule<Shared>,
-    name: &'static str,
-    input: fn(Q, oneshot::Sender<A>) -> Input,
-) -> Result<(), RegisterMethodError>
-where
-    Q: DeserializeOwned + Send + 'static,
-    A: Serialize + Clone + Send + 'static,
-{
-    module.register_async_method(name, move |params, shared, _| async move {
-        let Forwarded { proofs, call } = read(&params)?;
-        shared.check(&proofs)?;
-        ask(&shared.inputs, |reply| input(call, reply)).await
-    })?;
-    Ok(())
-}
-
-/// Reads the only parameter, which stands in a list or alone.
-fn read<Q: DeserializeOwned>(params: &Params<'_>) -> Result<Q, ErrorObjectOwned> {
-    params.one().or_else(|_| params.parse())
-}
-
-async fn ask<A>(
-    inputs: &mpsc::Sender<Input>,
-    input: impl FnOnce(oneshot::Sender<A>) -> Input,
-) -> Result<A, ErrorObjectOwned> {
-    let ended = |_| {
-        let message = "the control thread has ended";
-        ErrorObjectOwned::owned(ErrorCode::InternalError.code(), message, None::<()>)
-    };
-    let (reply, answer) = oneshot::channel();
-    inputs.send(input(reply)).map_err(|_| ended(()))?;
-    answer.await.map_err(|_| ended(()))
-}
