protocol: one bound of a message for all connections of the system

Cause of a fault found by asking where else layers do not share a bound: control takes a configuration of 16 MiB and sends messages of up to 64 MiB, while entries took 32 MiB.

Change: rpc::MESSAGE_BYTES_MAX holds for control, entries and hosts without a member.

--- a/crates/wasabi-control/src/guide.rs
+++ b/crates/wasabi-control/src/guide.rs
@@ -15,12 +15,10 @@
 };
 use wasabi_protocol::{
     clock::{Clock, Millis},
-    rpc::{Lead, method},
+    rpc::{Lead, MESSAGE_BYTES_MAX, method},
 };
 
-use crate::{
-    introductions::Introductions, options::Contacts, search::Round, server::MESSAGE_BYTES_MAX,
-};
+use crate::{introductions::Introductions, options::Contacts, search::Round};
 
 /// Time between two questions to a leader that answers.
 const CONFIRM_EVERY: Duration = Duration::from_millis(1_000);
--- a/crates/wasabi-control/src/observer.rs
+++ b/crates/wasabi-control/src/observer.rs
@@ -13,7 +13,7 @@
     types::{ErrorObjectOwned, Params},
 };
 use snafu::ResultExt as _;
-use wasabi_protocol::rpc::{Checked, Join, Joined, Lead, Proposed, method};
+use wasabi_protocol::rpc::{Checked, Join, Joined, Lead, MESSAGE_BYTES_MAX, Proposed, method};
 
 use crate::{
     access::Access,
@@ -40,8 +40,9 @@
     /// Returns an error when the address cannot be bound.
     pub async fn start(options: &Options) -> Result<Self, Error> {
         let listen = options.listen;
+        let config = ServerConfig::builder().max_request_body_size(MESSAGE_BYTES_MAX).build();
         let server = Server::builder()
-            .set_config(ServerConfig::default())
+            .set_config(config)
             .build(listen)
             .await
             .context(ListenSnafu { address: listen })?;
--- a/crates/wasabi-control/src/server.rs
+++ b/crates/wasabi-control/src/server.rs
@@ -14,6 +14,7 @@
 use snafu::{ResultExt as _, Snafu};
 use tokio::sync::{mpsc::UnboundedSender, oneshot, watch};
 use tracing::{error, warn};
+use wasabi_protocol::rpc::MESSAGE_BYTES_MAX;
 
 use crate::{
     access::Access,
@@ -39,9 +40,6 @@
 /// second.
 const STOP_TIME: Duration = Duration::from_secs(4);
 
-/// Longest message, in bytes.
-pub(crate) const MESSAGE_BYTES_MAX: u32 = 64 * 1024 * 1024;
-
 /// Why a member cannot start or had to end.
 #[derive(Debug)]
 #[derive(Snafu)]
--- a/crates/wasabi-entry/src/control/link.rs
+++ b/crates/wasabi-entry/src/control/link.rs
@@ -9,7 +9,7 @@
 };
 use wasabi_protocol::{
     command::{Command, Config},
-    rpc::{Checked, Checkin, Propose, Proposed, method},
+    rpc::{Checked, Checkin, MESSAGE_BYTES_MAX, Propose, Proposed, method},
 };
 
 /// Longest time for a connection to a member.
@@ -28,9 +28,6 @@
 /// Proposals that wait for their answers at one time.
 const CALLS_MAX: usize = 16_384;
 
-/// Largest message, in bytes. A configuration of all contracts must fit.
-const MESSAGE_BYTES_MAX: u32 = 32 * 1024 * 1024;
-
 /// The control members and the open connections to them.
 #[derive(Debug, Default)]
 pub(crate) struct Link {
--- a/crates/wasabi-entry/src/peers/server.rs
+++ b/crates/wasabi-entry/src/peers/server.rs
@@ -10,7 +10,7 @@
 use serde::de::DeserializeOwned;
 use wasabi_protocol::{
     id,
-    rpc::{Acquire, Heartbeat, Holdings, Lend, Preempt, Release, method},
+    rpc::{Acquire, Heartbeat, Holdings, Lend, MESSAGE_BYTES_MAX, Preempt, Release, method},
 };
 
 use crate::message::{Handle, Message, Peer};
@@ -21,9 +21,6 @@
 /// Answers that wait to be written to one peer.
 const BUFFERED_MAX: u32 = 16_384;
 
-/// Largest message, in bytes. A configuration of all contracts must fit.
-const MESSAGE_BYTES_MAX: u32 = 32 * 1024 * 1024;
-
 /// Longest time for the first request on a connection.
 const FIRST_REQUEST_TIME: Duration = Duration::from_secs(10);
 
--- a/crates/wasabi-protocol/src/rpc/mod.rs
+++ b/crates/wasabi-protocol/src/rpc/mod.rs
@@ -7,6 +7,10 @@
 mod operator;
 mod pool;
 
+/// Largest message that any process of the system sends or takes, in bytes. All connections have the
+/// same bound, so that what one process may send the other one takes.
+pub const MESSAGE_BYTES_MAX: u32 = 64 * 1024 * 1024;
+
 pub use control::{Forwarded, Lead, MoveOrder, Read};
 pub use entry::{Checked, Checkin, Evidence, Heartbeat, Propose, Proposed, Suspect};
 pub use member::{Hello, Join, Joined, Met, Part, Step};
