entry, routing: heartbeats stay small however many requests are suspects

Cause: each heartbeat and check-in carried all suspects of the sender's pools. A crash of 23 endpoints makes hundreds of them, every coordinator merges them and tells them on twice a second to each entry: 80 to 140 KB a heartbeat, 450 to 565 MB in 5 s over the site. The links of the coordinators were full, the control members beside them silent, and owners of pools were lost and replaced, which made more suspects. The same messages also named peers and pressures that nobody read.

Now a heartbeat tells 24 suspects, news and the likeliest first, and later ones tell the others; only coordinators are told, since only they may own pools. An entry keeps what it heard for pools that it takes over later. A check-in names the 64 likeliest.

Test: heartbeats_stay_small_with_hundreds_of_suspects failed before (80,187 bytes, 16,384 allowed).

--- a/crates/wasabi-entry/src/control/checkin.rs
+++ b/crates/wasabi-entry/src/control/checkin.rs
@@ -64,7 +64,7 @@
         known: shell.peers.borrow().known(now),
         evidence,
         endpoints: pools.endpoints(),
-        suspects: pools.suspects(now),
+        suspects: shell.suspects.borrow().worst(now),
         degraded: shell.degraded(),
     }
 }
--- a/crates/wasabi-entry/src/peers/heartbeat.rs
+++ b/crates/wasabi-entry/src/peers/heartbeat.rs
@@ -29,6 +29,7 @@
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         interval.tick().await;
+        shell.renew_suspects();
         let due = shell.peers.borrow_mut().start_beats();
         for name in due {
             actix_rt::spawn(beat(Rc::clone(&shell), name));
@@ -55,7 +56,7 @@
 
 async fn ask(shell: &Rc<Shell>, name: &id::Entry) -> Option<Heartbeat> {
     let client = shell.link(name).await?;
-    let own = shell.heartbeat();
+    let own = shell.heartbeat(name);
     let call = client.request::<Heartbeat, _>(method::PEER_HEARTBEAT, rpc_params![own]);
     tokio::time::timeout(ANSWER_TIME, call).await.ok()?.ok()
 }
@@ -67,6 +68,7 @@
     shell.lender.borrow_mut().hear(now, &heartbeat.from, &heartbeat.lent);
     if !heartbeat.suspects.is_empty() {
         let suspects = &heartbeat.suspects;
+        shell.suspects.borrow_mut().hear(now, suspects);
         let effects = shell.pools.borrow_mut().step_all(now, || Event::Suspects(suspects));
         shell.perform(effects);
     }
--- a/crates/wasabi-entry/src/peers/mod.rs
+++ b/crates/wasabi-entry/src/peers/mod.rs
@@ -3,4 +3,5 @@
 pub(crate) mod heartbeat;
 pub(crate) mod link;
 pub(crate) mod server;
+pub(crate) mod suspects;
 pub(crate) mod table;
--- a/crates/wasabi-entry/src/peers/table.rs
+++ b/crates/wasabi-entry/src/peers/table.rs
@@ -114,6 +114,11 @@
         })
     }
 
+    /// Returns whether a peer is a coordinator of the view.
+    pub(crate) fn is_coordinator(&self, name: &id::Entry) -> bool {
+        self.peers.get(name).is_some_and(|peer| peer.is_coordinator)
+    }
+
     /// Returns the signal that a peer is lost.
     pub(crate) fn lost(&self, name: &id::Entry) -> Option<Rc<Notify>> {
         self.peers.get(name).map(|peer| Rc::clone(&peer.lost))
--- a/crates/wasabi-entry/src/pools/owner.rs
+++ b/crates/wasabi-entry/src/pools/owner.rs
@@ -10,7 +10,7 @@
     fault::Fault,
     id,
     request::{End, Report, Request},
-    rpc::{Acquired, Evidence, Grant, Pressure, Release, Suspect, Usage},
+    rpc::{Acquired, Evidence, Grant, Release, Suspect, Usage},
 };
 use wasabi_scheduler::pool::{Action, Event, Pool};
 
@@ -168,11 +168,6 @@
         effects
     }
 
-    /// Returns the load of the owned pools.
-    pub(crate) fn pressure(&self, now: Millis) -> Vec<Pressure> {
-        self.owned.values().map(|owned| owned.pool.pressure(now)).collect()
-    }
-
     /// Returns what the versions of running moves showed since the last call.
     pub(crate) fn evidence(&mut self) -> Vec<Evidence> {
         self.owned.values_mut().flat_map(|owned| owned.pool.evidence()).collect()
--- a/crates/wasabi-entry/src/shell.rs
+++ b/crates/wasabi-entry/src/shell.rs
@@ -24,7 +24,7 @@
     control::link::Link,
     drain,
     message::{Message, Peer},
-    peers::{heartbeat, table},
+    peers::{heartbeat, suspects, table},
     pools::{
         acquire,
         holder::Holder,
@@ -46,6 +46,8 @@
     pub(crate) pools: RefCell<owner::Table>,
     pub(crate) holder: RefCell<Holder>,
     pub(crate) peers: RefCell<table::Table>,
+    /// Suspects of all pools.
+    pub(crate) suspects: RefCell<suspects::Known>,
     /// Endpoints of pools that other entries own.
     pub(crate) standby: RefCell<standby::Table>,
     /// The budgets of the organisations that this entry owns.
@@ -69,6 +71,7 @@
             pools: RefCell::default(),
             holder: RefCell::default(),
             peers: RefCell::default(),
+            suspects: RefCell::default(),
             standby: RefCell::default(),
             lender: RefCell::new(lender),
             control,
@@ -135,6 +138,10 @@
         let own = &self.shared.entry.name;
         let now = self.now();
         self.pools.borrow_mut().own(now, pool, backend, own, &in_force.config);
+        let suspects = self.suspects.borrow().all(now);
+        let event = Event::Suspects(&suspects);
+        let effects = self.pools.borrow_mut().step(now, pool, event);
+        self.perform(effects);
         let known = self.standby.borrow_mut().take(now, pool);
         tracing::info!(%pool, endpoints = known.len(), "taking over with what is known");
         for known in known {
@@ -220,20 +227,22 @@
         self.settle_owners();
     }
 
-    /// Returns what this entry tells its peers.
-    pub(crate) fn heartbeat(&self) -> Heartbeat {
-        let now = self.now();
+    /// Returns what this entry tells a peer. Only coordinators may own pools and lend, so that all
+    /// others are told no more than what proves that this entry runs.
+    pub(crate) fn heartbeat(&self, to: &id::Entry) -> Heartbeat {
         let in_force = self.shared.in_force();
-        let pools = self.pools.borrow();
-        Heartbeat {
+        let mut heartbeat = Heartbeat {
             from: self.shared.entry.name.clone(),
             view: in_force.config.view.number,
             revision: in_force.config.revision,
-            known: self.peers.borrow().known(now),
-            pools: pools.pressure(now),
-            suspects: pools.suspects(now),
-            lent: self.lender.borrow_mut().lent(now),
+            suspects: Vec::new(),
+            lent: Vec::new(),
+        };
+        if self.peers.borrow().is_coordinator(to) {
+            heartbeat.suspects = self.suspects.borrow().part().to_vec();
+            heartbeat.lent = self.lender.borrow_mut().lent(self.now());
         }
+        heartbeat
     }
 
     /// Extends the serving time when most entries of the view answer and none has a newer
@@ -337,7 +346,7 @@
             }
             Peer::Heartbeat(beat, reply) => {
                 heartbeat::heard(self, &beat);
-                drop(reply.send(self.heartbeat()));
+                drop(reply.send(self.heartbeat(&beat.from)));
             }
             Peer::Config(reply) => drop(reply.send(self.shared.in_force().config.clone())),
             Peer::Lend(lend, reply) => {
--- a/crates/wasabi-entry/tests/peers.rs
+++ b/crates/wasabi-entry/tests/peers.rs
@@ -7,9 +7,15 @@
 use std::time::Duration;
 
 use jsonrpsee::{core::client::ClientT as _, rpc_params, ws_client::WsClientBuilder};
-use serde_json::Value;
+use serde_json::{Value, json};
 use support::{Entry, control::Control, control::order, engine, expected, standin, until};
-use wasabi_protocol::{clock::Millis, command::Command, endpoint::Kind, id, rpc::method};
+use wasabi_protocol::{
+    clock::Millis,
+    command::Command,
+    endpoint::Kind,
+    fingerprint, id,
+    rpc::{Suspect, method},
+};
 
 /// Starts entries under one control member and waits until each knows all of them.
 async fn entries(control: &Control, count: usize) -> Vec<Entry> {
@@ -163,3 +169,43 @@
     assert!(retire().await.is_err(), "a leave is acknowledged that the owner does not have");
     until("the next owner takes it", async || retire().await.is_ok()).await;
 }
+
+/// Guards against heartbeats that grow with the number of suspects: a loss of many endpoints at once
+/// makes hundreds of them, and on a large site the heartbeats then fill the links of the owners.
+#[actix_rt::test]
+async fn heartbeats_stay_small_with_hundreds_of_suspects() {
+    let control = Control::start().await;
+    let entries = entries(&control, 2).await;
+    let _engine = engine("m1", &entries.iter().collect::<Vec<_>>());
+    entries[0].caller().until_served().await;
+    let owner = owner(&control, "coal");
+    let address = control.config().view.entries[owner].peer_address.clone();
+    let client = WsClientBuilder::default().build(format!("ws://{address}")).await.unwrap();
+    let suspects: Vec<_> = (0..900)
+        .map(|body| Suspect {
+            fingerprint: fingerprint::Body(body),
+            organisation: "an-organisation".into(),
+            crashes: 1,
+            weight: 0.03,
+            age: Millis(100),
+        })
+        .collect();
+    let heartbeat = |suspects: Vec<Suspect>| {
+        json!({
+            "from": control.config().view.entries[1 - owner].name,
+            "view": 0, "revision": 0, "known": [], "pools": [], "lent": [],
+            "suspects": suspects,
+        })
+    };
+    let told = heartbeat(suspects);
+    let _: Value = client.request(method::PEER_HEARTBEAT, rpc_params![told]).await.unwrap();
+    until("suspects are told on", async || {
+        let asked = heartbeat(Vec::new());
+        let answer: Value =
+            client.request(method::PEER_HEARTBEAT, rpc_params![asked]).await.unwrap();
+        let bytes = answer.to_string().len();
+        assert!(bytes < 16 * 1024, "a heartbeat has {bytes} bytes");
+        !answer["suspects"].as_array().unwrap().is_empty()
+    })
+    .await;
+}
--- a/crates/wasabi-protocol/src/rpc/entry.rs
+++ b/crates/wasabi-protocol/src/rpc/entry.rs
@@ -7,7 +7,7 @@
     command::{Command, Config, Entry, Outcome},
     endpoint::Announcement,
     fingerprint, id,
-    rpc::{Lent, Pressure},
+    rpc::Lent,
 };
 
 /// A request fingerprint that crashed endpoints.
@@ -36,11 +36,9 @@
     pub view: id::View,
     /// The revision in force at the sender.
     pub revision: id::Revision,
-    /// Revisions that the sender knows to be in force at other entries.
-    pub known: Vec<(id::Entry, id::Revision)>,
-    /// The pools that the sender owns.
-    pub pools: Vec<Pressure>,
-    /// Suspects and quarantined requests.
+    /// Some of the suspects and quarantined requests that the sender knows of; later heartbeats tell
+    /// the others.
+    #[serde(default)]
     pub suspects: Vec<Suspect>,
     /// What the sender lent in the windows of limits with a burst, so that the next lender of an
     /// organisation does not lend it again.
--- a/crates/wasabi-routing/src/quarantine.rs
+++ b/crates/wasabi-routing/src/quarantine.rs
@@ -1,6 +1,6 @@
 //! Requests that crash endpoints: suspects, running alone, quarantine, and what peers report.
 
-use std::collections::HashMap;
+use std::{cmp::Reverse, collections::HashMap};
 
 use wasabi_protocol::{clock::Millis, fingerprint::Body, id, rpc::Suspect};
 
@@ -61,6 +61,8 @@
     /// of this process's clock.
     until: Millis,
     cleared: Option<Millis>,
+    /// Parts for peers that it was in since its counts rose.
+    told: u32,
 }
 
 impl Record {
@@ -76,6 +78,25 @@
         CRASHES_MIN <= self.crashes && WEIGHT_MIN - WEIGHT_ERROR <= self.weight
     }
 
+    fn is_reported(&self, now: Millis) -> bool {
+        self.cleared.is_none() && self.age(now) < REPORTED_FOR
+    }
+
+    /// How likely it is that the request crashes endpoints.
+    fn rank(&self) -> (bool, u32) {
+        (self.is_quarantined(), self.crashes)
+    }
+
+    fn suspect(&self, now: Millis, fingerprint: Body) -> Suspect {
+        Suspect {
+            fingerprint,
+            organisation: self.organisation.clone(),
+            crashes: self.crashes,
+            weight: self.weight,
+            age: self.age(now),
+        }
+    }
+
     /// Order of removal: cleared ones first, quarantined ones last, then the oldest.
     fn value(&self) -> (bool, bool, Millis) {
         (self.cleared.is_none(), self.is_quarantined(), self.until)
@@ -94,11 +115,13 @@
                 weight: 0.0,
                 until: now + KEPT_FOR,
                 cleared: None,
+                told: 0,
             });
             record.crashes = record.crashes.saturating_add(1);
             record.weight += weight;
             record.until = now + KEPT_FOR;
             record.cleared = None;
+            record.told = 0;
         }
         self.shrink(now);
     }
@@ -162,19 +185,45 @@
         let mut suspects = self
             .records
             .iter()
-            .filter(|(_, record)| record.cleared.is_none() && record.age(now) < REPORTED_FOR)
-            .map(|(fingerprint, record)| Suspect {
-                fingerprint: *fingerprint,
-                organisation: record.organisation.clone(),
-                crashes: record.crashes,
-                weight: record.weight,
-                age: record.age(now),
-            })
+            .filter(|(_, record)| record.is_reported(now))
+            .map(|(fingerprint, record)| record.suspect(now, *fingerprint))
             .collect::<Vec<_>>();
         suspects.sort_by_key(|suspect| suspect.fingerprint);
         suspects
     }
 
+    /// Returns at most `most` of them: those that were in the fewest parts since their counts rose,
+    /// and among these the likeliest ones first. Parts in a row go through the whole table, so that
+    /// messages stay small however many requests are suspects.
+    pub fn report_part(&mut self, now: Millis, most: usize) -> Vec<Suspect> {
+        let mut order: Vec<_> = self
+            .records
+            .iter()
+            .filter(|(_, record)| record.is_reported(now))
+            .map(|(fingerprint, record)| (record.told, Reverse(record.rank()), *fingerprint))
+            .collect();
+        order.sort_unstable();
+        let mut part = Vec::new();
+        for (_, _, fingerprint) in order.into_iter().take(most) {
+            if let Some(record) = self.records.get_mut(&fingerprint) {
+                record.told = record.told.saturating_add(1);
+                part.push(record.suspect(now, fingerprint));
+            }
+        }
+        part
+    }
+
+    /// Returns at most `most` suspects, the likeliest ones first.
+    pub fn report_worst(&self, now: Millis, most: usize) -> Vec<Suspect> {
+        let reported = self.records.iter().filter(|(_, record)| record.is_reported(now));
+        let mut order: Vec<_> = reported
+            .map(|(fingerprint, record)| (Reverse(record.rank()), *fingerprint, record))
+            .collect();
+        order.sort_unstable_by_key(|(rank, fingerprint, _)| (*rank, *fingerprint));
+        let worst = order.into_iter().take(most);
+        worst.map(|(_, fingerprint, record)| record.suspect(now, fingerprint)).collect()
+    }
+
     /// Forgets what is past its time.
     pub fn expire(&mut self, now: Millis) {
         self.records.retain(|_, record| record.is_live(now));
@@ -213,6 +262,7 @@
                     weight,
                     until,
                     cleared: None,
+                    told: 0,
                 },
             );
             return;
@@ -223,6 +273,7 @@
         if record.crashes < suspect.crashes || record.weight + WEIGHT_ERROR < weight {
             record.until = record.until.max(until);
             record.cleared = None;
+            record.told = 0;
         }
         record.crashes = record.crashes.max(suspect.crashes);
         record.weight = record.weight.max(weight);
--- a/crates/wasabi-routing/tests/quarantine.rs
+++ b/crates/wasabi-routing/tests/quarantine.rs
@@ -152,3 +152,35 @@
         prop_assert_eq!(counts(&one), counts(&other));
     }
 }
+
+/// Guards against messages that grow with the number of suspects: a loss of many endpoints at once
+/// makes hundreds of them, and peers are told twice a second.
+#[test]
+fn parts_are_small_and_go_through_all_suspects() {
+    let (mut table, mut peer) = (Table::default(), Table::default());
+    let bodies: Vec<_> = (0..600).collect();
+    crash(&mut table, Millis(0), &bodies);
+    for _ in 0..60 {
+        let part = table.report_part(Millis(10), 10);
+        assert_eq!(part.len(), 10);
+        peer.merge(Millis(10), &part);
+    }
+    assert_eq!(peer.len(), 600);
+}
+
+/// Guards against a crashing request that peers hear of late, behind hundreds of innocent ones.
+#[test]
+fn the_likeliest_suspects_and_news_go_first() {
+    let mut table = Table::default();
+    let bodies: Vec<_> = (100..600).collect();
+    crash(&mut table, Millis(0), &bodies);
+    crash(&mut table, Millis(1), &[7]);
+    crash(&mut table, Millis(2), &[7]);
+    assert_eq!(table.report_part(Millis(3), 4)[0].fingerprint, Body(7));
+    assert_eq!(table.report_worst(Millis(3), 1)[0].fingerprint, Body(7));
+    for _ in 0..200 {
+        table.report_part(Millis(4), 4);
+    }
+    crash(&mut table, Millis(5), &[8]);
+    assert_eq!(table.report_part(Millis(6), 4)[0].fingerprint, Body(8));
+}
