entry, routing: a peer is judged by its answers, and only by a judge that hears others

Callers saw: requests that waited for the owner of a pool while two entries with a link of 10 Mbit/s took every coordinator for dead, and asked entries that own nothing.

Cause: a peer counted as lost when a heartbeat was answered later than 400 ms on each of two connections, or its answer was sent for more than a second ago; the answer was thrown away and the connection with it. A judge behind a full link judged everybody, and so did one that had not run.

Now any answer of a peer proves that it runs, however late within its bound; silence counts from the last answer and not while the judge does not run; with fewer than half of the watched peers answering there is no verdict on silence. A refused connection proves at once that no process is there. A second connection is tried beside the first, and takes its place only when it answers first. All that need a connection to a peer share one try. Each change of a verdict is logged with its evidence.

--- a/crates/wasabi-entry/src/control/link.rs
+++ b/crates/wasabi-entry/src/control/link.rs
@@ -1,12 +1,13 @@
 //! Connections to the control members, and the search for the leader.
 
-use std::{cell::RefCell, collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{cell::RefCell, collections::HashMap, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use jsonrpsee::{
     core::client::ClientT as _,
     rpc_params,
     ws_client::{WsClient, WsClientBuilder},
 };
+use tokio::net::TcpStream;
 use wasabi_protocol::{
     command::{Command, Config},
     rpc::{Checked, Checkin, MESSAGE_BYTES_MAX, Propose, Proposed, method},
@@ -146,23 +147,50 @@
     }
 }
 
+/// Why a connection could not be opened.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Unreached {
+    /// Nothing listens at the address.
+    Refused,
+    /// It did not answer in time, or not as it should.
+    Silent,
+}
+
 /// Opens a connection for JSON-RPC, or returns none when that fails.
 pub(crate) async fn connect(address: &str, time: Duration) -> Option<WsClient> {
-    let connecting = WsClientBuilder::default()
+    open(address, time).await.ok()
+}
+
+/// Opens a connection for JSON-RPC.
+///
+/// # Errors
+///
+/// Returns why that failed.
+pub(crate) async fn open(address: &str, time: Duration) -> Result<WsClient, Unreached> {
+    let builder = WsClientBuilder::default()
         .connection_timeout(time)
         .max_concurrent_requests(CALLS_MAX)
         .max_request_size(MESSAGE_BYTES_MAX)
         .max_response_size(MESSAGE_BYTES_MAX)
         // Each call has a bound of its own; this one only has to be longer than all of them.
         .request_timeout(Duration::from_secs(24 * 60 * 60))
-        .set_tcp_no_delay(true)
-        .build(format!("ws://{address}"));
-    match tokio::time::timeout(time, connecting).await {
-        Ok(Ok(client)) => Some(client),
-        Ok(Err(error)) => {
+        .set_tcp_no_delay(true);
+    let opening = async {
+        let stream = TcpStream::connect(address).await.map_err(|error| {
             tracing::debug!(%address, %error, "no connection");
-            None
+            match error.kind() {
+                io::ErrorKind::ConnectionRefused => Unreached::Refused,
+                _ => Unreached::Silent,
+            }
+        })?;
+        // The builder sets this only on connections that it opens itself.
+        if let Err(error) = stream.set_nodelay(true) {
+            tracing::debug!(%address, %error, "small messages may wait for larger ones");
         }
-        Err(_) => None,
-    }
+        builder.build_with_stream(format!("ws://{address}"), stream).await.map_err(|error| {
+            tracing::debug!(%address, %error, "no connection");
+            Unreached::Silent
+        })
+    };
+    tokio::time::timeout(time, opening).await.unwrap_or(Err(Unreached::Silent))
 }
--- a/crates/wasabi-entry/src/peers/heartbeat.rs
+++ b/crates/wasabi-entry/src/peers/heartbeat.rs
@@ -1,8 +1,8 @@
 //! Heartbeats to the other entries, and what follows from their answers.
 
-use std::{rc::Rc, time::Duration};
+use std::{pin::pin, rc::Rc, time::Duration};
 
-use jsonrpsee::{core::client::ClientT as _, rpc_params};
+use jsonrpsee::{core::client::ClientT as _, rpc_params, ws_client::WsClient};
 use wasabi_protocol::{
     clock::Millis,
     command::Config,
@@ -16,9 +16,12 @@
 /// Time between two heartbeats to a peer.
 const EVERY: Millis = Millis(500);
 
-/// Longest time for an answer on one connection. A second connection is tried after it, and both
-/// together stay below the bound after which a peer counts as lost.
-const ANSWER_TIME: Duration = Duration::from_millis(400);
+/// Time without an answer after which a second connection is tried beside the first.
+const SECOND_AFTER: Duration = Duration::from_millis(400);
+
+/// Longest time for an answer on either connection. Later ones count for nothing, and a peer that has
+/// come back is asked again soon.
+const ANSWER_TIME: Duration = Duration::from_millis(1_200);
 
 /// Longest time for the answer with a configuration.
 const FETCH_TIME: Duration = Duration::from_secs(2);
@@ -38,27 +41,55 @@
 }
 
 async fn beat(shell: Rc<Shell>, name: id::Entry) {
-    for is_last in [false, true] {
-        let sent = shell.now();
-        if let Some(answer) = ask(&shell, &name).await {
+    let answer = tokio::time::timeout(ANSWER_TIME, ask(&shell, &name)).await.ok().flatten();
+    match answer {
+        Some((sent, answer)) => {
+            shell.answered(&name);
             shell.peers.borrow_mut().end_beat(&name, Some((sent, answer.revision)));
             heard(&shell, &answer);
-            return;
-        }
-        // The connection may have gone silent while the peer is well: judge by a new one.
-        shell.peers.borrow_mut().set_link(&name, None);
-        if is_last {
-            tracing::debug!(peer = %name, "no answer on a new connection either");
         }
+        None => shell.peers.borrow_mut().end_beat(&name, None),
+    }
+}
+
+/// Asks on the link to a peer, and on a new connection as well when that takes long: the link may
+/// have gone silent while the peer is well. The first answer counts, with the time of its question;
+/// the connection that it came on is the link from then on.
+async fn ask(shell: &Rc<Shell>, name: &id::Entry) -> Option<(Millis, Heartbeat)> {
+    let mut on_link = pin!(async {
+        let client = shell.link(name).await?;
+        ask_on(shell, name, &client).await
+    });
+    if let Ok(answer) = tokio::time::timeout(SECOND_AFTER, &mut on_link).await {
+        return answer;
+    }
+    let mut on_new = pin!(async {
+        let client = shell.open_link(name).await?;
+        let answer = ask_on(shell, name, &client).await;
+        answer.is_some().then(|| shell.keep_link(name, client));
+        answer
+    });
+    tokio::select! {
+        answer = &mut on_link => match answer {
+            Some(answer) => Some(answer),
+            None => on_new.await,
+        },
+        answer = &mut on_new => match answer {
+            Some(answer) => Some(answer),
+            None => on_link.await,
+        },
     }
-    shell.peers.borrow_mut().end_beat(&name, None);
 }
 
-async fn ask(shell: &Rc<Shell>, name: &id::Entry) -> Option<Heartbeat> {
-    let client = shell.link(name).await?;
+async fn ask_on(
+    shell: &Rc<Shell>,
+    name: &id::Entry,
+    client: &WsClient,
+) -> Option<(Millis, Heartbeat)> {
+    let sent = shell.now();
     let own = shell.heartbeat(name);
     let call = client.request::<Heartbeat, _>(method::PEER_HEARTBEAT, rpc_params![own]);
-    tokio::time::timeout(ANSWER_TIME, call).await.ok()?.ok()
+    call.await.ok().map(|answer| (sent, answer))
 }
 
 /// Takes over what a peer tells, in a heartbeat or in the answer to one.
--- a/crates/wasabi-entry/src/peers/link.rs
+++ b/crates/wasabi-entry/src/peers/link.rs
@@ -17,19 +17,57 @@
 const TELL_TIME: Duration = Duration::from_millis(800);
 
 impl Shell {
-    /// Returns the link to a peer, opened if needed.
+    /// Returns the link to a peer, opened if needed. All that need it at one time share one try.
     pub(crate) async fn link(&self, name: &id::Entry) -> Option<Arc<WsClient>> {
-        let link = self.peers.borrow().link(name)?;
-        match link {
-            Ok(client) => Some(client),
-            Err(address) => {
-                let client = Arc::new(link::connect(&address, CONNECT_TIME).await?);
-                self.peers.borrow_mut().set_link(name, Some(Arc::clone(&client)));
+        if let Some(client) = self.peers.borrow().link(name) {
+            return Some(client);
+        }
+        let opening = self.peers.borrow().opening(name)?;
+        let _one = opening.lock().await;
+        let (open, has_failed) = {
+            let peers = self.peers.borrow();
+            (peers.link(name), peers.has_failed(self.now(), name))
+        };
+        if open.is_some() || has_failed {
+            return open;
+        }
+        self.open_link(name).await
+    }
+
+    /// Opens a new connection to a peer. It becomes the link when there is none.
+    ///
+    /// [`Self::keep_link`] puts it in the place of one that is silent.
+    pub(crate) async fn open_link(&self, name: &id::Entry) -> Option<Arc<WsClient>> {
+        let address = self.peers.borrow().address(name)?;
+        let opened = link::open(&address, CONNECT_TIME).await;
+        let now = self.now();
+        let mut peers = self.peers.borrow_mut();
+        match opened {
+            Ok(client) => {
+                let client = Arc::new(client);
+                if peers.link(name).is_none() {
+                    peers.set_link(name, Arc::clone(&client));
+                }
                 Some(client)
             }
+            Err(unreached) => {
+                peers.failed(now, name, unreached);
+                None
+            }
         }
     }
 
+    /// Makes a connection the link to a peer.
+    pub(crate) fn keep_link(&self, name: &id::Entry, client: Arc<WsClient>) {
+        self.peers.borrow_mut().set_link(name, client);
+    }
+
+    /// Notes an answer of a peer: however late it is, its process runs.
+    pub(crate) fn answered(&self, name: &id::Entry) {
+        let now = self.now();
+        self.peers.borrow_mut().answered(now, name);
+    }
+
     /// Resolves when a peer does not count as live any more.
     pub(crate) async fn lost(&self, name: &id::Entry) {
         loop {
@@ -60,6 +98,10 @@
     pub(crate) async fn call(&self, name: &id::Entry, method: &str, params: ArrayParams) -> bool {
         let Some(client) = self.link(name).await else { return false };
         let call = client.request::<(), _>(method, params);
-        matches!(tokio::time::timeout(TELL_TIME, call).await, Ok(Ok(())))
+        let is_taken = matches!(tokio::time::timeout(TELL_TIME, call).await, Ok(Ok(())));
+        if is_taken {
+            self.answered(name);
+        }
+        is_taken
     }
 }
--- a/crates/wasabi-entry/src/peers/table.rs
+++ b/crates/wasabi-entry/src/peers/table.rs
@@ -7,12 +7,17 @@
 };
 
 use jsonrpsee::ws_client::WsClient;
-use tokio::sync::Notify;
+use tokio::sync::{Mutex, Notify};
 use wasabi_protocol::{clock::Millis, command::View, id};
-use wasabi_routing::rendezvous;
+use wasabi_routing::{
+    liveness::{self, Evidence},
+    rendezvous,
+};
+
+use crate::control::link::Unreached;
 
-/// Silence after which a peer's pools move to the next entry.
-pub(crate) const LIVE_FOR: Millis = Millis::from_secs(1);
+/// Pause before a connection is opened again after that failed.
+const OPENED_AGAIN_AFTER: Millis = Millis(100);
 
 /// Silence after which a peer does not count for this entry's own serving.
 const HEARD_FOR: Millis = Millis::from_secs(2);
@@ -28,11 +33,12 @@
     /// The start of its process.
     started: Millis,
     client: Option<Arc<WsClient>>,
+    /// Held by whoever opens a connection, so that all others wait for that one.
+    opening: Rc<Mutex<()>>,
+    /// When a connection could not be opened last.
+    failed: Option<Millis>,
     /// The last heartbeat that it answered, by the time of sending.
     heard: Option<Millis>,
-    /// When the view first named it. It counts as live for a while, since no heartbeat can have
-    /// been answered before.
-    named: Millis,
     revision: id::Revision,
     lost: Rc<Notify>,
     is_beating: bool,
@@ -40,14 +46,15 @@
     is_coordinator: bool,
     /// Whether heartbeats are exchanged with it; of the others only the view tells.
     is_tracked: bool,
-    /// Whether the last heartbeat was answered on neither of two connections.
-    is_down: bool,
+    /// Whether it counted as live when that was last looked at.
+    was_live: bool,
 }
 
 /// The other entries of the view.
 #[derive(Debug, Default)]
 pub(crate) struct Table {
     peers: HashMap<id::Entry, Peer>,
+    liveness: liveness::Table,
     /// Whether this entry is a coordinator.
     is_coordinator: bool,
 }
@@ -73,6 +80,7 @@
             .map(|(name, _)| name.clone())
             .collect();
         for name in &gone {
+            self.liveness.unwatch(name);
             if let Some(peer) = self.peers.remove(name) {
                 peer.lost.notify_waiters();
             }
@@ -87,31 +95,35 @@
                 address: entry.peer_address.clone(),
                 started: entry.started,
                 client: None,
+                opening: Rc::default(),
+                failed: None,
                 heard: None,
-                named: now,
                 revision: id::Revision::default(),
                 lost: Rc::default(),
                 is_beating: false,
                 is_coordinator: false,
                 is_tracked: false,
-                is_down: false,
+                was_live: true,
             });
             if peer.address != entry.peer_address {
                 peer.address.clone_from(&entry.peer_address);
                 peer.client = None;
+                peer.failed = None;
             }
             peer.is_coordinator = coordinators.contains(&&entry.name);
             peer.is_tracked = peer.is_coordinator || owners.contains(&entry.name);
+            if peer.is_tracked {
+                self.liveness.watch(now, &entry.name);
+            } else {
+                self.liveness.unwatch(&entry.name);
+            }
         }
         gone
     }
 
     /// Returns whether a peer may own pools.
     pub(crate) fn is_live(&self, now: Millis, name: &id::Entry) -> bool {
-        self.peers.get(name).is_some_and(|peer| {
-            let silent = now.since(peer.heard.unwrap_or(peer.named));
-            !peer.is_tracked || (!peer.is_down && silent < LIVE_FOR)
-        })
+        self.peers.contains_key(name) && self.liveness.is_live(now, name)
     }
 
     /// Returns whether a peer is a coordinator of the view.
@@ -119,6 +131,49 @@
         self.peers.get(name).is_some_and(|peer| peer.is_coordinator)
     }
 
+    /// Notes an answer of a peer, to whatever question.
+    pub(crate) fn answered(&mut self, now: Millis, name: &id::Entry) {
+        self.liveness.answered(now, name);
+    }
+
+    /// Notes that a connection to a peer could not be opened.
+    pub(crate) fn failed(&mut self, now: Millis, name: &id::Entry, unreached: Unreached) {
+        if unreached == Unreached::Refused {
+            self.liveness.refused(name);
+        }
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.failed = Some(now);
+        }
+    }
+
+    /// Returns whether a connection to a peer could not be opened a moment ago.
+    pub(crate) fn has_failed(&self, now: Millis, name: &id::Entry) -> bool {
+        let failed = self.peers.get(name).and_then(|peer| peer.failed);
+        failed.is_some_and(|failed| now.since(failed) < OPENED_AGAIN_AFTER)
+    }
+
+    /// Returns the lock of whoever opens the link to a peer.
+    pub(crate) fn opening(&self, name: &id::Entry) -> Option<Rc<Mutex<()>>> {
+        self.peers.get(name).map(|peer| Rc::clone(&peer.opening))
+    }
+
+    /// Notes that this process did not run for a time before `now`.
+    pub(crate) fn paused(&mut self, now: Millis, time: Millis) {
+        self.liveness.paused(now, time);
+    }
+
+    /// Returns the peers whose verdict has changed since the last call, with what it rests on.
+    pub(crate) fn verdicts(&mut self, now: Millis) -> Vec<(id::Entry, Evidence)> {
+        let mut changed = Vec::new();
+        for (name, peer) in self.peers.iter_mut().filter(|(_, peer)| peer.is_tracked) {
+            let Some(evidence) = self.liveness.evidence(now, name) else { continue };
+            if std::mem::replace(&mut peer.was_live, evidence.is_live) != evidence.is_live {
+                changed.push((name.clone(), evidence));
+            }
+        }
+        changed
+    }
+
     /// Returns the signal that a peer is lost.
     pub(crate) fn lost(&self, name: &id::Entry) -> Option<Rc<Notify>> {
         self.peers.get(name).map(|peer| Rc::clone(&peer.lost))
@@ -148,29 +203,28 @@
     pub(crate) fn end_beat(&mut self, name: &id::Entry, answer: Option<(Millis, id::Revision)>) {
         let Some(peer) = self.peers.get_mut(name) else { return };
         peer.is_beating = false;
-        match answer {
-            Some((sent, revision)) => {
-                peer.heard = peer.heard.max(Some(sent));
-                peer.revision = revision;
-                peer.is_down = false;
-            }
-            None => peer.is_down = true,
+        if let Some((sent, revision)) = answer {
+            peer.heard = peer.heard.max(Some(sent));
+            peer.revision = revision;
         }
     }
 
-    /// Returns the open link to a peer, or its address when there is none.
-    pub(crate) fn link(&self, name: &id::Entry) -> Option<Result<Arc<WsClient>, String>> {
-        let peer = self.peers.get(name)?;
-        match &peer.client {
-            Some(client) if client.is_connected() => Some(Ok(Arc::clone(client))),
-            _ => Some(Err(peer.address.clone())),
-        }
+    /// Returns the open link to a peer.
+    pub(crate) fn link(&self, name: &id::Entry) -> Option<Arc<WsClient>> {
+        let client = self.peers.get(name)?.client.as_ref()?;
+        client.is_connected().then(|| Arc::clone(client))
+    }
+
+    /// Returns the address of a peer.
+    pub(crate) fn address(&self, name: &id::Entry) -> Option<String> {
+        self.peers.get(name).map(|peer| peer.address.clone())
     }
 
-    /// Sets or drops the link to a peer.
-    pub(crate) fn set_link(&mut self, name: &id::Entry, client: Option<Arc<WsClient>>) {
+    /// Sets the link to a peer.
+    pub(crate) fn set_link(&mut self, name: &id::Entry, client: Arc<WsClient>) {
         if let Some(peer) = self.peers.get_mut(name) {
-            peer.client = client;
+            peer.client = Some(client);
+            peer.failed = None;
         }
     }
 
--- a/crates/wasabi-entry/src/pools/budget.rs
+++ b/crates/wasabi-entry/src/pools/budget.rs
@@ -33,7 +33,10 @@
             let Some(client) = shell.link(&owner).await else { return };
             let call = client.request::<Slice, _>(method::LEND, rpc_params![&lend]);
             match tokio::time::timeout(LEND_TIME, call).await {
-                Ok(Ok(slice)) => shell.hand_out(&lend, slice),
+                Ok(Ok(slice)) => {
+                    shell.answered(&owner);
+                    shell.hand_out(&lend, slice);
+                }
                 Ok(Err(error)) => tracing::debug!(peer = %owner, %error, "no slice"),
                 Err(_) => tracing::debug!(peer = %owner, "no slice in time"),
             }
--- a/crates/wasabi-entry/src/shell.rs
+++ b/crates/wasabi-entry/src/shell.rs
@@ -17,7 +17,7 @@
     id,
     rpc::{Acquired, Evidence, Heartbeat, Lend, Preempt, Release, method},
 };
-use wasabi_routing::rendezvous;
+use wasabi_routing::{liveness, rendezvous};
 use wasabi_scheduler::pool::Event;
 
 use crate::{
@@ -40,6 +40,9 @@
 /// Time between two ticks of the pools.
 const TICK: Duration = Duration::from_millis(50);
 
+/// Time between two ticks from which on this thread counts as paused.
+const PAUSED_AFTER: Millis = Millis(300);
+
 /// State of the control thread.
 pub(crate) struct Shell {
     pub(crate) shared: Arc<Shared>,
@@ -86,17 +89,42 @@
     pub(crate) async fn run(self: Rc<Self>, mut messages: mpsc::UnboundedReceiver<Message>) {
         let mut ticks = tokio::time::interval(TICK);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut last = self.now();
         loop {
             tokio::select! {
                 message = messages.recv() => match message {
                     Some(message) => self.handle(message),
                     None => return,
                 },
-                _ = ticks.tick() => self.tick(),
+                _ = ticks.tick() => {
+                    let now = self.now();
+                    self.note_pause(now, now.since(last));
+                    last = now;
+                    self.tick();
+                }
             }
         }
     }
 
+    /// Notes that the last tick was longer ago than it should be: what waits to be read since may
+    /// hold the answers that peers would be judged by.
+    fn note_pause(&self, now: Millis, since: Millis) {
+        if PAUSED_AFTER <= since {
+            self.peers.borrow_mut().paused(now, since);
+            tracing::info!(paused_ms = since.0, "this thread did not run for a while");
+        }
+    }
+
+    /// Logs each peer that is lost or back, with what that rests on.
+    fn note_verdicts(&self, now: Millis) {
+        for (peer, evidence) in self.peers.borrow_mut().verdicts(now) {
+            let liveness::Evidence { is_live, silent, is_refused, watched, answering } = evidence;
+            let silent_ms = silent.0;
+            let message = if is_live { "a peer is back" } else { "a peer is lost" };
+            tracing::info!(%peer, silent_ms, is_refused, answering, watched, message);
+        }
+    }
+
     /// Returns the time of the process's clock.
     pub(crate) fn now(&self) -> Millis {
         self.shared.clock.now()
@@ -361,6 +389,7 @@
         let now = self.now();
         let effects = self.pools.borrow_mut().step_all(now, || Event::Tick);
         self.perform(effects);
+        self.note_verdicts(now);
         self.peers.borrow().wake_lost(now);
         self.note_live();
         self.lender.borrow_mut().sweep(now);
--- a/crates/wasabi-routing/src/lib.rs
+++ b/crates/wasabi-routing/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod affinity;
 pub mod choice;
+pub mod liveness;
 pub mod pace;
 pub mod quarantine;
 pub mod rendezvous;
--- /dev/null
+++ b/crates/wasabi-routing/src/liveness.rs
@@ -0,0 +1,97 @@
+//! Which peers take part: judged by their answers, and only by a judge that hears others.
+//!
+//! A peer that answered anything a moment ago is live, however late the answer was. One that is
+//! silent is lost, unless most of the watched peers are silent to the judge: then its own link or
+//! processor may be at fault, and it gives no verdict. A refused connection proves that no process
+//! is there.
+
+use std::collections::HashMap;
+
+use wasabi_protocol::{clock::Millis, id};
+
+/// Silence after which a peer counts as lost.
+pub const LIVE_FOR: Millis = Millis::from_secs(1);
+
+/// What a verdict on a peer rests on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Evidence {
+    /// Whether the peer counts as live.
+    pub is_live: bool,
+    /// Time since its last answer, without the time in which the judge did not run, in milliseconds.
+    pub silent: Millis,
+    /// Whether its address took no connection since.
+    pub is_refused: bool,
+    /// Watched peers whose processes may run.
+    pub watched: usize,
+    /// Those of them that answered within [`LIVE_FOR`].
+    pub answering: usize,
+}
+
+/// One watched peer.
+#[derive(Debug, Clone, Copy)]
+struct Peer {
+    /// The last answer on any connection, or when it was first watched.
+    answered: Millis,
+    is_refused: bool,
+}
+
+/// The answers of the watched peers.
+#[derive(Debug, Clone, Default)]
+pub struct Table {
+    peers: HashMap<id::Entry, Peer>,
+}
+
+impl Table {
+    /// Watches a peer from `now` on, unless it is watched already. It counts as live for a while,
+    /// since nothing can have been answered before.
+    pub fn watch(&mut self, now: Millis, name: &id::Entry) {
+        if !self.peers.contains_key(name) {
+            self.peers.insert(name.clone(), Peer { answered: now, is_refused: false });
+        }
+    }
+
+    /// Watches a peer no longer.
+    pub fn unwatch(&mut self, name: &id::Entry) {
+        self.peers.remove(name);
+    }
+
+    /// Notes an answer of a peer, to whatever question and on whatever connection.
+    pub fn answered(&mut self, now: Millis, name: &id::Entry) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.answered = peer.answered.max(now);
+            peer.is_refused = false;
+        }
+    }
+
+    /// Notes that a peer's address takes no connection.
+    pub fn refused(&mut self, name: &id::Entry) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.is_refused = true;
+        }
+    }
+
+    /// Notes that the judge did not run for a time before `now`; silence does not count then.
+    pub fn paused(&mut self, now: Millis, time: Millis) {
+        for peer in self.peers.values_mut() {
+            peer.answered = (peer.answered + time).min(now);
+        }
+    }
+
+    /// Returns whether a peer counts as live. Of peers that are not watched only the view tells.
+    pub fn is_live(&self, now: Millis, name: &id::Entry) -> bool {
+        self.evidence(now, name).is_none_or(|evidence| evidence.is_live)
+    }
+
+    /// Returns what the verdict on a watched peer rests on.
+    pub fn evidence(&self, now: Millis, name: &id::Entry) -> Option<Evidence> {
+        let peer = self.peers.get(name)?;
+        let silent = now.since(peer.answered);
+        let running = || self.peers.values().filter(|other| !other.is_refused);
+        let watched = running().count();
+        let answering = running().filter(|other| now.since(other.answered) < LIVE_FOR).count();
+        // With fewer than half of them and the judge answering, it may be the one that is cut off.
+        let is_sure = watched < (answering + 1) * 2;
+        let is_live = !peer.is_refused && (silent < LIVE_FOR || !is_sure);
+        Some(Evidence { is_live, silent, is_refused: peer.is_refused, watched, answering })
+    }
+}
