entry: nothing is served before a leader has told the process what is in force

What callers saw: after a restart of everything, requests whose key had been revoked ran, and requests with a key that had been added got 401, until a leader was in office.

Entries that took it heard each other, found nobody with a newer revision, and served by the rule that a majority of coordinators keeps an entry serving without control. That rule holds only among processes that a leader told what is in force; nobody checked that. An entry that had missed the change, and was told before it, was kept serving in the same way by others that had restarted.

Ruled out: a lost log entry (the group had every change once it had a quorum), and an entry that goes back in one process (it ignores lower revisions).

Change: an entry extends its serving time only once a check-in was answered `Heard` with no newer revision than it holds. A read lease stands behind that answer, so nothing acknowledged before the start is newer. Heartbeats say whether this has happened in the sender's process, and only such coordinators count for the majority. A member's configuration still names the peers, so that pools have their owners when a leader is back. Lines in the log tell a configuration that came from a member from one that the leader confirmed; before, both were "in force".

Also weighed: serving on the word of a majority of coordinators alone, without an answer of the leader to the process itself. They may all have missed what was acknowledged just before its start. Answers to `config.fetch` from committed entries of the member's own term only: not needed, since they permit nothing.

Cost: an entry that restarts while control has no quorum refuses with 503 until there is a leader, and when most coordinators restart in that time, the others refuse too.

--- a/crates/wasabi-entry/src/control/checkin.rs
+++ b/crates/wasabi-entry/src/control/checkin.rs
@@ -4,6 +4,7 @@
 
 use wasabi_protocol::{
     clock::Millis,
+    id,
     rpc::{Checked, Checkin},
 };
 
@@ -28,7 +29,7 @@
     let sent = shell.now();
     let checkin = checkin(shell);
     match shell.control.check_in(&checkin).await {
-        Some(Checked::Heard { config, members, .. }) => {
+        Some(Checked::Heard { revision, config, members }) => {
             shell.control.learn(members);
             if let Some(mut config) = config {
                 if config.site.is_none() {
@@ -37,7 +38,7 @@
                 shell.apply(&config);
             }
             shell.control_heard.set(Some(sent));
-            shell.shared.extend_serving(sent);
+            confirm(shell, revision, sent);
         }
         Some(Checked::NotLeader { .. }) | None => {
             // Evidence counts from check-in to check-in, so what was not taken is sent again.
@@ -45,13 +46,28 @@
             if shell.shared.in_force().config.view.entries.is_empty()
                 && let Some(config) = shell.control.fetch().await
             {
-                // It names the peers, and nothing is served until most of them are heard.
+                // It may be old, so it names the peers, and nothing is served before a leader is heard.
+                tracing::info!(revision = %config.revision, "a member's configuration, not confirmed");
                 shell.apply(&config);
             }
         }
     }
 }
 
+/// Extends the serving time after a leader named the revision in force.
+///
+/// A process serves from the first time on that it holds what a leader named: nothing that was
+/// acknowledged before its start is newer.
+fn confirm(shell: &Shell, revision: id::Revision, heard: Millis) {
+    let held = shell.shared.in_force().config.revision;
+    if revision <= held && !shell.is_confirmed.replace(true) {
+        tracing::info!(revision = %held, "confirmed by the leader");
+    }
+    if shell.is_confirmed.get() {
+        shell.shared.extend_serving(heard);
+    }
+}
+
 fn checkin(shell: &Shell) -> Checkin {
     let now = shell.now();
     let mut pools = shell.pools.borrow_mut();
--- a/crates/wasabi-entry/src/peers/heartbeat.rs
+++ b/crates/wasabi-entry/src/peers/heartbeat.rs
@@ -40,7 +40,7 @@
     for is_last in [false, true] {
         let sent = shell.now();
         if let Some(answer) = ask(&shell, &name).await {
-            shell.peers.borrow_mut().end_beat(&name, Some((sent, answer.revision)));
+            shell.peers.borrow_mut().end_beat(&name, Some((sent, &answer)));
             heard(&shell, &answer);
             return;
         }
--- a/crates/wasabi-entry/src/peers/table.rs
+++ b/crates/wasabi-entry/src/peers/table.rs
@@ -8,7 +8,7 @@
 
 use jsonrpsee::ws_client::WsClient;
 use tokio::sync::Notify;
-use wasabi_protocol::{clock::Millis, command::View, id};
+use wasabi_protocol::{clock::Millis, command::View, id, rpc::Heartbeat};
 use wasabi_routing::rendezvous;
 
 /// Silence after which a peer's pools move to the next entry.
@@ -34,6 +34,8 @@
     /// been answered before.
     named: Millis,
     revision: id::Revision,
+    /// Whether a leader told its process what is in force.
+    is_confirmed: bool,
     lost: Rc<Notify>,
     is_beating: bool,
     /// Whether it counts when this entry serves on without control.
@@ -90,6 +92,7 @@
                 heard: None,
                 named: now,
                 revision: id::Revision::default(),
+                is_confirmed: false,
                 lost: Rc::default(),
                 is_beating: false,
                 is_coordinator: false,
@@ -139,14 +142,15 @@
         .collect()
     }
 
-    /// Notes that a heartbeat to a peer ended; with the time of sending and revision if answered.
-    pub(crate) fn end_beat(&mut self, name: &id::Entry, answer: Option<(Millis, id::Revision)>) {
+    /// Notes that a heartbeat to a peer ended; with the time of sending and the answer, if any.
+    pub(crate) fn end_beat(&mut self, name: &id::Entry, answer: Option<(Millis, &Heartbeat)>) {
         let Some(peer) = self.peers.get_mut(name) else { return };
         peer.is_beating = false;
         match answer {
-            Some((sent, revision)) => {
+            Some((sent, answer)) => {
                 peer.heard = peer.heard.max(Some(sent));
-                peer.revision = revision;
+                peer.revision = answer.revision;
+                peer.is_confirmed = answer.is_confirmed;
                 peer.is_down = false;
             }
             None => peer.is_down = true,
@@ -179,10 +183,11 @@
     }
 
     /// Returns the moment at which most coordinators of the view, this entry included, had been heard,
-    /// and the highest revision among them.
+    /// and the highest revision among the peers. Only those count that a leader confirmed.
     pub(crate) fn majority(&self, now: Millis) -> Option<(Millis, id::Revision)> {
         let coordinators = || self.peers.values().filter(|peer| peer.is_coordinator);
-        let mut heard: Vec<_> = coordinators().filter_map(|peer| peer.heard).collect();
+        let confirmed = coordinators().filter(|peer| peer.is_confirmed);
+        let mut heard: Vec<_> = confirmed.filter_map(|peer| peer.heard).collect();
         if self.is_coordinator {
             heard.push(now);
         }
--- a/crates/wasabi-entry/src/shell.rs
+++ b/crates/wasabi-entry/src/shell.rs
@@ -53,6 +53,8 @@
     pub(crate) control: Link,
     /// When the control leader was last heard.
     pub(crate) control_heard: Cell<Option<Millis>>,
+    /// Whether a leader told this process what is in force.
+    pub(crate) is_confirmed: Cell<bool>,
     /// Evidence that control has not taken yet.
     pub(crate) unsent: RefCell<Vec<Evidence>>,
     /// The owner of each pool as last seen, so that a change is noticed.
@@ -73,6 +75,7 @@
             lender: RefCell::new(lender),
             control,
             control_heard: Cell::new(None),
+            is_confirmed: Cell::new(false),
             unsent: RefCell::default(),
             owners: RefCell::default(),
             drain: RefCell::new(Some(drain)),
@@ -229,6 +232,7 @@
             from: self.shared.entry.name.clone(),
             view: in_force.config.view.number,
             revision: in_force.config.revision,
+            is_confirmed: self.is_confirmed.get(),
             known: self.peers.borrow().known(now),
             pools: pools.pressure(now),
             suspects: pools.suspects(now),
@@ -236,9 +240,14 @@
         }
     }
 
-    /// Extends the serving time when most entries of the view answer and none has a newer
-    /// configuration.
+    /// Extends the serving time of a process that a leader confirmed, when most coordinators of the
+    /// view answer that one confirmed theirs too, and no peer has a newer configuration.
+    ///
+    /// Entries that only agree may all hold what a member had in its last snapshot.
     pub(crate) fn extend_by_majority(&self) {
+        if !self.is_confirmed.get() {
+            return;
+        }
         let in_force = self.shared.in_force();
         let own = &self.shared.entry.name;
         if !in_force.config.view.entries.iter().any(|entry| entry.name == *own) {
--- a/crates/wasabi-protocol/src/rpc/entry.rs
+++ b/crates/wasabi-protocol/src/rpc/entry.rs
@@ -36,6 +36,10 @@
     pub view: id::View,
     /// The revision in force at the sender.
     pub revision: id::Revision,
+    /// Whether a control leader told the sender's process what is in force. Otherwise its
+    /// configuration may be older than one that was acknowledged before it started.
+    #[serde(default)]
+    pub is_confirmed: bool,
     /// Revisions that the sender knows to be in force at other entries.
     pub known: Vec<(id::Entry, id::Revision)>,
     /// The pools that the sender owns.
