entry: an entry that knows no configuration does not call a key unknown

What callers saw: `GET /v1/entries` at an entry that had just started, or that holds what may be an old configuration, answered 401 to a key that is in force.

Cause: the list of entries looked the key up before it asked whether this entry may tell what is in force. Requests ask that first.

Change: the list does too, so that such an entry answers 503 `entry_isolated`.

Test: an_entry_without_a_configuration_says_so_to_who_asks_for_entries (tests/peers.rs); before, (401, "unauthorized") in place of (503, "entry_isolated").

--- a/crates/wasabi-entry/src/callers/list.rs
+++ b/crates/wasabi-entry/src/callers/list.rs
@@ -20,9 +20,10 @@
 ///
 /// Returns a refusal when the token is wrong or this entry cannot tell what is in force.
 pub(crate) fn answer(shared: &Shared, request: &Request) -> Result<Response<BoxBody>, Fault> {
+    // First, since a key may be unknown here only because the configuration is.
+    shared.admit()?;
     let in_force = shared.in_force();
     let contract = call::authenticate(request.headers(), &in_force)?;
-    shared.admit()?;
     let mut view = in_force.config.view.clone();
     if shared.is_draining() {
         exclude(&mut view, &shared.entry.name);
--- a/crates/wasabi-entry/tests/peers.rs
+++ b/crates/wasabi-entry/tests/peers.rs
@@ -163,3 +163,22 @@
     assert!(retire().await.is_err(), "a leave is acknowledged that the owner does not have");
     until("the next owner takes it", async || retire().await.is_ok()).await;
 }
+
+/// Guards against callers that are told that their key is unknown, and stop, by an entry that does
+/// not know yet which keys there are.
+#[actix_rt::test]
+async fn an_entry_without_a_configuration_says_so_to_who_asks_for_entries() {
+    let control = Control::start().await;
+    control.lose(true);
+    let entry = Entry::controlled("e1", &control.address(), "");
+    let caller = entry.caller();
+    let answer = caller.send(caller.request("GET", "/v1/entries"), "").await;
+    assert_eq!((answer.status.as_u16(), answer.kind().as_str()), (503, "entry_isolated"));
+    control.lose(false);
+    until("the entry answers", async || {
+        let answer = caller.send(caller.request("GET", "/v1/entries"), "").await;
+        assert_ne!(answer.kind(), "unauthorized");
+        answer.status.as_u16() == 200
+    })
+    .await;
+}
