--- a/crates/wasabi-entry/src/peers/heartbeat.rs
+++ b/crates/wasabi-entry/src/peers/heartbeat.rs
@@ -45,7 +45,7 @@
     match answer {
         Some((sent, answer)) => {
             shell.answered(&name);
-            shell.peers.borrow_mut().end_beat(&name, Some((sent, answer.revision)));
+            shell.peers.borrow_mut().end_beat(&name, Some((sent, &answer)));
             heard(&shell, &answer);
         }
         None => shell.peers.borrow_mut().end_beat(&name, None),
--- a/crates/wasabi-entry/src/peers/table.rs
+++ b/crates/wasabi-entry/src/peers/table.rs
@@ -8,7 +8,7 @@
 
 use jsonrpsee::ws_client::WsClient;
 use tokio::sync::{Mutex, Notify};
-use wasabi_protocol::{clock::Millis, command::View, id};
+use wasabi_protocol::{clock::Millis, command::View, id, rpc::Heartbeat};
 use wasabi_routing::{
     liveness::{self, Evidence},
     rendezvous,
@@ -40,6 +40,8 @@
     /// The last heartbeat that it answered, by the time of sending.
     heard: Option<Millis>,
     revision: id::Revision,
+    /// Whether a leader told its process what is in force.
+    is_confirmed: bool,
     lost: Rc<Notify>,
     is_beating: bool,
     /// Whether it counts when this entry serves on without control.
@@ -99,6 +101,7 @@
                 failed: None,
                 heard: None,
                 revision: id::Revision::default(),
+                is_confirmed: false,
                 lost: Rc::default(),
                 is_beating: false,
                 is_coordinator: false,
@@ -199,13 +202,14 @@
         .collect()
     }
 
-    /// Notes that a heartbeat to a peer ended; with the time of sending and revision if answered.
-    pub(crate) fn end_beat(&mut self, name: &id::Entry, answer: Option<(Millis, id::Revision)>) {
+    /// Notes that a heartbeat to a peer ended; with the time of sending and the answer, if any.
+    pub(crate) fn end_beat(&mut self, name: &id::Entry, answer: Option<(Millis, &Heartbeat)>) {
         let Some(peer) = self.peers.get_mut(name) else { return };
         peer.is_beating = false;
-        if let Some((sent, revision)) = answer {
+        if let Some((sent, answer)) = answer {
             peer.heard = peer.heard.max(Some(sent));
-            peer.revision = revision;
+            peer.revision = answer.revision;
+            peer.is_confirmed = answer.is_confirmed;
         }
     }
 
@@ -238,10 +242,11 @@
     }
 
     /// Returns the moment at which most coordinators of the view, this entry included, had been heard,
-    /// and the highest revision among them.
+    /// and the highest revision among the peers. Only those count that a leader confirmed.
     pub(crate) fn majority(&self, now: Millis) -> Option<(Millis, id::Revision)> {
         let coordinators = || self.peers.values().filter(|peer| peer.is_coordinator);
-        let mut heard: Vec<_> = coordinators().filter_map(|peer| peer.heard).collect();
+        let confirmed = coordinators().filter(|peer| peer.is_confirmed);
+        let mut heard: Vec<_> = confirmed.filter_map(|peer| peer.heard).collect();
         if self.is_coordinator {
             heard.push(now);
         }
--- a/crates/wasabi-protocol/src/rpc/entry.rs
+++ b/crates/wasabi-protocol/src/rpc/entry.rs
@@ -36,6 +36,10 @@
     pub view: id::View,
     /// The revision in force at the sender.
     pub revision: id::Revision,
+    /// Whether a control leader told the sender's process what is in force. Otherwise its
+    /// configuration may be older than one that was acknowledged before it started.
+    #[serde(default)]
+    pub is_confirmed: bool,
     /// Some of the suspects and quarantined requests that the sender knows of; later heartbeats tell
     /// the others.
     #[serde(default)]
