entry: a newer configuration is fetched once, however many peers name it

What callers saw: on the first grown site a change was in force late at some hosts, or not at all in time (CONFIG, SHORT), and links of 10 Mbit/s were filled by answers with the whole configuration.

Cause: each heartbeat that named a newer revision started a fetch of the whole configuration from its sender, whether or not another one was under way. A host that 83 others exchange heartbeats with fetched the same bytes 83 times, on the connections that carry the heartbeats as well, and each fetch ended after 2 s even when its bytes were still coming.

Ruled out: the answerer; one server that stood for all peers answered each of the 83 fetches, and each was asked for.

Fix: fetch::plan decides from whom to fetch and when. One fetch is under way at a time, on a connection of its own; what is named meanwhile is fetched after it. A fetch goes on while bytes come, and ends after 0.8 s without any, counted in looks so that a pause of this process does not count. Then the next source is asked, and the one that failed rests for 0.5 s. New metrics count fetches by their end, and bytes received.

--- a/crates/wasabi-entry/src/control/link.rs
+++ b/crates/wasabi-entry/src/control/link.rs
@@ -111,6 +111,11 @@
         None
     }
 
+    /// Returns the address of the member that answered as the leader last.
+    pub(crate) fn leader(&self) -> Option<String> {
+        self.leader.borrow().clone()
+    }
+
     /// Returns the member to ask next: the likely leader first, then each other one once.
     fn next(&self, asked: &[String]) -> Option<String> {
         if ASKED_MAX <= asked.len() {
--- /dev/null
+++ b/crates/wasabi-entry/src/fetch/mod.rs
@@ -0,0 +1,4 @@
+//! The way of a newer configuration to this entry.
+
+pub mod plan;
+pub(crate) mod run;
--- /dev/null
+++ b/crates/wasabi-entry/src/fetch/run.rs
@@ -0,0 +1,205 @@
+//! Fetches of newer configurations, on connections that carry nothing else.
+
+use std::{
+    cell::RefCell,
+    io,
+    pin::{Pin, pin},
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use jsonrpsee::{
+    core::client::ClientT as _,
+    rpc_params,
+    ws_client::{WsClient, WsClientBuilder},
+};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+};
+use wasabi_protocol::{
+    command::Config,
+    id,
+    rpc::{MESSAGE_BYTES_MAX, method},
+};
+
+use crate::{
+    fetch::plan::{End, Plan, Source, WATCH_EVERY},
+    shell::Shell,
+};
+
+/// Longest time for a connection to a source.
+const CONNECT_TIME: Duration = Duration::from_millis(300);
+
+/// What is known of newer configurations, and the connection that the last one came on.
+#[derive(Debug, Default)]
+pub(crate) struct Fetcher {
+    plan: RefCell<Plan>,
+    line: RefCell<Option<Line>>,
+}
+
+/// An open connection to a source.
+#[derive(Debug, Clone)]
+struct Line {
+    address: String,
+    client: Arc<WsClient>,
+    /// Bytes received so far.
+    received: Arc<AtomicU64>,
+}
+
+/// Takes into account that a source has a revision in force, and fetches that if it is newer.
+pub(crate) fn named(shell: &Rc<Shell>, source: Source, revision: id::Revision) {
+    let held = shell.shared.in_force().config.revision;
+    let next = {
+        let mut plan = shell.fetcher.plan.borrow_mut();
+        plan.hold(held);
+        plan.name(source, revision);
+        plan.start(shell.now())
+    };
+    if let Some(source) = next {
+        actix_rt::spawn(run(Rc::clone(shell), source));
+    }
+}
+
+/// Fetches from one source after the other until nobody has named a newer revision.
+async fn run(shell: Rc<Shell>, first: Source) {
+    let mut next = Some(first);
+    while let Some(source) = next {
+        let end = fetch(&shell, &source).await;
+        let held = shell.shared.in_force().config.revision;
+        let mut plan = shell.fetcher.plan.borrow_mut();
+        let now = shell.now();
+        let age = plan.age(now).unwrap_or_default();
+        shell.shared.metrics.fetched(end);
+        tracing::debug!(?source, ?end, revision = %held, age = age.0, "fetch ended");
+        plan.hold(held);
+        plan.end(now, end);
+        next = plan.start(now);
+    }
+}
+
+async fn fetch(shell: &Rc<Shell>, source: &Source) -> End {
+    let Some(address) = address(shell, source) else { return End::Gone };
+    let Some(line) = shell.fetcher.line(&address).await else { return End::Failed };
+    let before = line.received.load(Ordering::Relaxed);
+    let answer = answer(shell, &line).await;
+    let received = line.received.load(Ordering::Relaxed);
+    shell.shared.metrics.fetched_bytes.inc_by(received.saturating_sub(before));
+    match answer {
+        Ok(config) => {
+            let held = shell.shared.in_force().config.revision;
+            shell.apply(&config);
+            if held < config.revision { End::Taken } else { End::Failed }
+        }
+        Err(reason) => {
+            tracing::warn!(?source, %reason, "configuration not fetched");
+            shell.fetcher.line.replace(None);
+            End::Failed
+        }
+    }
+}
+
+/// Returns the answer to a fetch, however long it takes, unless no bytes of it come.
+async fn answer(shell: &Shell, line: &Line) -> Result<Config, String> {
+    let mut call = pin!(line.client.request::<Config, _>(method::CONFIG, rpc_params![]));
+    let mut looks = tokio::time::interval(WATCH_EVERY.duration());
+    looks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            biased;
+            answer = &mut call => return answer.map_err(|error| error.to_string()),
+            _ = looks.tick() => {
+                let received = line.received.load(Ordering::Relaxed);
+                if shell.fetcher.plan.borrow_mut().is_stalled(shell.now(), received) {
+                    return Err("no bytes came".to_owned());
+                }
+            }
+        }
+    }
+}
+
+/// Returns the address of a source, if it still has one.
+fn address(shell: &Shell, source: &Source) -> Option<String> {
+    match source {
+        Source::Control => shell.control.leader(),
+        Source::Peer(name) => {
+            let in_force = shell.shared.in_force();
+            let mut entries = in_force.config.view.entries.iter();
+            entries.find(|entry| entry.name == *name).map(|entry| entry.peer_address.clone())
+        }
+    }
+}
+
+impl Fetcher {
+    /// Returns the connection to an address, opened in place of the last one if needed.
+    async fn line(&self, address: &str) -> Option<Line> {
+        let last = self.line.borrow().clone();
+        let is_open = |line: &Line| line.address == address && line.client.is_connected();
+        if let Some(line) = last.filter(is_open) {
+            return Some(line);
+        }
+        let line = tokio::time::timeout(CONNECT_TIME, connect(address)).await.ok()?;
+        let line = line.inspect_err(|error| tracing::debug!(%address, %error, "no connection"));
+        let line = line.ok()?;
+        self.line.replace(Some(line.clone()));
+        Some(line)
+    }
+}
+
+async fn connect(address: &str) -> io::Result<Line> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let received = Arc::<AtomicU64>::default();
+    let counted = Counted { stream, received: Arc::clone(&received) };
+    let client = WsClientBuilder::default()
+        .max_response_size(MESSAGE_BYTES_MAX)
+        // A fetch ends when no bytes come, and not by its age.
+        .request_timeout(Duration::from_secs(24 * 60 * 60))
+        .build_with_stream(format!("ws://{address}"), counted)
+        .await
+        .map_err(io::Error::other)?;
+    Ok(Line { address: address.to_owned(), client: Arc::new(client), received })
+}
+
+/// A connection that counts the bytes received.
+#[derive(Debug)]
+struct Counted {
+    stream: TcpStream,
+    received: Arc<AtomicU64>,
+}
+
+impl AsyncRead for Counted {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let poll = Pin::new(&mut self.stream).poll_read(context, buffer);
+        self.received.fetch_add((buffer.filled().len() - before) as u64, Ordering::Relaxed);
+        poll
+    }
+}
+
+impl AsyncWrite for Counted {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/crates/wasabi-entry/src/lib.rs
+++ b/crates/wasabi-entry/src/lib.rs
@@ -11,6 +11,7 @@
 mod durations;
 mod endpoints;
 pub mod events;
+pub mod fetch;
 pub mod forward;
 mod gate;
 pub mod inbound;
--- a/crates/wasabi-entry/src/metrics.rs
+++ b/crates/wasabi-entry/src/metrics.rs
@@ -12,6 +12,8 @@
 };
 use wasabi_protocol::{contract::Tier, fault::Kind};
 
+use crate::fetch::plan::End;
+
 /// Labels of what is counted by tier.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
@@ -36,6 +38,14 @@
     pub(crate) tier: String,
 }
 
+/// Labels of a fetch of the configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+pub(crate) struct ByEnd {
+    /// How it ended.
+    end: &'static str,
+}
+
 /// The metrics of an entry. Clones count together.
 #[derive(Debug, Clone)]
 pub(crate) struct Metrics {
@@ -59,6 +69,10 @@
     pub(crate) open: Gauge,
     /// The revision in force.
     pub(crate) revision: Gauge,
+    /// Ended fetches of the configuration.
+    pub(crate) fetches: Family<ByEnd, Counter>,
+    /// Bytes received for fetches of the configuration.
+    pub(crate) fetched_bytes: Counter,
 }
 
 impl Metrics {
@@ -77,6 +91,8 @@
             resumes: Counter::default(),
             open: Gauge::default(),
             revision: Gauge::default(),
+            fetches: Family::default(),
+            fetched_bytes: Counter::default(),
         };
         let prefix = registry.sub_registry_with_prefix("wasabi_entry");
         prefix.register("goodput", "Whole answers within their targets", metrics.goodput.clone());
@@ -97,9 +113,29 @@
         prefix.register("resumes", "Streams resumed from an offset", metrics.resumes.clone());
         prefix.register("open", "Open requests", metrics.open.clone());
         prefix.register("revision", "Revision in force", metrics.revision.clone());
+        prefix.register(
+            "config_fetches",
+            "Ended fetches of the configuration",
+            metrics.fetches.clone(),
+        );
+        prefix.register(
+            "config_fetched_bytes",
+            "Bytes received for fetches of the configuration",
+            metrics.fetched_bytes.clone(),
+        );
         metrics
     }
 
+    /// Counts a fetch of the configuration.
+    pub(crate) fn fetched(&self, end: End) {
+        let end = match end {
+            End::Taken => "taken",
+            End::Failed => "failed",
+            End::Gone => "gone",
+        };
+        self.fetches.get_or_create(&ByEnd { end }).inc();
+    }
+
     /// Counts an error answered to a caller.
     pub(crate) fn refused(&self, kind: Kind, tier: Option<Tier>) {
         let tier = tier.map_or_else(|| "unknown".to_owned(), |tier| tier.0.to_string());
--- a/crates/wasabi-entry/src/peers/heartbeat.rs
+++ b/crates/wasabi-entry/src/peers/heartbeat.rs
@@ -5,13 +5,15 @@
 use jsonrpsee::{core::client::ClientT as _, rpc_params};
 use wasabi_protocol::{
     clock::Millis,
-    command::Config,
     id,
     rpc::{Heartbeat, method},
 };
 use wasabi_scheduler::pool::Event;
 
-use crate::shell::Shell;
+use crate::{
+    fetch::{self, plan::Source},
+    shell::Shell,
+};
 
 /// Time between two heartbeats to a peer.
 const EVERY: Millis = Millis(500);
@@ -20,9 +22,6 @@
 /// together stay below the bound after which a peer counts as lost.
 const ANSWER_TIME: Duration = Duration::from_millis(400);
 
-/// Longest time for the answer with a configuration.
-const FETCH_TIME: Duration = Duration::from_secs(2);
-
 /// Sends heartbeats until the process ends.
 pub(crate) async fn run(shell: Rc<Shell>) {
     let mut interval = tokio::time::interval(EVERY.duration());
@@ -70,17 +69,5 @@
         let effects = shell.pools.borrow_mut().step_all(now, || Event::Suspects(suspects));
         shell.perform(effects);
     }
-    if shell.shared.in_force().config.revision < heartbeat.revision {
-        actix_rt::spawn(fetch(Rc::clone(shell), heartbeat.from.clone()));
-    }
-}
-
-async fn fetch(shell: Rc<Shell>, name: id::Entry) {
-    let Some(client) = shell.link(&name).await else { return };
-    let call = client.request::<Config, _>(method::CONFIG, rpc_params![]);
-    match tokio::time::timeout(FETCH_TIME, call).await {
-        Ok(Ok(config)) => shell.apply(&config),
-        Ok(Err(error)) => tracing::warn!(peer = %name, %error, "configuration not fetched"),
-        Err(_) => tracing::warn!(peer = %name, "configuration not fetched in time"),
-    }
+    fetch::run::named(shell, Source::Peer(heartbeat.from.clone()), heartbeat.revision);
 }
--- a/crates/wasabi-entry/src/shell.rs
+++ b/crates/wasabi-entry/src/shell.rs
@@ -23,6 +23,7 @@
 use crate::{
     control::link::Link,
     drain,
+    fetch::run::Fetcher,
     message::{Message, Peer},
     peers::{heartbeat, table},
     pools::{
@@ -51,6 +52,7 @@
     /// The budgets of the organisations that this entry owns.
     pub(crate) lender: RefCell<Lender>,
     pub(crate) control: Link,
+    pub(crate) fetcher: Fetcher,
     /// When the control leader was last heard.
     pub(crate) control_heard: Cell<Option<Millis>>,
     /// Evidence that control has not taken yet.
@@ -72,6 +74,7 @@
             standby: RefCell::default(),
             lender: RefCell::new(lender),
             control,
+            fetcher: Fetcher::default(),
             control_heard: Cell::new(None),
             unsent: RefCell::default(),
             owners: RefCell::default(),
