protocol, control, entry: an answer with the configuration leaves out what the asker holds

What callers saw: on the first grown site a change was in force late at hosts on 10 Mbit/s. Each change of the view (an entry that starts anew) carried the site configuration too, and each change of the site the whole view.

Cause: config.fetch had no parameter, so every answer held everything.

Evidence: an_asker_is_not_sent_what_it_holds (tests/fetch.rs of the entry) failed on the code before: the view came although the asker named it.

Fix: the asker names the revision, the view and the site version that it holds, and the answer leaves out the view or the site if it is the same. An asker that holds the revision is sent no part. The asker puts an answer on the configuration that it named, whatever came into force meanwhile. A whole answer has the form of before, and a question without a parameter gets it, so that versions can be mixed during an upgrade.

Not changed: check-ins still carry the configuration, and a change of one route still carries all routes.

--- a/crates/wasabi-control/src/input.rs
+++ b/crates/wasabi-control/src/input.rs
@@ -3,11 +3,11 @@
 use tokio::sync::oneshot::Sender;
 use wasabi_consensus::Message;
 use wasabi_protocol::{
-    command::{Config, Move, View},
+    command::{Move, View},
     id,
     rpc::{
-        ChangeMembers, Checked, Checkin, Drain, Drained, Inquire, Inquired, Join, Joined, Lead,
-        MembersChanged, MoveOrder, Operate, Operated, Propose, Proposed, Read,
+        ChangeMembers, Checked, Checkin, Drain, Drained, Held, Inquire, Inquired, Join, Joined,
+        Lead, MembersChanged, MoveOrder, Operate, Operated, Propose, Proposed, Read, Update,
     },
     site,
 };
@@ -28,7 +28,7 @@
     /// An order to drain an entry.
     Drain(Drain, Sender<Drained>),
     /// A question for the configuration that this member holds.
-    Config(Sender<Config>),
+    Config(Option<Held>, Sender<Update>),
     /// A member that asks to be in the group.
     Join(Join, Sender<Joined>),
     /// A question who leads.
--- a/crates/wasabi-control/src/methods.rs
+++ b/crates/wasabi-control/src/methods.rs
@@ -72,8 +72,9 @@
         ask(&shared.inputs, Input::Lead).await
     })?;
     serve(&mut module, method::JOIN, proved, Input::Join)?;
-    module.register_async_method(method::CONFIG, |_, shared, _| async move {
-        ask(&shared.inputs, Input::Config).await
+    module.register_async_method(method::CONFIG, |params, shared, _| async move {
+        let held = params.sequence().optional_next()?;
+        ask(&shared.inputs, |reply| Input::Config(held, reply)).await
     })?;
     module.register_method(method::CONSENSUS, |params, shared, _| step(&read(&params)?, shared))?;
     module.register_method(method::HELLO, |params, shared, _| {
--- a/crates/wasabi-control/src/serve.rs
+++ b/crates/wasabi-control/src/serve.rs
@@ -13,7 +13,7 @@
     fingerprint, id,
     rpc::{
         Checked, Checkin, Drain, Drained, Force, Inquire, Inquired, Lead, MemberStatus, MoveOrder,
-        Operate, Operated, Proposed, Read, Role, Source, Status,
+        Operate, Operated, Proposed, Read, Role, Source, Status, Update,
     },
     site,
 };
@@ -65,8 +65,8 @@
             Input::ChangeMembers(change, reply) => {
                 let _ = reply.send(self.change_members(&change));
             }
-            Input::Config(reply) => {
-                let _ = reply.send(self.machine.config());
+            Input::Config(held, reply) => {
+                let _ = reply.send(Update::new(self.machine.config(), held.as_ref()));
             }
             Input::Join(join, reply) => {
                 let _ = reply.send(self.join(&join));
--- a/crates/wasabi-entry/src/fetch/run.rs
+++ b/crates/wasabi-entry/src/fetch/run.rs
@@ -23,9 +23,8 @@
     net::TcpStream,
 };
 use wasabi_protocol::{
-    command::Config,
     id,
-    rpc::{MESSAGE_BYTES_MAX, method},
+    rpc::{Held, MESSAGE_BYTES_MAX, Update, method},
 };
 
 use crate::{
@@ -86,12 +85,16 @@
 async fn fetch(shell: &Rc<Shell>, source: &Source) -> End {
     let Some(address) = address(shell, source) else { return End::Gone };
     let Some(line) = shell.fetcher.line(&address).await else { return End::Failed };
-    let before = line.received.load(Ordering::Relaxed);
-    let answer = answer(shell, &line).await;
-    let received = line.received.load(Ordering::Relaxed);
-    shell.shared.metrics.fetched_bytes.inc_by(received.saturating_sub(before));
+    // What the answer leaves out is what is in force now, whatever is by then.
+    let before = shell.shared.in_force();
+    let received_before = line.received.load(Ordering::Relaxed);
+    let answer = answer(shell, &line, Held::of(&before.config)).await;
+    let received = line.received.load(Ordering::Relaxed).saturating_sub(received_before);
+    let is_whole = answer.as_ref().is_ok_and(Update::is_whole);
+    shell.shared.metrics.fetched_bytes(is_whole, received);
     match answer {
-        Ok(config) => {
+        Ok(update) => {
+            let config = update.onto(&before.config);
             let held = shell.shared.in_force().config.revision;
             shell.apply(&config);
             if held < config.revision { End::Taken } else { End::Failed }
@@ -105,8 +108,8 @@
 }
 
 /// Returns the answer to a fetch, however long it takes, unless no bytes of it come.
-async fn answer(shell: &Shell, line: &Line) -> Result<Config, String> {
-    let mut call = pin!(line.client.request::<Config, _>(method::CONFIG, rpc_params![]));
+async fn answer(shell: &Shell, line: &Line, held: Held) -> Result<Update, String> {
+    let mut call = pin!(line.client.request::<Update, _>(method::CONFIG, rpc_params![held]));
     let mut looks = tokio::time::interval(WATCH_EVERY.duration());
     looks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
--- a/crates/wasabi-entry/src/message.rs
+++ b/crates/wasabi-entry/src/message.rs
@@ -2,12 +2,15 @@
 
 use tokio::sync::{mpsc, oneshot};
 use wasabi_protocol::{
-    command::{Command, Config},
+    command::Command,
     endpoint::Announcement,
     fault::{Fault, Kind},
     id,
     request::Request,
-    rpc::{Acquire, Acquired, Grant, Heartbeat, Holdings, Lend, Preempt, Proposed, Release, Slice},
+    rpc::{
+        Acquire, Acquired, Grant, Heartbeat, Held, Holdings, Lend, Preempt, Proposed, Release,
+        Slice, Update,
+    },
 };
 
 /// A grant as the traffic thread receives it.
@@ -73,8 +76,8 @@
     Retire(id::Endpoint, oneshot::Sender<bool>),
     /// A heartbeat, answered with the own one.
     Heartbeat(Box<Heartbeat>, oneshot::Sender<Heartbeat>),
-    /// The configuration in force here.
-    Config(oneshot::Sender<Config>),
+    /// The configuration in force here, without what the peer holds.
+    Config(Option<Held>, oneshot::Sender<Update>),
     /// A slice of an organisation's budget.
     Lend(Lend, oneshot::Sender<Slice>),
 }
--- a/crates/wasabi-entry/src/metrics.rs
+++ b/crates/wasabi-entry/src/metrics.rs
@@ -46,6 +46,14 @@
     end: &'static str,
 }
 
+/// Labels of what a fetch brought.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct ByExtent {
+    /// Whether the view and the site came whole.
+    extent: &'static str,
+}
+
 /// The metrics of an entry. Clones count together.
 #[derive(Debug, Clone)]
 pub(crate) struct Metrics {
@@ -72,7 +80,7 @@
     /// Ended fetches of the configuration.
     pub(crate) fetches: Family<ByEnd, Counter>,
     /// Bytes received for fetches of the configuration.
-    pub(crate) fetched_bytes: Counter,
+    fetched_bytes: Family<ByExtent, Counter>,
 }
 
 impl Metrics {
@@ -92,7 +100,7 @@
             open: Gauge::default(),
             revision: Gauge::default(),
             fetches: Family::default(),
-            fetched_bytes: Counter::default(),
+            fetched_bytes: Family::default(),
         };
         let prefix = registry.sub_registry_with_prefix("wasabi_entry");
         prefix.register("goodput", "Whole answers within their targets", metrics.goodput.clone());
@@ -136,6 +144,12 @@
         self.fetches.get_or_create(&ByEnd { end }).inc();
     }
 
+    /// Counts bytes received for a fetch of the configuration.
+    pub(crate) fn fetched_bytes(&self, is_whole: bool, bytes: u64) {
+        let extent = if is_whole { "whole" } else { "part" };
+        self.fetched_bytes.get_or_create(&ByExtent { extent }).inc_by(bytes);
+    }
+
     /// Counts an error answered to a caller.
     pub(crate) fn refused(&self, kind: Kind, tier: Option<Tier>) {
         let tier = tier.map_or_else(|| "unknown".to_owned(), |tier| tier.0.to_string());
--- a/crates/wasabi-entry/src/peers/server.rs
+++ b/crates/wasabi-entry/src/peers/server.rs
@@ -107,8 +107,9 @@
         let heartbeat: Heartbeat = one(&params)?;
         told(handle.ask(|reply| Peer::Heartbeat(Box::new(heartbeat), reply)).await)
     })?;
-    module.register_async_method(method::CONFIG, |_, handle, _| async move {
-        told(handle.ask(Peer::Config).await)
+    module.register_async_method(method::CONFIG, |params, handle, _| async move {
+        let held = params.sequence().optional_next()?;
+        told(handle.ask(|reply| Peer::Config(held, reply)).await)
     })?;
     module.register_async_method(method::LEND, |params, handle, _| async move {
         let lend: Lend = one(&params)?;
--- a/crates/wasabi-entry/src/shell.rs
+++ b/crates/wasabi-entry/src/shell.rs
@@ -15,7 +15,7 @@
     clock::Millis,
     command::{Config, Duty, Entry},
     id,
-    rpc::{Acquired, Evidence, Heartbeat, Lend, Preempt, Release, method},
+    rpc::{Acquired, Evidence, Heartbeat, Lend, Preempt, Release, Update, method},
 };
 use wasabi_routing::rendezvous;
 use wasabi_scheduler::pool::Event;
@@ -342,7 +342,10 @@
                 heartbeat::heard(self, &beat);
                 drop(reply.send(self.heartbeat()));
             }
-            Peer::Config(reply) => drop(reply.send(self.shared.in_force().config.clone())),
+            Peer::Config(held, reply) => {
+                let config = self.shared.in_force().config.clone();
+                drop(reply.send(Update::new(config, held.as_ref())));
+            }
             Peer::Lend(lend, reply) => {
                 if let Some(slice) = self.lend(&lend) {
                     let _ = reply.send(slice);
--- a/crates/wasabi-entry/tests/fetch.rs
+++ b/crates/wasabi-entry/tests/fetch.rs
@@ -164,3 +164,21 @@
     assert_eq!(site.peers.fetches(), 2);
     site.entry.daemon.kill();
 }
+
+/// Guards against askers that are sent the view or the revision that they hold.
+#[actix_rt::test]
+async fn an_asker_is_not_sent_what_it_holds() {
+    let site = Site::start(Duration::ZERO).await;
+    let (revision, view) = (site.config.revision.0, site.config.view.number);
+    let ask = async |revision: u64| -> Value {
+        let held = json!({"revision": revision, "view": view, "site": null});
+        site.client.request(method::CONFIG, rpc_params![held]).await.unwrap()
+    };
+    let answer = ask(revision - 1).await;
+    assert_eq!(answer["revision"], revision);
+    assert_eq!(answer.get("view"), None);
+    assert!(!answer["contracts"].as_array().unwrap().is_empty());
+    let answer = ask(revision).await;
+    assert!(answer.to_string().len() < 200, "{answer}");
+    site.entry.daemon.kill();
+}
--- a/crates/wasabi-protocol/src/rpc/method.rs
+++ b/crates/wasabi-protocol/src/rpc/method.rs
@@ -24,7 +24,8 @@
 pub const LEND: &str = "budget.lend";
 /// Exchanges liveness and summaries between entries.
 pub const PEER_HEARTBEAT: &str = "peer.heartbeat";
-/// Returns the configuration in force at a peer or at control.
+/// Returns the configuration in force at a peer or at control, without what the asker says that it
+/// holds.
 pub const CONFIG: &str = "config.fetch";
 /// Exchanges liveness between an entry and the control leader.
 pub const CONTROL_HEARTBEAT: &str = "control.heartbeat";
--- a/crates/wasabi-protocol/src/rpc/mod.rs
+++ b/crates/wasabi-protocol/src/rpc/mod.rs
@@ -6,6 +6,7 @@
 pub mod method;
 mod operator;
 mod pool;
+mod update;
 
 /// Largest message that any process of the system sends or takes, in bytes. All connections have the
 /// same bound, so that what one process may send the other one takes.
@@ -22,3 +23,4 @@
     Acquire, Acquired, Grant, Holdings, Lend, Lent, Preempt, Pressure, Release, Running, Slice,
     Usage,
 };
+pub use update::{Held, Update};
