--- a/crates/wasabi-entry/src/shell.rs
+++ b/crates/wasabi-entry/src/shell.rs
@@ -15,7 +15,7 @@
     clock::Millis,
     command::{Config, Duty, Entry},
     id,
-    rpc::{Acquired, Evidence, Heartbeat, Lend, Preempt, Release, method},
+    rpc::{Acquired, Evidence, Heartbeat, Lend, Preempt, Release, Update, method},
 };
 use wasabi_routing::{liveness, rendezvous};
 use wasabi_scheduler::pool::Event;
@@ -23,6 +23,7 @@
 use crate::{
     control::link::Link,
     drain,
+    fetch::run::Fetcher,
     message::{Message, Peer},
     peers::{heartbeat, suspects, table},
     pools::{
@@ -56,6 +57,7 @@
     /// The budgets of the organisations that this entry owns.
     pub(crate) lender: RefCell<Lender>,
     pub(crate) control: Link,
+    pub(crate) fetcher: Fetcher,
     /// When the control leader was last heard.
     pub(crate) control_heard: Cell<Option<Millis>>,
     /// Whether a leader told this process what is in force.
@@ -80,6 +82,7 @@
             standby: RefCell::default(),
             lender: RefCell::new(lender),
             control,
+            fetcher: Fetcher::default(),
             control_heard: Cell::new(None),
             is_confirmed: Cell::new(false),
             unsent: RefCell::default(),
@@ -385,7 +388,10 @@
                 heartbeat::heard(self, &beat);
                 drop(reply.send(self.heartbeat(&beat.from)));
             }
-            Peer::Config(reply) => drop(reply.send(self.shared.in_force().config.clone())),
+            Peer::Config(held, reply) => {
+                let config = self.shared.in_force().config.clone();
+                drop(reply.send(Update::new(config, held.as_ref())));
+            }
             Peer::Lend(lend, reply) => {
                 if let Some(slice) = self.lend(&lend) {
                     let _ = reply.send(slice);
