entry: a holder asks an unsettled owner with one request at a time

Cause: after "not the owner", a lost owner or no connection, each waiting request asked again by itself every 50 ms, with its whole content and without backoff. On links of 10 and 100 Mbit/s these calls delayed heartbeats, so more owners were taken for lost, and the owner changed again.

Now each pool of another entry has a circuit breaker at its holder. After a failed call one request probes, after a pause that doubles from 50 to 400 ms; the first grant or refusal lets all ask. When the holder believes in another owner, one request asks it at once. Of calls that fail together the first one counts. A probe that stays unanswered may wait in the owner's queue, so the next one follows after the pause.

A separate message that only asks for the owner was weighed: it costs a round trip and a method that older entries do not know.

Evidence: the new test in tests/owners.rs failed before, with 1,763 calls in 2 s for 60 waiting requests where the owner says that it is none, and with 61 where it is silent; at most 41 (one in 50 ms) are allowed. It passes now, and all requests have run within 1 s of the first grant.

--- a/crates/wasabi-entry/src/pools/acquire.rs
+++ b/crates/wasabi-entry/src/pools/acquire.rs
@@ -1,6 +1,6 @@
 //! A grant from the pool's owner, wherever it is, through deaths and changes of owners.
 
-use std::{rc::Rc, time::Duration};
+use std::rc::Rc;
 
 use jsonrpsee::{core::client::ClientT as _, rpc_params};
 use tokio::sync::oneshot;
@@ -11,13 +11,10 @@
     request::Request,
     rpc::{Acquire, Acquired, Grant, method},
 };
-use wasabi_routing::rendezvous;
+use wasabi_routing::{approach, rendezvous};
 
 use crate::{message::Granted, pools::owner, shell::Shell};
 
-/// Pause before the owner is looked up again after an entry said that it does not own the pool.
-const AGAIN_AFTER: Duration = Duration::from_millis(50);
-
 /// Added to a request's deadline for the answer of a remote owner, which refuses at the deadline.
 const ANSWER_GRACE: Millis = Millis(500);
 
@@ -73,8 +70,8 @@
 enum Answer {
     Granted(Box<Unclaimed>),
     Refused(Fault),
-    /// Ask again after a pause: the owner is changing.
-    Again,
+    /// Ask again: the asked entry is not the owner, or is lost. It may name the owner.
+    Again(Option<id::Entry>),
 }
 
 /// Gets a grant for a caller's request.
@@ -129,18 +126,31 @@
             let message = "the deadline passed while the request waited; nothing ran";
             return Err(Fault::new(Kind::DeadlineInQueue, message));
         }
+        let Some(owner) = shell.asked_of(pool) else {
+            // Before the first view nobody can be asked.
+            tokio::time::sleep(approach::PAUSE_MIN.duration()).await;
+            continue;
+        };
         let mut asked = request.clone();
         asked.waited = request.waited + age;
         asked.remaining = request.remaining - age;
-        let answer = match shell.owner_of(pool) {
-            Some(entry) if entry.name == shell.shared.entry.name => here(shell, pool, asked).await,
-            Some(entry) => there(shell, pool, &entry.name, asked).await,
-            None => Answer::Again,
+        let is_here = owner == shell.shared.entry.name;
+        let answer = if is_here {
+            here(shell, pool, asked).await
+        } else {
+            let Some(turn) = shell.turn(pool, asked.remaining).await else { continue };
+            let answer = there(shell, pool, &owner, asked).await;
+            match &answer {
+                Answer::Again(named) => shell.turn_failed(pool, turn, named.clone()),
+                Answer::Granted(_) | Answer::Refused(_) => shell.turn_answered(pool, turn),
+            }
+            answer
         };
         match answer {
             Answer::Granted(unclaimed) => return Ok(unclaimed),
             Answer::Refused(fault) => return Err(fault),
-            Answer::Again => tokio::time::sleep(AGAIN_AFTER).await,
+            // The pool is given up here only when its owner is known to be another entry.
+            Answer::Again(_) => tokio::task::yield_now().await,
         }
     }
 }
@@ -153,7 +163,7 @@
     let (ticket, effects) =
         shell.pools.borrow_mut().acquire(now, pool, holder, request.clone(), reply);
     shell.perform(effects);
-    let Some(ticket) = ticket else { return Answer::Again };
+    let Some(ticket) = ticket else { return Answer::Again(None) };
     let (for_grant, pool) = (request.clone(), pool.clone());
     let mut ticket = Ticket { shell: Rc::clone(shell), pool, ticket, request, reply: answer };
     let acquired = (&mut ticket.reply).await;
@@ -161,7 +171,7 @@
 }
 
 async fn there(shell: &Rc<Shell>, pool: &id::Pool, owner: &id::Entry, request: Request) -> Answer {
-    let Some(client) = shell.link(owner).await else { return Answer::Again };
+    let Some(client) = shell.link(owner).await else { return Answer::Again(None) };
     let time = (request.remaining + ANSWER_GRACE).duration();
     let holder = shell.shared.entry.name.clone();
     let message = Acquire { pool: pool.clone(), holder, request: request.clone() };
@@ -180,7 +190,7 @@
             tracing::debug!("a grant came for a caller that left");
         }
     });
-    answer.await.unwrap_or(Answer::Again)
+    answer.await.unwrap_or(Answer::Again(None))
 }
 
 fn answered(shell: &Rc<Shell>, request: Request, acquired: Option<Acquired>) -> Answer {
@@ -190,7 +200,7 @@
             Answer::Granted(Box::new(Unclaimed { shell: Rc::clone(shell), grant, request }))
         }
         Some(Acquired::Refused(fault)) => Answer::Refused(fault),
-        Some(Acquired::NotOwner { .. }) | None => Answer::Again,
+        Some(Acquired::NotOwner { .. }) | None => Answer::Again(None),
     }
 }
 
--- a/crates/wasabi-entry/src/pools/follow.rs
+++ b/crates/wasabi-entry/src/pools/follow.rs
@@ -175,6 +175,10 @@
             if before.as_ref() == Some(&owner.name) {
                 continue;
             }
+            if let Some(before) = before {
+                tracing::info!(%pool, owner = %owner.name, %before, "another owner is believed in");
+                self.owner_changed(&pool);
+            }
             let holdings = self.holder.borrow().holdings(self.now(), &pool, own);
             if owner.name == *own {
                 self.own(&pool, &backend);
--- a/crates/wasabi-entry/src/shell.rs
+++ b/crates/wasabi-entry/src/shell.rs
@@ -26,7 +26,7 @@
     message::{Message, Peer},
     peers::{heartbeat, table},
     pools::{
-        acquire,
+        acquire, approach,
         holder::Holder,
         owner::{self, Effect},
         standby,
@@ -57,6 +57,8 @@
     pub(crate) unsent: RefCell<Vec<Evidence>>,
     /// The owner of each pool as last seen, so that a change is noticed.
     pub(crate) owners: RefCell<HashMap<id::Pool, id::Entry>>,
+    /// Pools of other entries, as this entry's waiting requests approach them.
+    pub(crate) approaches: RefCell<approach::Table>,
     drain: RefCell<Option<drain::Start>>,
 }
 
@@ -75,6 +77,7 @@
             control_heard: Cell::new(None),
             unsent: RefCell::default(),
             owners: RefCell::default(),
+            approaches: RefCell::default(),
             drain: RefCell::new(Some(drain)),
         })
     }
@@ -182,8 +185,8 @@
                     shell.release_here(release);
                     return;
                 }
-                if let Some(owner) = shell.owner_of(&release.pool)
-                    && shell.call(&owner.name, method::RELEASE, rpc_params![&release]).await
+                if let Some(owner) = shell.asked_of(&release.pool)
+                    && shell.call(&owner, method::RELEASE, rpc_params![&release]).await
                 {
                     return;
                 }
--- /dev/null
+++ b/crates/wasabi-entry/tests/owners.rs
@@ -0,0 +1,98 @@
+//! Requests that wait at a holder while nobody, or somebody else than it believes, owns their pool.
+
+#![allow(clippy::unwrap_used, reason = "a fault here fails the test")]
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+use serde_json::Value;
+use support::{
+    Entry,
+    control::Control,
+    engine,
+    peer::{Mode, Peer},
+    until,
+};
+use wasabi_protocol::command::Command;
+use wasabi_routing::rendezvous;
+
+/// Requests that wait at the holder.
+const WAITING: usize = 60;
+
+/// Time for which the owner is unsettled.
+const UNSETTLED: Duration = Duration::from_secs(2);
+
+/// Most calls for grants while the owner is unsettled: one in 50 ms.
+const CALLS_MAX: u64 = 41;
+
+/// Longest time from the first answer of an owner until every request has run: the longest pause
+/// between two calls, and time to run them.
+const SETTLED_IN: Duration = Duration::from_secs(1);
+
+/// Returns names of peers that come before the entry `e1` in the order of the pool's owners.
+fn names(count: usize) -> Vec<String> {
+    let score = |name: &str| rendezvous::score("coal/north/0", name);
+    let mut names: Vec<_> = (0..100).map(|number| format!("f{number}")).collect();
+    names.retain(|name| score("e1") < score(name));
+    names.truncate(count);
+    names.sort_by_key(|name| std::cmp::Reverse(score(name)));
+    names
+}
+
+/// Starts an entry that takes the peers, in this order, for the owners of the pool.
+async fn holder(control: &Control, peers: &[&Peer]) -> Entry {
+    let entry = Entry::controlled("e1", &control.address(), "");
+    until("the entry is in the view", async || control.config().view.entries.len() == 1).await;
+    let view = control.config().view;
+    let mut entries = view.entries.clone();
+    entries.extend(peers.iter().map(|peer| peer.entry()));
+    control.apply(&Command::SetView { base: view.number, entries });
+    let caller = entry.caller();
+    until("the entry holds the newest view", async || {
+        let answer = caller.send(caller.request("GET", "/v1/entries"), "").await;
+        let list: Value = serde_json::from_str(&answer.body).unwrap_or_default();
+        list["revision"] == control.config().revision.0
+    })
+    .await;
+    entry
+}
+
+/// Sends requests at the same time and returns their answers in the background.
+fn send(entry: &Entry, count: usize) -> Vec<actix_rt::task::JoinHandle<support::Answer>> {
+    let address = entry.address();
+    let chat =
+        |address: String| async move { support::Caller::new(address).chat("stock", 1).await };
+    (0..count).map(|_| actix_rt::spawn(chat(address.clone()))).collect()
+}
+
+/// Guards against a holder that asks again for each waiting request while no entry owns the pool:
+/// on a large site these calls alone filled the links, so that heartbeats were late as well and the
+/// pool changed its owner again.
+#[rstest]
+#[case::not_owner(Mode::NotOwner(None))]
+#[case::silent(Mode::Silent)]
+#[actix_rt::test]
+async fn an_unsettled_owner_is_not_asked_for_each_waiting_request(#[case] unsettled: Mode) {
+    let control = Control::start().await;
+    let peer = Peer::start(&names(1)[0], Mode::NotOwner(None)).await;
+    let entry = holder(&control, &[&peer]).await;
+    let engine = engine("m1", &[]);
+    let mut answers = send(&entry, 1);
+    until("the first request was not granted", async || 0 < peer.acquires()).await;
+    peer.set(unsettled);
+    answers.extend(send(&entry, WAITING));
+    let before = peer.acquires();
+    tokio::time::sleep(UNSETTLED).await;
+    let calls = peer.acquires() - before;
+    peer.set(Mode::Grant(engine.address()));
+    let settled = Instant::now();
+    for answer in answers {
+        let answer = tokio::time::timeout(Duration::from_secs(10), answer).await.unwrap().unwrap();
+        assert!(answer.is_done(), "{} {}", answer.status, answer.body);
+    }
+    let took = settled.elapsed();
+    assert!(calls <= CALLS_MAX, "{calls} calls in {UNSETTLED:?} for {WAITING} waiting requests");
+    assert!(took < SETTLED_IN, "the last request had run only after {took:?}");
+}
--- a/crates/wasabi-entry/tests/support/mod.rs
+++ b/crates/wasabi-entry/tests/support/mod.rs
@@ -4,6 +4,7 @@
 #![allow(clippy::unwrap_used, clippy::expect_used, reason = "a fault here fails the test")]
 
 pub mod control;
+pub mod peer;
 
 use std::{
     path::PathBuf,
--- /dev/null
+++ b/crates/wasabi-routing/src/approach.rs
@@ -0,0 +1,117 @@
+//! How a holder approaches a pool of another entry: which of its waiting requests may ask the owner.
+//!
+//! While the owner is known, every request asks at once. While it is not, one request asks in the
+//! name of all: if each of them asked again by itself, the calls would fill the links just when the
+//! heartbeats that settle the owner need them.
+
+use wasabi_protocol::{clock::Millis, id};
+
+/// The first pause after a call that no owner answered.
+pub const PAUSE_MIN: Millis = Millis(50);
+
+/// The longest pause between two calls while no owner answers.
+pub const PAUSE_MAX: Millis = Millis(400);
+
+/// Entries that are asked one after the other without a pause, since the one before named the next.
+pub const HOPS_MAX: u32 = 2;
+
+/// Proof that a request may ask now. What comes of a call counts only for the state in which the
+/// call was allowed: of many calls that fail together, the first one counts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Turn(u64);
+
+/// One pool as a holder sees it: a circuit breaker that one request at a time may probe.
+#[derive(Debug, Default)]
+pub struct Approach {
+    /// Grows with each change of state.
+    state: u64,
+    /// When the next request may ask; none while all may.
+    next: Option<Millis>,
+    pause: Millis,
+    hops: u32,
+    /// The owner that another entry named, if it is not the one that this entry believes in.
+    named: Option<id::Entry>,
+}
+
+impl Approach {
+    /// Returns the turn of a request that asks now.
+    ///
+    /// `jitter`, from 0 to 1, shortens the pause until the next one, so that holders which lost an
+    /// owner together do not ask together.
+    ///
+    /// # Errors
+    ///
+    /// Returns when to try again, unless the pool opens before.
+    pub fn ask(&mut self, now: Millis, jitter: f64) -> Result<Turn, Millis> {
+        let Some(next) = self.next else { return Ok(Turn(self.state)) };
+        if now < next {
+            return Err(next);
+        }
+        // A call that stays unanswered does not hold up the others for ever.
+        self.pause = Millis((self.pause.0 * 2).clamp(PAUSE_MIN.0, PAUSE_MAX.0));
+        self.next = Some(now + jittered(self.pause, jitter));
+        Ok(Turn(self.state))
+    }
+
+    /// Notes that an owner granted or refused; returns whether the pool is open to all since then.
+    pub fn answered(&mut self, turn: Turn) -> bool {
+        if turn.0 != self.state || self.next.is_none() {
+            return false;
+        }
+        self.state += 1;
+        self.next = None;
+        self.hops = 0;
+        true
+    }
+
+    /// Notes that the asked entry does not own the pool, or did not answer. `named` is the owner that
+    /// it believes in. Returns whether the call counts.
+    pub fn failed(
+        &mut self,
+        now: Millis,
+        turn: Turn,
+        named: Option<id::Entry>,
+        jitter: f64,
+    ) -> bool {
+        if turn.0 != self.state {
+            return false;
+        }
+        self.state += 1;
+        if self.next.is_none() {
+            self.pause = Millis::ZERO;
+        }
+        if named.is_some() && self.hops < HOPS_MAX {
+            self.hops += 1;
+            self.named = named;
+            self.next = Some(now);
+            return true;
+        }
+        self.hops = 0;
+        self.named = None;
+        self.pause = self.pause.max(PAUSE_MIN);
+        self.next = Some(now + jittered(self.pause, jitter));
+        true
+    }
+
+    /// Notes that this entry believes in another owner: one request asks it at once, the others
+    /// follow its answer.
+    pub fn changed(&mut self, now: Millis) {
+        self.state += 1;
+        self.next = Some(now);
+        self.pause = Millis::ZERO;
+        self.hops = 0;
+        self.named = None;
+    }
+
+    /// Returns the owner that another entry named.
+    pub fn named(&self) -> Option<&id::Entry> {
+        self.named.as_ref()
+    }
+}
+
+/// Shortens a pause by up to a quarter.
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "at most 400")]
+fn jittered(pause: Millis, jitter: f64) -> Millis {
+    let shortened = pause.0 as f64 * (1.0 - jitter.clamp(0.0, 1.0) / 4.0);
+    Millis(shortened as u64)
+}
--- a/crates/wasabi-routing/src/lib.rs
+++ b/crates/wasabi-routing/src/lib.rs
@@ -1,9 +1,11 @@
-//! Pure routing decisions: owners, endpoint choice, prefix affinity, pace, retries, quarantine.
+//! Pure routing decisions: owners and the approach to them, endpoint choice, prefix affinity, pace,
+//! retries, quarantine.
 //!
 //! Nothing here reads a clock or opens a socket. Time, reports and views are arguments; every
 //! table has a fixed bound on its memory.
 
 pub mod affinity;
+pub mod approach;
 pub mod choice;
 pub mod pace;
 pub mod quarantine;
