entry: an entry that does not own a pool names the one that it takes for the owner

Cause: each entry judges by itself which entries live, so a holder and the entry that it asks can disagree for seconds. "Not the owner" said only the number of a view, which is the same on both sides, so the holder asked the same entry again.

Now the answer names the owner, and so does the one to calls that wait at a pool that is given up. The field is optional, so older entries are understood.

Ruled out: a holder that takes the pool over because another entry names it. Both would grant.

--- a/crates/wasabi-entry/src/pools/acquire.rs
+++ b/crates/wasabi-entry/src/pools/acquire.rs
@@ -15,6 +15,10 @@
 
 use crate::{message::Granted, pools::owner, shell::Shell};
 
+/// Time for which an owner that another entry named is waited for, although this entry does not take
+/// it for live.
+const NAMED_TIME: Millis = Millis::from_secs(1);
+
 /// Added to a request's deadline for the answer of a remote owner, which refuses at the deadline.
 const ANSWER_GRACE: Millis = Millis(500);
 
@@ -181,7 +185,12 @@
     // The call is not cancelled with its caller: a grant that is on its way must be given back.
     actix_rt::spawn(async move {
         let call = client.request::<Acquired, _>(method::ACQUIRE, rpc_params![message]);
-        let lost = task_shell.lost(&name);
+        let lost = async {
+            if !task_shell.peers.borrow().is_live(task_shell.now(), &name) {
+                tokio::time::sleep(NAMED_TIME.duration()).await;
+            }
+            task_shell.lost(&name).await;
+        };
         let acquired = tokio::select! {
             acquired = tokio::time::timeout(time, call) => acquired.ok().and_then(Result::ok),
             () = lost => None,
@@ -200,7 +209,8 @@
             Answer::Granted(Box::new(Unclaimed { shell: Rc::clone(shell), grant, request }))
         }
         Some(Acquired::Refused(fault)) => Answer::Refused(fault),
-        Some(Acquired::NotOwner { .. }) | None => Answer::Again(None),
+        Some(Acquired::NotOwner { owner, .. }) => Answer::Again(owner),
+        None => Answer::Again(None),
     }
 }
 
--- a/crates/wasabi-entry/src/pools/follow.rs
+++ b/crates/wasabi-entry/src/pools/follow.rs
@@ -167,7 +167,7 @@
                 self.tell(owner.name.clone(), method::ANNOUNCE, rpc_params![announcement]);
                 self.standby.borrow_mut().announce(self.now(), &pool, announcement);
             }
-            self.pools.borrow_mut().disown(&pool, in_force.config.view.number);
+            self.pools.borrow_mut().disown(&pool, in_force.config.view.number, &owner.name);
         }
         for (pool, backend) in wanted {
             let Some(owner) = self.owner_of(&pool) else { continue };
--- a/crates/wasabi-entry/src/pools/owner.rs
+++ b/crates/wasabi-entry/src/pools/owner.rs
@@ -96,12 +96,12 @@
         self.owned.contains_key(name)
     }
 
-    /// Gives up a pool. Its waiting calls are asked again at the new owner.
-    pub(crate) fn disown(&mut self, name: &id::Pool, view: id::View) {
+    /// Gives up a pool. Its waiting calls are asked again at the new owner, which they are told.
+    pub(crate) fn disown(&mut self, name: &id::Pool, view: id::View, owner: &id::Entry) {
         let Some(owned) = self.owned.remove(name) else { return };
         tracing::info!(pool = %name, waiting = owned.waiting.len(), "pool is owned elsewhere");
         for waiting in owned.waiting.into_values() {
-            answer(waiting.reply, Acquired::NotOwner { view });
+            answer(waiting.reply, Acquired::NotOwner { view, owner: Some(owner.clone()) });
         }
     }
 
--- a/crates/wasabi-entry/src/shell.rs
+++ b/crates/wasabi-entry/src/shell.rs
@@ -306,7 +306,9 @@
             Peer::Acquire(asked, reply) => {
                 if !self.is_owner(&asked.pool) {
                     let view = self.shared.in_force().config.view.number;
-                    drop(reply.send(Acquired::NotOwner { view }));
+                    let owner = self.owner_of(&asked.pool).map(|entry| entry.name);
+                    tracing::debug!(pool = %asked.pool, holder = %asked.holder, ?owner, "not owned here");
+                    drop(reply.send(Acquired::NotOwner { view, owner }));
                     return;
                 }
                 self.own(&asked.pool, &asked.request.backend);
--- a/crates/wasabi-entry/tests/owners.rs
+++ b/crates/wasabi-entry/tests/owners.rs
@@ -96,3 +96,25 @@
     assert!(calls <= CALLS_MAX, "{calls} calls in {UNSETTLED:?} for {WAITING} waiting requests");
     assert!(took < SETTLED_IN, "the last request had run only after {took:?}");
 }
+
+/// Guards against requests that wait for as long as their entry and the owner disagree about who
+/// owns the pool, and against grants whose release goes to an entry that did not give them.
+#[actix_rt::test]
+async fn the_owner_that_an_asked_entry_names_is_asked() {
+    let control = Control::start().await;
+    let names = names(2);
+    let engine = engine("m1", &[]);
+    let believed = Peer::start(&names[0], Mode::NotOwner(Some(names[1].clone()))).await;
+    let owner = Peer::start(&names[1], Mode::Grant(engine.address())).await;
+    let entry = holder(&control, &[&believed, &owner]).await;
+    let started = Instant::now();
+    for _ in 0..10 {
+        let [answer]: [_; 1] = send(&entry, 1).try_into().unwrap();
+        let answer = tokio::time::timeout(Duration::from_secs(3), answer).await;
+        let answer = answer.expect("the request waits though somebody owns its pool").unwrap();
+        assert!(answer.is_done(), "{} {}", answer.status, answer.body);
+    }
+    assert!(started.elapsed() < Duration::from_secs(2), "{:?}", started.elapsed());
+    assert!(believed.acquires() <= 2, "asked {} times in vain", believed.acquires());
+    until("each grant is given back to its owner", async || owner.releases() == 10).await;
+}
--- a/crates/wasabi-protocol/src/rpc/pool.rs
+++ b/crates/wasabi-protocol/src/rpc/pool.rs
@@ -58,6 +58,9 @@
     NotOwner {
         /// The number of its view.
         view: id::View,
+        /// The entry that owns the pool as the asked one believes.
+        #[serde(default)]
+        owner: Option<id::Entry>,
     },
 }
 
