--- a/crates/wasabi-entry/src/pools/acquire.rs
+++ b/crates/wasabi-entry/src/pools/acquire.rs
@@ -1,6 +1,6 @@
 //! A grant from the pool's owner, wherever it is, through deaths and changes of owners.
 
-use std::{rc::Rc, time::Duration};
+use std::rc::Rc;
 
 use jsonrpsee::{core::client::ClientT as _, rpc_params};
 use tokio::sync::oneshot;
@@ -11,12 +11,13 @@
     request::Request,
     rpc::{Acquire, Acquired, Grant, method},
 };
-use wasabi_routing::rendezvous;
+use wasabi_routing::{approach, rendezvous};
 
 use crate::{message::Granted, pools::owner, shell::Shell};
 
-/// Pause before the owner is looked up again after an entry said that it does not own the pool.
-const AGAIN_AFTER: Duration = Duration::from_millis(50);
+/// Time for which an owner that another entry named is waited for, although this entry does not take
+/// it for live.
+const NAMED_TIME: Millis = Millis::from_secs(1);
 
 /// Added to a request's deadline for the answer of a remote owner, which refuses at the deadline.
 const ANSWER_GRACE: Millis = Millis(500);
@@ -73,8 +74,8 @@
 enum Answer {
     Granted(Box<Unclaimed>),
     Refused(Fault),
-    /// Ask again after a pause: the owner is changing.
-    Again,
+    /// Ask again: the asked entry is not the owner, or is lost. It may name the owner.
+    Again(Option<id::Entry>),
 }
 
 /// Gets a grant for a caller's request.
@@ -129,18 +130,31 @@
             let message = "the deadline passed while the request waited; nothing ran";
             return Err(Fault::new(Kind::DeadlineInQueue, message));
         }
+        let Some(owner) = shell.asked_of(pool) else {
+            // Before the first view nobody can be asked.
+            tokio::time::sleep(approach::PAUSE_MIN.duration()).await;
+            continue;
+        };
         let mut asked = request.clone();
         asked.waited = request.waited + age;
         asked.remaining = request.remaining - age;
-        let answer = match shell.owner_of(pool) {
-            Some(entry) if entry.name == shell.shared.entry.name => here(shell, pool, asked).await,
-            Some(entry) => there(shell, pool, &entry.name, asked).await,
-            None => Answer::Again,
+        let is_here = owner == shell.shared.entry.name;
+        let answer = if is_here {
+            here(shell, pool, asked).await
+        } else {
+            let Some(turn) = shell.turn(pool, asked.remaining).await else { continue };
+            let answer = there(shell, pool, &owner, asked).await;
+            match &answer {
+                Answer::Again(named) => shell.turn_failed(pool, turn, named.clone()),
+                Answer::Granted(_) | Answer::Refused(_) => shell.turn_answered(pool, turn),
+            }
+            answer
         };
         match answer {
             Answer::Granted(unclaimed) => return Ok(unclaimed),
             Answer::Refused(fault) => return Err(fault),
-            Answer::Again => tokio::time::sleep(AGAIN_AFTER).await,
+            // The pool is given up here only when its owner is known to be another entry.
+            Answer::Again(_) => tokio::task::yield_now().await,
         }
     }
 }
@@ -153,7 +167,7 @@
     let (ticket, effects) =
         shell.pools.borrow_mut().acquire(now, pool, holder, request.clone(), reply);
     shell.perform(effects);
-    let Some(ticket) = ticket else { return Answer::Again };
+    let Some(ticket) = ticket else { return Answer::Again(None) };
     let (for_grant, pool) = (request.clone(), pool.clone());
     let mut ticket = Ticket { shell: Rc::clone(shell), pool, ticket, request, reply: answer };
     let acquired = (&mut ticket.reply).await;
@@ -161,7 +175,7 @@
 }
 
 async fn there(shell: &Rc<Shell>, pool: &id::Pool, owner: &id::Entry, request: Request) -> Answer {
-    let Some(client) = shell.link(owner).await else { return Answer::Again };
+    let Some(client) = shell.link(owner).await else { return Answer::Again(None) };
     let time = (request.remaining + ANSWER_GRACE).duration();
     let holder = shell.shared.entry.name.clone();
     let message = Acquire { pool: pool.clone(), holder, request: request.clone() };
@@ -171,7 +185,12 @@
     // The call is not cancelled with its caller: a grant that is on its way must be given back.
     actix_rt::spawn(async move {
         let call = client.request::<Acquired, _>(method::ACQUIRE, rpc_params![message]);
-        let lost = task_shell.lost(&name);
+        let lost = async {
+            if !task_shell.peers.borrow().is_live(task_shell.now(), &name) {
+                tokio::time::sleep(NAMED_TIME.duration()).await;
+            }
+            task_shell.lost(&name).await;
+        };
         let acquired = tokio::select! {
             acquired = tokio::time::timeout(time, call) => acquired.ok().and_then(Result::ok),
             () = lost => None,
@@ -180,7 +199,7 @@
             tracing::debug!("a grant came for a caller that left");
         }
     });
-    answer.await.unwrap_or(Answer::Again)
+    answer.await.unwrap_or(Answer::Again(None))
 }
 
 fn answered(shell: &Rc<Shell>, request: Request, acquired: Option<Acquired>) -> Answer {
@@ -190,7 +209,8 @@
             Answer::Granted(Box::new(Unclaimed { shell: Rc::clone(shell), grant, request }))
         }
         Some(Acquired::Refused(fault)) => Answer::Refused(fault),
-        Some(Acquired::NotOwner { .. }) | None => Answer::Again,
+        Some(Acquired::NotOwner { owner, .. }) => Answer::Again(owner),
+        None => Answer::Again(None),
     }
 }
 
--- a/crates/wasabi-entry/src/pools/follow.rs
+++ b/crates/wasabi-entry/src/pools/follow.rs
@@ -167,7 +167,7 @@
                 self.tell(owner.name.clone(), method::ANNOUNCE, rpc_params![announcement]);
                 self.standby.borrow_mut().announce(self.now(), &pool, announcement);
             }
-            self.pools.borrow_mut().disown(&pool, in_force.config.view.number);
+            self.pools.borrow_mut().disown(&pool, in_force.config.view.number, &owner.name);
         }
         for (pool, backend) in wanted {
             let Some(owner) = self.owner_of(&pool) else { continue };
@@ -175,6 +175,10 @@
             if before.as_ref() == Some(&owner.name) {
                 continue;
             }
+            if let Some(before) = before {
+                tracing::info!(%pool, owner = %owner.name, %before, "another owner is believed in");
+                self.owner_changed(&pool);
+            }
             let holdings = self.holder.borrow().holdings(self.now(), &pool, own);
             if owner.name == *own {
                 self.own(&pool, &backend);
--- a/crates/wasabi-entry/src/shell.rs
+++ b/crates/wasabi-entry/src/shell.rs
@@ -27,7 +27,7 @@
     message::{Message, Peer},
     peers::{heartbeat, suspects, table},
     pools::{
-        acquire,
+        acquire, approach,
         holder::Holder,
         owner::{self, Effect},
         standby,
@@ -66,6 +66,8 @@
     pub(crate) unsent: RefCell<Vec<Evidence>>,
     /// The owner of each pool as last seen, so that a change is noticed.
     pub(crate) owners: RefCell<HashMap<id::Pool, id::Entry>>,
+    /// Pools of other entries, as this entry's waiting requests approach them.
+    pub(crate) approaches: RefCell<approach::Table>,
     drain: RefCell<Option<drain::Start>>,
 }
 
@@ -87,6 +89,7 @@
             is_confirmed: Cell::new(false),
             unsent: RefCell::default(),
             owners: RefCell::default(),
+            approaches: RefCell::default(),
             drain: RefCell::new(Some(drain)),
         })
     }
@@ -223,8 +226,8 @@
                     shell.release_here(release);
                     return;
                 }
-                if let Some(owner) = shell.owner_of(&release.pool)
-                    && shell.call(&owner.name, method::RELEASE, rpc_params![&release]).await
+                if let Some(owner) = shell.asked_of(&release.pool)
+                    && shell.call(&owner, method::RELEASE, rpc_params![&release]).await
                 {
                     return;
                 }
@@ -352,7 +355,9 @@
             Peer::Acquire(asked, reply) => {
                 if !self.is_owner(&asked.pool) {
                     let view = self.shared.in_force().config.view.number;
-                    drop(reply.send(Acquired::NotOwner { view }));
+                    let owner = self.owner_of(&asked.pool).map(|entry| entry.name);
+                    tracing::debug!(pool = %asked.pool, holder = %asked.holder, ?owner, "not owned here");
+                    drop(reply.send(Acquired::NotOwner { view, owner }));
                     return;
                 }
                 self.own(&asked.pool, &asked.request.backend);
