entry: a refusal counts only for the request that it names

Callers saw "not run, try again" (503) for requests that an endpoint ran, or the request ran at a second endpoint, when an endpoint wrote a refusal without an id once more on a kept connection, wrote one before it had the whole request, named two requests, or sent an id that is no text.

Cause: a refusal without an id counted for whatever request was on the connection; only the first id was compared; an id that is no text counted as none. Ruled out: refusals with the id of another request, at any moment; those that come together with an answer or between two requests (the connection is closed or its bytes are dropped). Why it works: each id has to be that of the request; a refusal without one counts only if the connection carried no other request and nothing was there to read while the request was written. What is in doubt may have run. An endpoint that refuses a request without an id on a new connection after all of it was sent, and runs it all the same, can't be told from an honest one.

--- a/crates/wasabi-entry/src/dispatch/connect.rs
+++ b/crates/wasabi-entry/src/dispatch/connect.rs
@@ -74,9 +74,9 @@
 }
 
 impl Guarded {
-    fn begin(&self) -> io::Result<()> {
+    fn begin(&self, cx: &mut Context<'_>) -> io::Result<()> {
         self.flight.as_ref().map_or(Ok(()), |flight| flight.allow())?;
-        self.wire.begin();
+        self.wire.begin(cx);
         Ok(())
     }
 }
@@ -103,7 +103,7 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.begin()?;
+        self.begin(cx)?;
         self.wire.with(|stream| stream.poll_write(cx, bytes))
     }
 
@@ -120,7 +120,7 @@
         cx: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.begin()?;
+        self.begin(cx)?;
         self.wire.with(|stream| stream.poll_write_vectored(cx, buffers))
     }
 
--- a/crates/wasabi-entry/src/dispatch/exchange.rs
+++ b/crates/wasabi-entry/src/dispatch/exchange.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use actix_http::{Method, StatusCode, header};
+use actix_http::{
+    Method, StatusCode,
+    header::{self, HeaderMap, HeaderName, HeaderValue},
+};
 use awc::{
     ClientRequest,
     error::{ConnectError, SendRequestError},
@@ -56,13 +59,22 @@
     if !is_sized {
         wire.close();
     }
+    let is_exclusive = wire.is_exclusive();
     let body = Body::new(wire, response.boxed_local());
-    Ok(Opened { status, headers, body, is_sized })
+    Ok(Opened { status, headers, body, is_sized, is_exclusive })
 }
 
 /// Returns the part of an endpoint's header value that goes into a log line.
-pub(crate) fn shown(value: &str) -> &str {
-    value.get(..SHOWN_BYTES).unwrap_or(value)
+pub(crate) fn shown(value: &HeaderValue) -> String {
+    let bytes = value.as_bytes();
+    bytes[..bytes.len().min(SHOWN_BYTES)].escape_ascii().to_string()
+}
+
+/// Returns whether each value of a header is this one, or none when the header is missing.
+pub(crate) fn is_each(headers: &HeaderMap, name: &HeaderName, value: &str) -> Option<bool> {
+    let mut values = headers.get_all(name).peekable();
+    values.peek()?;
+    Some(values.all(|other| other.as_bytes() == value.as_bytes()))
 }
 
 /// Returns whether such answers never have a body.
--- a/crates/wasabi-entry/src/dispatch/send.rs
+++ b/crates/wasabi-entry/src/dispatch/send.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use actix_http::header::HeaderName;
 use wasabi_protocol::{clock::Millis, fault::Kind, id, request::End, rpc::Grant};
 use wasabi_telemetry::trace;
 
@@ -15,7 +16,7 @@
 };
 
 /// Names the attempt, in the request and in the answer.
-pub(crate) const ATTEMPT: &str = "x-wasabi-attempt";
+pub(crate) const ATTEMPT: HeaderName = HeaderName::from_static("x-wasabi-attempt");
 
 /// Names the first token that a resumed stream must send.
 pub(crate) const RESUME_FROM: &str = "x-wasabi-resume-from";
@@ -75,9 +76,8 @@
     let bound = bound.duration();
     let flight = flight.as_deref();
     let opened = exchange::send(request, call.body.clone(), deadline, bound, flight).await?;
-    let echoed = opened.headers.get(ATTEMPT).and_then(|value| value.to_str().ok());
-    if echoed != Some(id.to_string().as_str()) {
-        let echoed = echoed.map(exchange::shown);
+    if exchange::is_each(&opened.headers, &ATTEMPT, &id.to_string()) != Some(true) {
+        let echoed = opened.headers.get(&ATTEMPT).map(exchange::shown);
         tracing::warn!(
             request = %call.id, endpoint = %grant.endpoint, attempt = %id, ?echoed,
             "crossed answer dropped"
--- a/crates/wasabi-entry/src/dispatch/wire.rs
+++ b/crates/wasabi-entry/src/dispatch/wire.rs
@@ -39,6 +39,10 @@
     has_ended: Cell<bool>,
     /// When the last answer was whole; none while a request runs.
     idle_since: Cell<Option<Instant>>,
+    /// Whether an earlier request was sent here.
+    is_reused: Cell<bool>,
+    /// Whether bytes came before the whole request was written.
+    is_early: Cell<bool>,
     watcher: RefCell<Option<Waker>>,
 }
 
@@ -78,6 +82,8 @@
             body: Cell::new(0),
             has_ended: Cell::new(false),
             idle_since: Cell::new(None),
+            is_reused: Cell::new(false),
+            is_early: Cell::new(false),
             watcher: RefCell::new(None),
         })
     }
@@ -87,6 +93,12 @@
         self.has_ended.get()
     }
 
+    /// Returns whether what is read can only answer the request that was sent last: there was no
+    /// other one, and nothing came before all of it was written.
+    pub(crate) fn is_exclusive(&self) -> bool {
+        !self.is_reused.get() && !self.is_early.get()
+    }
+
     /// Notes bytes that were part of an answer's body.
     pub(crate) fn add_body(&self, bytes: usize) {
         self.body.set(self.body.get().saturating_add(bytes as u64));
@@ -110,15 +122,28 @@
         }
     }
 
-    /// Notes that bytes of a request are written.
-    pub(super) fn begin(self: &Rc<Self>) {
+    /// Notes that bytes of a request are about to be written.
+    pub(super) fn begin(self: &Rc<Self>, cx: &mut Context<'_>) {
         if self.idle_since.take().is_some() {
             self.read.set(0);
             self.body.set(0);
+            self.is_reused.set(true);
+            self.is_early.set(false);
+        }
+        if self.has_bytes(cx) {
+            self.is_early.set(true);
         }
         WRITTEN.set(Some(Rc::clone(self)));
     }
 
+    /// Returns whether bytes are known to wait.
+    fn has_bytes(&self, cx: &mut Context<'_>) -> bool {
+        let mut byte = [0];
+        let mut byte = ReadBuf::new(&mut byte);
+        let peeked = self.with(|stream| stream.poll_peek(cx, &mut byte));
+        matches!(peeked, Poll::Ready(Ok(count)) if count != 0)
+    }
+
     /// Calls a function with the stream, or returns an error once it is closed.
     pub(super) fn with<T>(
         &self,
--- a/crates/wasabi-entry/src/forward/send.rs
+++ b/crates/wasabi-entry/src/forward/send.rs
@@ -43,19 +43,18 @@
     let bound = bound.duration();
     let opened = exchange::send(request, call.body.clone(), deadline, bound, None).await?;
     let Opened { status, headers, .. } = &opened;
-    let echoed = headers.get(&dialect.request).and_then(|value| value.to_str().ok());
     let is_refusal = headers.contains_key(&dialect.not_run) || status.as_u16() == 421;
-    // A refusal may come without an id; one with another id is a late answer and says nothing of
-    // this request.
-    let is_own = echoed.map_or(is_refusal, |echoed| echoed == call.id);
+    // A refusal may come without an id, but on a kept connection it may be an earlier one once more.
+    let is_own = exchange::is_each(headers, &dialect.request, &call.id)
+        .unwrap_or(is_refusal && opened.is_exclusive);
     if !is_own {
-        let echoed = echoed.map(exchange::shown);
+        let echoed = headers.get(&dialect.request).map(exchange::shown);
         tracing::warn!(
-            request = call.id, endpoint = %grant.endpoint, ?echoed,
-            "dropped an answer that belongs to another request"
+            request = call.id, endpoint = %grant.endpoint, %status, ?echoed,
+            "dropped an answer that may belong to another request"
         );
         opened.abandon();
-        let message = "the endpoint answered another request; its answer was dropped";
+        let message = "the endpoint's answer may belong to another request and was dropped";
         return Err(Failure::new(End::Failed, Kind::EndpointFailed, message));
     }
     if is_refusal {
--- a/crates/wasabi-entry/src/opened.rs
+++ b/crates/wasabi-entry/src/opened.rs
@@ -57,6 +57,8 @@
     pub(crate) body: Body,
     /// Whether its head says where the answer ends.
     pub(crate) is_sized: bool,
+    /// Whether its connection leaves no doubt about the request that it answers.
+    pub(crate) is_exclusive: bool,
 }
 
 impl Opened {
