forward: 408, 429 and 503 reach a caller only with the word that nothing ran

Callers saw an endpoint's own 408, 429 or 503 for a request that it may have run, which callers take for "not run, try again". A 200 that says "not run" counted as a refusal, and the request ran at a second endpoint.

Cause: an answer without the mark was passed on with its status, and the mark counted with any status. Ruled out: 421, which always means that another endpoint is there; interim answers, which end the attempt as failed. Why it works: such an answer counts as a failure after which the request may have run: 502, or another attempt where the request is repeatable. True refusals stay what they were (a_true_refusal_is_passed_on).

--- a/crates/wasabi-entry/src/forward/send.rs
+++ b/crates/wasabi-entry/src/forward/send.rs
@@ -1,5 +1,6 @@
 //! Sends an attempt to its endpoint and reads what comes back.
 
+use actix_http::StatusCode;
 use wasabi_protocol::{clock::Millis, fault::Kind, request::End, rpc::Grant};
 
 use crate::{
@@ -57,6 +58,11 @@
         let message = "the endpoint's answer may belong to another request and was dropped";
         return Err(Failure::new(End::Failed, Kind::EndpointFailed, message));
     }
+    let is_failure = status.is_client_error() || status.is_server_error();
+    if (is_refusal && !is_failure) || (!is_refusal && is_promise(*status)) {
+        let message = format!("the endpoint answered with {status} and left open whether it ran");
+        return Err(Failure::new(End::Failed, Kind::EndpointFailed, message));
+    }
     if is_refusal {
         let is_gone = status.as_u16() == 421;
         let end = if is_gone { End::Unreachable } else { End::Abandoned };
@@ -67,6 +73,12 @@
     Ok(opened)
 }
 
+/// Returns whether callers take a status for the promise that their request did not run.
+fn is_promise(status: StatusCode) -> bool {
+    use StatusCode as S;
+    matches!(status, S::REQUEST_TIMEOUT | S::TOO_MANY_REQUESTS | S::SERVICE_UNAVAILABLE)
+}
+
 /// Returns until when a call is of use.
 pub(crate) fn deadline(worker: &Worker, call: &Call) -> Deadline {
     Deadline { clock: worker.shared.clock, at: call.deadline }
