entry: an answer that the HTTP library takes for empty is not passed on

Callers got a 200 with an empty body, framed as whole, when an endpoint's answer stated the transfer coding `identity`, or an upgrade to WebSocket beside its length.

Cause: the check for a length took any `transfer-encoding` and any `content-length` for one; the HTTP library reads no body in these two cases. Why it works: only `chunked`, or a length without an upgrade to WebSocket, counts as the end of a body; any other answer fails as one without a length does.

--- a/crates/wasabi-entry/src/dispatch/exchange.rs
+++ b/crates/wasabi-entry/src/dispatch/exchange.rs
@@ -53,9 +53,7 @@
         let message = format!("the endpoint sent {status} where its answer was due");
         return Err(Failure::new(End::Failed, Kind::EndpointFailed, message));
     }
-    let is_sized = headers.contains_key(header::CONTENT_LENGTH)
-        || headers.contains_key(header::TRANSFER_ENCODING)
-        || is_bodiless(&method, status);
+    let is_sized = is_framed(&headers) || is_bodiless(&method, status);
     if !is_sized {
         wire.close();
     }
@@ -77,6 +75,17 @@
     Some(values.all(|other| other.as_bytes() == value.as_bytes()))
 }
 
+/// Returns whether a head says where its body ends, in a way that the HTTP client heeds: it takes the
+/// body for empty with any other coding and with an upgrade to WebSocket.
+fn is_framed(headers: &HeaderMap) -> bool {
+    if let Some(coding) = headers.get(header::TRANSFER_ENCODING) {
+        return coding.as_bytes().eq_ignore_ascii_case(b"chunked");
+    }
+    let is_websocket = |name: &HeaderValue| name.as_bytes().eq_ignore_ascii_case(b"websocket");
+    headers.contains_key(header::CONTENT_LENGTH)
+        && !headers.get_all(header::UPGRADE).any(is_websocket)
+}
+
 /// Returns whether such answers never have a body.
 fn is_bodiless(method: &Method, status: StatusCode) -> bool {
     method == Method::HEAD || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
--- /dev/null
+++ b/crates/wasabi-entry/tests/answers.rs
@@ -0,0 +1,127 @@
+//! Answers that are not the whole answer to their call: earlier refusals on a kept connection,
+//! errors in place of a resumed stream, and cut heads and bodies.
+
+#![allow(clippy::unwrap_used, reason = "a fault here fails the test")]
+
+mod support;
+
+use awc::http::StatusCode;
+use rstest::rstest;
+use serde_json::json;
+use support::{Entry, control::Control, until};
+use wasabi_testkit::script::{Endpoint, Step};
+
+/// The start of a head, without the line that says where the answer ends.
+const START: &str = "HTTP/1.1 200 OK\r\nx-wasabi-attempt: {id}\r\n";
+
+/// A whole answer to the call that was read last.
+const OK: &str = "HTTP/1.1 200 OK\r\nx-wasabi-attempt: {id}\r\ncontent-length: 2\r\n\r\nok";
+
+/// A refusal that names no call.
+const REFUSAL: &str =
+    "HTTP/1.1 503 Service Unavailable\r\nx-wasabi-ran: not_run\r\ncontent-length: 0\r\n\r\n";
+
+fn endpoint(scripts: Vec<Vec<Step>>) -> Endpoint {
+    Endpoint::start("x-wasabi-attempt", scripts).unwrap()
+}
+
+/// Returns the script of a connection that runs one call and writes this text.
+fn runs_and_writes(text: impl AsRef<[u8]>) -> Vec<Step> {
+    vec![Step::Head, Step::Body, Step::write(text)]
+}
+
+/// Announces an endpoint once; it counts as gone some seconds later.
+async fn announce(entry: &Entry, endpoint: &Endpoint, kind: &str, backend: &str) {
+    let announcement = json!({
+        "name": "raw", "incarnation": 1, "address": endpoint.address().to_string(),
+        "data_centre": "dc1", "kind": kind, "backend": backend, "version": "v1",
+        "concurrency": 8, "abilities": {"resume": true},
+    });
+    let caller = entry.caller();
+    until("the announcement is taken", async || {
+        let request = caller.request("POST", "/v1/endpoints");
+        caller.send(request, announcement.to_string()).await.status == StatusCode::NO_CONTENT
+    })
+    .await;
+}
+
+/// Guards against a cut answer that reaches its caller as a whole one, empty or short.
+#[rstest]
+#[case::nothing("")]
+#[case::in_the_status("HTTP/1.1 20")]
+#[case::after_the_status_line("HTTP/1.1 200 OK\r\n")]
+#[case::in_a_name("HTTP/1.1 200 OK\r\nx-wasabi-attempt: {id}\r\nconte")]
+#[case::in_a_value("HTTP/1.1 200 OK\r\nx-wasabi-attempt: {id}\r\ncontent-length: 1")]
+#[case::after_a_line("HTTP/1.1 200 OK\r\nx-wasabi-attempt: {id}\r\ncontent-length: 0\r\n")]
+#[case::no_length(&format!("{START}\r\nhello"))]
+#[case::old_protocol("HTTP/1.0 200 OK\r\nx-wasabi-attempt: {id}\r\n\r\nhello")]
+#[case::unframed_coding(&format!("{START}transfer-encoding: identity\r\n\r\nhello"))]
+#[case::websocket(&format!("{START}upgrade: websocket\r\ncontent-length: 5\r\n\r\nhello"))]
+#[case::short_body(&format!("{START}content-length: 5\r\n\r\nhell"))]
+#[case::in_a_chunk_size(&format!("{START}transfer-encoding: chunked\r\n\r\n1"))]
+#[case::in_a_chunk(&format!("{START}transfer-encoding: chunked\r\n\r\n5\r\nhel"))]
+#[case::no_last_chunk(&format!("{START}transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n"))]
+#[case::in_the_last_chunk(&format!("{START}transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n"))]
+#[actix_rt::test]
+async fn a_cut_answer_is_not_passed_on_as_whole(#[case] text: &str) {
+    let entry = Entry::stand_alone("");
+    let endpoint = endpoint(vec![vec![Step::Head, Step::Body, Step::write(text), Step::Close]]);
+    announce(&entry, &endpoint, "service", "desk").await;
+    let caller = entry.caller();
+    let answer = caller.send(caller.request("POST", "/services/desk/repeatable"), "hello").await;
+    assert_eq!(answer.kind(), "endpoint_failed", "{} {}", answer.status, answer.body);
+    assert_eq!(answer.ran, "may_have_run");
+}
+
+/// Guards against an earlier refusal that is taken for the answer to a later call on the same
+/// connection.
+#[rstest]
+#[case::without_an_id(REFUSAL.to_owned())]
+#[case::without_an_id_before_the_answer(format!("{REFUSAL}{OK}"))]
+#[case::twice_in_one_segment(REFUSAL.repeat(2))]
+#[case::of_another(REFUSAL.replace("x-wasabi-ran", "x-wasabi-attempt: 1\r\nx-wasabi-ran"))]
+#[case::of_this_and_another(
+    REFUSAL.replace("x-wasabi-ran", "x-wasabi-attempt: {id}\r\nx-wasabi-attempt: 1\r\nx-wasabi-ran")
+)]
+#[case::of_this(REFUSAL.replace("x-wasabi-ran", "x-wasabi-attempt: {id}\r\nx-wasabi-ran"))]
+#[actix_rt::test]
+async fn an_earlier_refusal_promises_nothing(#[case] refusal: String) {
+    let entry = Entry::stand_alone("");
+    let script = [runs_and_writes(OK), runs_and_writes(refusal)].concat();
+    let endpoint = endpoint(vec![script]);
+    announce(&entry, &endpoint, "service", "desk").await;
+    let caller = entry.caller();
+    let call = || caller.send(caller.request("POST", "/services/desk/repeatable"), "hello");
+    assert_eq!(call().await.body, "ok");
+    let answer = call().await;
+    assert_ne!(answer.ran, "not_run", "{} {}", answer.status, answer.body);
+    assert_ne!(answer.status, StatusCode::OK, "{}", answer.body);
+}
+
+/// Guards against "not run" for an order that an endpoint ran, and against its second run.
+#[rstest]
+#[case::without_an_id(vec![Step::Head, Step::Body, Step::write(REFUSAL)])]
+#[case::before_the_order(vec![Step::write(REFUSAL), Step::Head, Step::Body, Step::write(OK)])]
+#[case::between_head_and_body(vec![Step::Head, Step::write(REFUSAL), Step::Body, Step::write(OK)])]
+#[case::of_this(vec![
+    Step::Head,
+    Step::Body,
+    Step::write(REFUSAL.replace("x-wasabi-ran", "x-wasabi-attempt: {id}\r\nx-wasabi-ran")),
+])]
+#[actix_rt::test]
+async fn a_refusal_of_an_order_that_ran_promises_nothing(#[case] script: Vec<Step>) {
+    let control = Control::start().await;
+    let entry = Entry::controlled("e1", &control.address(), "");
+    let endpoint = endpoint(vec![script]);
+    announce(&entry, &endpoint, "service", "desk").await;
+    let caller = entry.caller();
+    until("the entry serves", async || {
+        caller.send(caller.request("GET", "/v1/entries"), "").await.status == StatusCode::OK
+    })
+    .await;
+    let answer = caller.order("k1", "one lorry").await;
+    assert_eq!(answer.ran, "may_have_run", "{} {}", answer.status, answer.body);
+    let again = entry.caller().order("k1", "one lorry").await;
+    assert_eq!(again.ran, "may_have_run", "{} {}", again.status, again.body);
+    assert_eq!(endpoint.seen().len(), 1);
+}
