entry: a stream goes on only with a stream

Callers found the text of another answer in the middle of their stream when the endpoint that was to resume it answered 200 or 206 with no stream of events, or their stream ended as if it were whole when it answered 204.

Cause: the own interface took any 2xx for the rest of the stream. The other one took any 2xx whose content type begins with `text/event-stream`, a longer name and an answer without a body among them. Ruled out: errors, refusals, redirects, plain and JSON answers, cut heads and answers of another request in the place of a resumed stream of the gateway; an error's head where a chunk was due. Why it works: only a 200 with exactly this content type is a stream; all else counts as a failed attempt, after which the stream is resumed elsewhere or broken.

--- a/crates/wasabi-entry/src/dispatch/relay.rs
+++ b/crates/wasabi-entry/src/dispatch/relay.rs
@@ -195,8 +195,8 @@
             };
             let id = attempt.id;
             let opened = send::send(&worker, attempt, grant.first_token_bound).await?;
-            if !opened.status.is_success() {
-                let message = "the endpoint refused to resume the stream";
+            if !opened.is_stream() {
+                let message = "the endpoint did not resume the stream";
                 return Err(Failure::new(End::Failed, Kind::StreamBroken, message));
             }
             Ok((opened, Reader::new(id, tokens)))
--- a/crates/wasabi-entry/src/opened.rs
+++ b/crates/wasabi-entry/src/opened.rs
@@ -65,8 +65,10 @@
     /// Returns whether the answer is a stream of events.
     pub(crate) fn is_stream(&self) -> bool {
         let content_type = self.headers.get(header::CONTENT_TYPE);
-        self.status.is_success()
-            && content_type.is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"))
+        let name =
+            content_type.and_then(|value| value.as_bytes().split(|byte| *byte == b';').next());
+        self.status == StatusCode::OK
+            && name.is_some_and(|name| name.trim_ascii().eq_ignore_ascii_case(b"text/event-stream"))
     }
 
     /// Returns an error for an answer that ends with its connection, which the HTTP library takes
--- a/crates/wasabi-entry/tests/answers.rs
+++ b/crates/wasabi-entry/tests/answers.rs
@@ -9,7 +9,7 @@
 use rstest::rstest;
 use serde_json::json;
 use support::{Entry, control::Control, until};
-use wasabi_testkit::script::{Endpoint, Step};
+use wasabi_testkit::script::{Endpoint, Step, header};
 
 /// The start of a head, without the line that says where the answer ends.
 const START: &str = "HTTP/1.1 200 OK\r\nx-wasabi-attempt: {id}\r\n";
@@ -21,6 +21,14 @@
 const REFUSAL: &str =
     "HTTP/1.1 503 Service Unavailable\r\nx-wasabi-ran: not_run\r\ncontent-length: 0\r\n\r\n";
 
+/// The head of a stream with its first token.
+const TOKEN: &str = "HTTP/1.1 200 OK\r\nx-wasabi-attempt: {id}\r\n\
+    content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n\
+    9\r\ndata: a\n\n\r\n";
+
+/// What only the answer in place of the resumed stream holds.
+const ALIEN: &str = "data: alien\n\nevent: x\ndata: alien\n\nalien\n\n";
+
 fn endpoint(scripts: Vec<Vec<Step>>) -> Endpoint {
     Endpoint::start("x-wasabi-attempt", scripts).unwrap()
 }
@@ -125,3 +133,37 @@
     assert_eq!(again.ran, "may_have_run", "{} {}", again.status, again.body);
     assert_eq!(endpoint.seen().len(), 1);
 }
+
+/// Guards against an answer that is no stream in the middle of a resumed stream, and against a
+/// stream that ends as if it were whole with it.
+#[rstest]
+#[case::error("500 Oops", "")]
+#[case::error_as_a_stream("500 Oops", "content-type: text/event-stream\r\n")]
+#[case::busy("503 Busy", "x-wasabi-ran: not_run\r\n")]
+#[case::redirect("302 Found", "location: /elsewhere\r\ncontent-type: text/event-stream\r\n")]
+#[case::plain("200 OK", "")]
+#[case::json("200 OK", "content-type: application/json\r\n")]
+#[case::other_type("200 OK", "content-type: text/event-streams\r\n")]
+#[case::part("206 Partial Content", "content-type: text/event-stream\r\n")]
+#[actix_rt::test]
+async fn a_stream_is_resumed_only_with_a_stream(#[case] status: &str, #[case] headers: &str) {
+    let entry = Entry::stand_alone("");
+    let answer = format!(
+        "HTTP/1.1 {status}\r\nx-wasabi-attempt: {{id}}\r\n{headers}content-length: {}\r\n\r\n{ALIEN}",
+        ALIEN.len()
+    );
+    let first = [runs_and_writes(TOKEN), vec![Step::Close]].concat();
+    let endpoint = endpoint(vec![first, runs_and_writes(answer)]);
+    announce(&entry, &endpoint, "model", "coal").await;
+    let answer = entry.caller().chat("stock", 20).await;
+    let seen = endpoint.seen();
+    assert!(
+        seen.iter().any(|request| header(&request.head, "x-wasabi-resume-from") == Some("1")),
+        "the stream was not resumed: {} {}",
+        answer.status,
+        answer.body
+    );
+    assert!(answer.body.starts_with("data: a\n\n"), "{}", answer.body);
+    assert!(!answer.body.contains("alien"), "{}", answer.body);
+    assert!(!answer.is_done() && answer.body.contains("event: error\n"), "{}", answer.body);
+}
