forward: a stream that broke before its first event keeps its caller's last event

A caller that resumed a stream with `Last-Event-Id` could get events once more that it had already.

Cause: when the first endpoint broke off after the head, the next one got an empty last event in the place of the caller's. Ruled out: streams that broke after an event; these name their own last one (a_broken_stream_goes_on_after_its_last_whole_event). Evidence: a_stream_without_an_event_goes_on_after_the_caller_s_last_event failed before: the second endpoint did not get the 12 that the caller had sent. Why it works: the header is set only when this answer had an event; otherwise the caller's stays.

--- a/crates/wasabi-entry/src/forward/relay.rs
+++ b/crates/wasabi-entry/src/forward/relay.rs
@@ -131,8 +131,8 @@
         self.opened.body.close();
         held.end(failure.end);
         self.reader.drop_partial();
-        let last = self.reader.last().unwrap_or_default().to_owned();
-        let resumed = self.attempts.resume(endpoint, failure, &last).await;
+        let last = self.reader.last().map(str::to_owned);
+        let resumed = self.attempts.resume(endpoint, failure, last.as_deref()).await;
         let (opened, held) = resumed.map_err(|fault| {
             tracing::info!(request = self.attempts.call.id, %fault, "stream is not resumed");
             io::Error::other(fault.message)
--- a/crates/wasabi-entry/src/forward/way.rs
+++ b/crates/wasabi-entry/src/forward/way.rs
@@ -138,7 +138,8 @@
         }
     }
 
-    /// Acquires a grant to go on after the last event that the caller has.
+    /// Acquires a grant to go on after the last event that the caller has. Without an event of this
+    /// answer, that is the one that the caller named itself.
     ///
     /// # Errors
     ///
@@ -147,7 +148,7 @@
         &mut self,
         endpoint: id::Endpoint,
         failure: Failure,
-        last_event: &str,
+        last_event: Option<&str>,
     ) -> Result<(Opened, Held), Fault> {
         let mut failure = failure;
         let mut endpoint = endpoint;
@@ -163,8 +164,8 @@
             held.sent();
             let bound = held.grant().first_token_bound;
             let grant = held.grant().clone();
-            let last = Some(last_event);
-            let sent = send::send(&self.worker, &self.dialect, &self.call, &grant, last, bound);
+            let sent =
+                send::send(&self.worker, &self.dialect, &self.call, &grant, last_event, bound);
             match sent.await {
                 Ok(opened) if opened.is_stream() => return Ok((opened, held)),
                 Ok(opened) => {
