--- a/crates/wasabi-entry/src/forward/send.rs
+++ b/crates/wasabi-entry/src/forward/send.rs
@@ -1,5 +1,6 @@
 //! Sends an attempt to its endpoint and reads what comes back.
 
+use actix_http::StatusCode;
 use wasabi_protocol::{clock::Millis, fault::Kind, request::End, rpc::Grant};
 
 use crate::{
@@ -43,19 +44,23 @@
     let bound = bound.duration();
     let opened = exchange::send(request, call.body.clone(), deadline, bound, None).await?;
     let Opened { status, headers, .. } = &opened;
-    let echoed = headers.get(&dialect.request).and_then(|value| value.to_str().ok());
     let is_refusal = headers.contains_key(&dialect.not_run) || status.as_u16() == 421;
-    // A refusal may come without an id; one with another id is a late answer and says nothing of
-    // this request.
-    let is_own = echoed.map_or(is_refusal, |echoed| echoed == call.id);
+    // A refusal may come without an id, but on a kept connection it may be an earlier one once more.
+    let is_own = exchange::is_each(headers, &dialect.request, &call.id)
+        .unwrap_or(is_refusal && opened.is_exclusive);
     if !is_own {
-        let echoed = echoed.map(exchange::shown);
+        let echoed = headers.get(&dialect.request).map(exchange::shown);
         tracing::warn!(
-            request = call.id, endpoint = %grant.endpoint, ?echoed,
-            "dropped an answer that belongs to another request"
+            request = call.id, endpoint = %grant.endpoint, %status, ?echoed,
+            "dropped an answer that may belong to another request"
         );
         opened.abandon();
-        let message = "the endpoint answered another request; its answer was dropped";
+        let message = "the endpoint's answer may belong to another request and was dropped";
+        return Err(Failure::new(End::Failed, Kind::EndpointFailed, message));
+    }
+    let is_failure = status.is_client_error() || status.is_server_error();
+    if (is_refusal && !is_failure) || (!is_refusal && is_promise(*status)) {
+        let message = format!("the endpoint answered with {status} and left open whether it ran");
         return Err(Failure::new(End::Failed, Kind::EndpointFailed, message));
     }
     if is_refusal {
@@ -68,6 +73,12 @@
     Ok(opened)
 }
 
+/// Returns whether callers take a status for the promise that their request did not run.
+fn is_promise(status: StatusCode) -> bool {
+    use StatusCode as S;
+    matches!(status, S::REQUEST_TIMEOUT | S::TOO_MANY_REQUESTS | S::SERVICE_UNAVAILABLE)
+}
+
 /// Returns until when a call is of use.
 pub(crate) fn deadline(worker: &Worker, call: &Call) -> Deadline {
     Deadline { clock: worker.shared.clock, at: call.deadline }
