--- a/crates/wasabi-testkit/src/relay.rs
+++ b/crates/wasabi-testkit/src/relay.rs
@@ -1,14 +1,16 @@
-//! A TCP relay between two processes that a test can cut, in one direction or in both.
+//! A TCP relay between two processes that a test can cut or slow, in one direction or in both.
 
 use std::{
     io::{self, Read as _, Write as _},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    ops::Range,
     sync::{
-        Arc,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, Ordering},
+        mpsc::{self, Receiver, SyncSender},
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 /// Time between two looks of a copying thread at the state of its direction.
@@ -17,6 +19,13 @@
 /// Size of the copy buffer, in bytes.
 const BUFFER_BYTES: usize = 16 * 1024;
 
+/// Most buffers of one connection and direction that wait for their time.
+const WAITING_MAX: usize = 1_024;
+
+/// Step between two delays of a direction, in milliseconds: a number that is prime to most spans, so
+/// that all delays of a range come in turn.
+const DELAY_STEP: u64 = 137;
+
 /// A direction through the relay.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Direction {
@@ -31,9 +40,50 @@
     forward_cut: AtomicBool,
     backward_cut: AtomicBool,
     closed: AtomicBool,
+    forward_pace: Mutex<Pace>,
+    backward_pace: Mutex<Pace>,
+}
+
+/// How slow a direction is. All connections of the relay share it.
+#[derive(Debug, Default)]
+struct Pace {
+    /// Delay of what begins to wait, in milliseconds.
+    delay: Option<Range<u64>>,
+    /// Bytes that pass in a second.
+    rate: Option<u32>,
+    /// Buffers that were given a delay.
+    count: u64,
+    /// When the bytes sent so far have passed.
+    free: Option<Instant>,
+}
+
+impl Pace {
+    /// Returns when bytes that came now may leave.
+    fn due(&mut self, now: Instant, bytes: usize) -> Instant {
+        let mut due = now;
+        if let Some(rate) = self.rate {
+            let takes = Duration::from_secs_f64(bytes as f64 / f64::from(rate));
+            due = self.free.map_or(now, |free| free.max(now)) + takes;
+            self.free = Some(due);
+        }
+        if let Some(delay) = &self.delay {
+            let span = (delay.end - delay.start).max(1);
+            due += Duration::from_millis(delay.start + self.count * DELAY_STEP % span);
+            self.count += 1;
+        }
+        due
+    }
 }
 
 impl State {
+    fn pace(&self, direction: Direction) -> MutexGuard<'_, Pace> {
+        let pace = match direction {
+            Direction::Forward => &self.forward_pace,
+            Direction::Backward => &self.backward_pace,
+        };
+        pace.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn is_cut(&self, direction: Direction) -> bool {
         let flag = match direction {
             Direction::Forward => &self.forward_cut,
@@ -102,6 +152,17 @@
         self.cut(Direction::Backward);
     }
 
+    /// Delays the bytes of one direction from now on, by milliseconds of the range in turn. Their
+    /// order on a connection stays.
+    pub fn delay(&self, direction: Direction, delay: Range<u64>) {
+        self.state.pace(direction).delay = Some(delay);
+    }
+
+    /// Lets one direction pass so many bytes a second from now on, over all connections together.
+    pub fn limit(&self, direction: Direction, bytes_per_s: u32) {
+        self.state.pace(direction).rate = Some(bytes_per_s);
+    }
+
     /// Passes bytes again, on connections opened from now on.
     pub fn restore(&self) {
         self.state.forward_cut.store(false, Ordering::SeqCst);
@@ -126,13 +187,20 @@
     {
         let state = Arc::clone(state);
         let silenced = Arc::clone(&silenced);
-        thread::spawn(move || copy(from, to, direction, &state, &silenced));
+        let (waiting, due) = mpsc::sync_channel(WAITING_MAX);
+        let writer_silenced = Arc::clone(&silenced);
+        thread::spawn(move || write(to, &due, &writer_silenced));
+        thread::spawn(move || read(from, &waiting, direction, &state, &silenced));
     }
 }
 
-fn copy(
+/// Bytes with the time at which they may leave.
+type Due = (Instant, Vec<u8>);
+
+/// Takes what comes and gives it its time, until the connection or the relay ends.
+fn read(
     mut from: TcpStream,
-    mut to: TcpStream,
+    waiting: &SyncSender<Due>,
     direction: Direction,
     state: &State,
     silenced: &AtomicBool,
@@ -163,7 +231,21 @@
         if silenced.load(Ordering::SeqCst) {
             continue;
         }
-        if to.write_all(&buffer[..count]).is_err() {
+        let due = state.pace(direction).due(Instant::now(), count);
+        if waiting.send((due, buffer[..count].to_vec())).is_err() {
+            break;
+        }
+    }
+}
+
+/// Passes bytes on at their time, and ends the connection after the last ones.
+fn write(mut to: TcpStream, due: &Receiver<Due>, silenced: &AtomicBool) {
+    while let Ok((at, bytes)) = due.recv() {
+        thread::sleep(at.saturating_duration_since(Instant::now()));
+        if silenced.load(Ordering::SeqCst) {
+            continue;
+        }
+        if to.write_all(&bytes).is_err() {
             break;
         }
     }
