--- a/crates/wasabi-entry/src/pools/acquire.rs
+++ b/crates/wasabi-entry/src/pools/acquire.rs
@@ -195,6 +195,9 @@
             acquired = tokio::time::timeout(time, call) => acquired.ok().and_then(Result::ok),
             () = lost => None,
         };
+        if acquired.is_some() {
+            task_shell.answered(&name);
+        }
         if reply.send(answered(&task_shell, request, acquired)).is_err() {
             tracing::debug!("a grant came for a caller that left");
         }
