control: views follow each other after half a second

Each difference of the view was committed within 50 ms, so that 14 entries that restart within 1.4 s made up to 14 views, and each view goes to all 84 entries (15 KB each, 1.3 MB a view) from hosts that others wait for.

Cause: no price on a change of the view. Found by review of what grows with trouble.

Now the first change after a calm time is proposed at once, later ones after 500 ms; an entry that drains does not wait. entries_that_restart_together_share_a_view: 4 views at most where each restart had its own. The function is new, so the test did not run on the code before.

--- a/crates/wasabi-control/src/lead.rs
+++ b/crates/wasabi-control/src/lead.rs
@@ -15,6 +15,7 @@
     join::{Asked, Short},
     member::{Duty, Member},
     moves::Book,
+    pace::Views,
     record::Item,
 };
 
@@ -32,6 +33,7 @@
     pub(crate) size: Option<usize>,
     /// What the group lacks, if anything.
     pub(crate) short: Option<Short>,
+    views: Views,
     under_way: Vec<Duty>,
     next: Millis,
 }
@@ -73,11 +75,7 @@
             return;
         }
         self.duties.next = now + EVERY;
-        let view = self.machine.view();
-        if let Some(entries) = self.liveness.next_view(now, view) {
-            let base = view.number;
-            self.propose_duty(Duty::View, Item::Command(Command::SetView { base, entries }));
-        }
+        self.drive_view();
         if self.machine.next_expiry().is_some_and(|expiry| expiry <= unix_now()) {
             self.propose_duty(Duty::Expiry, Item::Command(Command::ExpireKeys));
         }
@@ -88,6 +86,19 @@
         self.drive_moves();
     }
 
+    /// Proposes the entries that should be in the view when it is time for the next one.
+    fn drive_view(&mut self) {
+        let now = self.clock.now();
+        let view = self.machine.view();
+        let Some(entries) = self.liveness.next_view(now, view) else { return };
+        if !self.duties.views.is_due(now, view, &entries) {
+            return;
+        }
+        let base = view.number;
+        self.propose_duty(Duty::View, Item::Command(Command::SetView { base, entries }));
+        self.duties.views.proposed(now);
+    }
+
     /// Answers operators whose change is in force, or whose wait is over.
     fn answer_forces(&mut self) {
         let now = self.clock.now();
--- a/crates/wasabi-control/tests/liveness.rs
+++ b/crates/wasabi-control/tests/liveness.rs
@@ -1,7 +1,7 @@
 //! Tests of what control may say about entries that it does not hear.
 
 use rstest::rstest;
-use wasabi_control::{Liveness, SILENT_AFTER};
+use wasabi_control::{Liveness, SILENT_AFTER, Views};
 use wasabi_protocol::{
     clock::Millis,
     command::{Duty, Entry, View},
@@ -145,3 +145,51 @@
     hear(&mut liveness, 16, "a", 0);
     assert_eq!(duty(&liveness), None, "a new process serves");
 }
+
+/// Guards against a view for each of many entries that restart: each view goes to every entry, and
+/// fills the links of the hosts that the others wait for.
+#[test]
+fn entries_that_restart_together_share_a_view() {
+    let names = ('a'..='n').collect::<String>();
+    let mut liveness = heard(&names);
+    let mut held = view(1, &names);
+    let mut pace = Views::default();
+    let mut changes = Vec::new();
+    for now in (0..2_000).step_by(50) {
+        if now % 100 == 50
+            && let Some(name) = names.chars().nth(now as usize / 100)
+        {
+            let mut restarted = checkin(&name.to_string(), 1, &[]);
+            restarted.entry.started = Millis(now);
+            liveness.check_in(Millis(now), restarted);
+        }
+        let Some(next) = liveness.next_view(Millis(now), &held) else { continue };
+        if pace.is_due(Millis(now), &held, &next) {
+            pace.proposed(Millis(now));
+            held = View { number: id::View(held.number.0 + 1), entries: next };
+            liveness.set_view(&held, id::Revision(held.number.0));
+            changes.push(now);
+        }
+    }
+    // 14 restarts within 1.35 s: the first at once, then two a second.
+    assert!(changes.len() <= 4, "{changes:?}");
+    assert_eq!(changes[0], 50, "a change after a calm time does not wait");
+    assert_eq!(liveness.next_view(Millis(2_000), &held), None, "the last view holds all of them");
+}
+
+/// Guards against callers that are sent to a draining entry while the next view waits.
+#[test]
+fn a_draining_entry_does_not_wait_for_the_next_view() {
+    let mut liveness = heard("abc");
+    let mut pace = Views::default();
+    pace.proposed(Millis(100));
+    let held = view(1, "abc");
+    let mut restarted = checkin("b", 1, &[]);
+    restarted.entry.started = Millis(110);
+    liveness.check_in(Millis(110), restarted);
+    let next = liveness.next_view(Millis(120), &held).unwrap_or_default();
+    assert!(!pace.is_due(Millis(120), &held, &next), "a restart waits");
+    liveness.drain(Millis(130), &"a".into());
+    let next = liveness.next_view(Millis(130), &held).unwrap_or_default();
+    assert!(pace.is_due(Millis(130), &held, &next));
+}
