routing, entry: peers are told of quarantined requests in each part, and not of cleared ones

Callers would see: a request that crashes endpoints reaches more of them after the owner of its pool has changed, and requests that finished long ago run alone at a new owner.

Cause: a heartbeat that got lost was repeated only after all other suspects had been told, up to 21 s later with 1,024 of them; the table that peers are told from never heard that a pool had cleared a request, so that it was told for 540 s; and peers that may own a pool without being coordinators were told nothing.

Ruled out: more than three endpoints reached without a change of owner, since the owner decides by its own table.

Half of each part is kept for quarantined requests; the table follows those of the owned pools; every peer that heartbeats are exchanged with as an owner is told. Tests: a_quarantined_request_is_told_again_soon (fails without the kept half: the second part lacks it), what_a_pool_cleared_is_told_no_more (new function).

--- a/crates/wasabi-entry/src/peers/suspects.rs
+++ b/crates/wasabi-entry/src/peers/suspects.rs
@@ -20,7 +20,7 @@
 }
 
 impl Known {
-    /// Takes over what a peer or an owned pool tells.
+    /// Takes over what a peer tells.
     pub(crate) fn hear(&mut self, now: Millis, suspects: &[Suspect]) {
         self.table.merge(now, suspects);
     }
@@ -45,9 +45,10 @@
     /// Takes over the suspects of the owned pools, and chooses what the next heartbeats tell.
     pub(crate) fn renew_suspects(&self) {
         let now = self.now();
-        let own = self.pools.borrow().suspects(now);
         let mut known = self.suspects.borrow_mut();
-        known.hear(now, &own);
+        for own in self.pools.borrow().suspects() {
+            known.table.follow(now, own);
+        }
         known.table.expire(now);
         known.part = known.table.report_part(now, TOLD_MAX);
     }
--- a/crates/wasabi-entry/src/peers/table.rs
+++ b/crates/wasabi-entry/src/peers/table.rs
@@ -129,9 +129,9 @@
         self.peers.contains_key(name) && self.liveness.is_live(now, name)
     }
 
-    /// Returns whether a peer is a coordinator of the view.
-    pub(crate) fn is_coordinator(&self, name: &id::Entry) -> bool {
-        self.peers.get(name).is_some_and(|peer| peer.is_coordinator)
+    /// Returns whether a peer is a coordinator of the view, or one of the first owners of a pool.
+    pub(crate) fn is_tracked(&self, name: &id::Entry) -> bool {
+        self.peers.get(name).is_some_and(|peer| peer.is_tracked)
     }
 
     /// Notes an answer of a peer, to whatever question.
--- a/crates/wasabi-entry/src/pools/owner.rs
+++ b/crates/wasabi-entry/src/pools/owner.rs
@@ -10,8 +10,9 @@
     fault::Fault,
     id,
     request::{End, Report, Request},
-    rpc::{Acquired, Evidence, Grant, Release, Suspect, Usage},
+    rpc::{Acquired, Evidence, Grant, Release, Usage},
 };
+use wasabi_routing::quarantine;
 use wasabi_scheduler::pool::{Action, Event, Pool};
 
 /// What the shell must do outside the pool.
@@ -173,9 +174,9 @@
         self.owned.values_mut().flat_map(|owned| owned.pool.evidence()).collect()
     }
 
-    /// Returns the suspects known to the owned pools.
-    pub(crate) fn suspects(&self, now: Millis) -> Vec<Suspect> {
-        self.owned.values().flat_map(|owned| owned.pool.suspects(now)).collect()
+    /// Returns what the owned pools know of requests that crash endpoints.
+    pub(crate) fn suspects(&self) -> impl Iterator<Item = &quarantine::Table> {
+        self.owned.values().map(|owned| owned.pool.suspect_table())
     }
 
     /// Returns the endpoints of one owned pool.
--- a/crates/wasabi-entry/src/shell.rs
+++ b/crates/wasabi-entry/src/shell.rs
@@ -264,8 +264,8 @@
         self.settle_owners();
     }
 
-    /// Returns what this entry tells a peer. Only coordinators may own pools and lend, so that all
-    /// others are told no more than what proves that this entry runs.
+    /// Returns what this entry tells a peer. Only those that may own pools or lend are told more than
+    /// what proves that this entry runs.
     pub(crate) fn heartbeat(&self, to: &id::Entry) -> Heartbeat {
         let in_force = self.shared.in_force();
         let mut heartbeat = Heartbeat {
@@ -276,7 +276,7 @@
             suspects: Vec::new(),
             lent: Vec::new(),
         };
-        if self.peers.borrow().is_coordinator(to) {
+        if self.peers.borrow().is_tracked(to) {
             heartbeat.suspects = self.suspects.borrow().part().to_vec();
             heartbeat.lent = self.lender.borrow_mut().lent(self.now());
         }
--- a/crates/wasabi-routing/src/quarantine.rs
+++ b/crates/wasabi-routing/src/quarantine.rs
@@ -180,6 +180,30 @@
         self.shrink(now);
     }
 
+    /// Takes over what another table of the same process knows, which is never an echo: what it
+    /// cleared, unless this table heard of a later crash, and its counts.
+    pub fn follow(&mut self, now: Millis, other: &Self) {
+        for (fingerprint, theirs) in &other.records {
+            let Some(own) = self.records.get_mut(fingerprint) else {
+                if theirs.is_live(now) && theirs.cleared.is_none() {
+                    self.records.insert(*fingerprint, Record { told: 0, ..theirs.clone() });
+                }
+                continue;
+            };
+            match theirs.cleared {
+                Some(cleared) if own.until <= cleared + KEPT_FOR && !own.is_quarantined() => {
+                    *own = Record { told: own.told, ..theirs.clone() };
+                }
+                Some(_) => {}
+                None if own.cleared.is_some_and(|cleared| cleared + KEPT_FOR < theirs.until) => {
+                    *own = Record { told: 0, ..theirs.clone() };
+                }
+                None => self.merge_one(now, &theirs.suspect(now, *fingerprint)),
+            }
+        }
+        self.shrink(now);
+    }
+
     /// Returns the suspects and quarantined requests to report to peers.
     pub fn report(&self, now: Millis) -> Vec<Suspect> {
         let mut suspects = self
@@ -195,6 +219,9 @@
     /// Returns at most `most` of them: those that were in the fewest parts since their counts rose,
     /// and among these the likeliest ones first. Parts in a row go through the whole table, so that
     /// messages stay small however many requests are suspects.
+    ///
+    /// Half of each part is kept for quarantined ones, so that a message that gets lost does not
+    /// hide them until the next time through the table.
     pub fn report_part(&mut self, now: Millis, most: usize) -> Vec<Suspect> {
         let mut order: Vec<_> = self
             .records
@@ -203,8 +230,16 @@
             .map(|(fingerprint, record)| (record.told, Reverse(record.rank()), *fingerprint))
             .collect();
         order.sort_unstable();
+        let is_quarantined = |(_, Reverse((is_quarantined, _)), _): &_| *is_quarantined;
+        let (mut chosen, rest): (Vec<_>, Vec<_>) = order.into_iter().partition(is_quarantined);
+        let mut others = chosen.split_off(chosen.len().min(most / 2));
+        others.extend(rest);
+        others.sort_unstable();
+        others.truncate(most - chosen.len());
+        chosen.extend(others);
+        chosen.sort_unstable();
         let mut part = Vec::new();
-        for (_, _, fingerprint) in order.into_iter().take(most) {
+        for (_, _, fingerprint) in chosen {
             if let Some(record) = self.records.get_mut(&fingerprint) {
                 record.told = record.told.saturating_add(1);
                 part.push(record.suspect(now, fingerprint));
--- a/crates/wasabi-routing/tests/quarantine.rs
+++ b/crates/wasabi-routing/tests/quarantine.rs
@@ -184,3 +184,46 @@
     crash(&mut table, Millis(5), &[8]);
     assert_eq!(table.report_part(Millis(6), 4)[0].fingerprint, Body(8));
 }
+
+/// Guards against a quarantined request that a peer hears of only after all suspects were told once
+/// more, because one message to it got lost.
+#[test]
+fn a_quarantined_request_is_told_again_soon() {
+    let (mut table, mut peer) = (Table::default(), Table::default());
+    let bodies: Vec<_> = (100..1_000).collect();
+    crash(&mut table, Millis(0), &bodies);
+    crash(&mut table, Millis(1), &[7]);
+    crash(&mut table, Millis(2), &[7]);
+    let _lost = table.report_part(Millis(3), 24);
+    peer.merge(Millis(4), &table.report_part(Millis(4), 24));
+    assert!(is_refused(&peer, Millis(4), 7));
+    for _ in 0..100 {
+        peer.merge(Millis(5), &table.report_part(Millis(5), 24));
+    }
+    assert_eq!(peer.len(), 901, "the others are told as well");
+}
+
+/// Guards against requests that finished and are told as suspects for minutes: the table that peers
+/// are told from is another one than that of the pool.
+#[test]
+fn what_a_pool_cleared_is_told_no_more() {
+    let (mut pool, mut told) = (Table::default(), Table::default());
+    crash(&mut pool, Millis(0), &[1, 2]);
+    told.follow(Millis(100), &pool);
+    assert_eq!(told.report(Millis(100)).len(), 2);
+    pool.finished(Millis(200), Body(1));
+    told.follow(Millis(500), &pool);
+    told.follow(Millis(1_000), &pool);
+    assert_eq!(told.report(Millis(1_000)).len(), 1);
+    // It crashes an endpoint after all, soon after it was cleared.
+    crash(&mut pool, Millis(1_100), &[1]);
+    told.follow(Millis(1_500), &pool);
+    assert_eq!(told.permit(Millis(1_500), Body(1)), Permit::Alone);
+    // A crash that only peers saw is not cleared by an earlier finish here.
+    let mut peer = Table::default();
+    crash(&mut peer, Millis(9_000), &[2]);
+    pool.finished(Millis(5_000), Body(2));
+    told.merge(Millis(9_100), &peer.report(Millis(9_100)));
+    told.follow(Millis(9_500), &pool);
+    assert_eq!(told.permit(Millis(9_500), Body(2)), Permit::Alone);
+}
--- a/crates/wasabi-scheduler/src/pool/owner.rs
+++ b/crates/wasabi-scheduler/src/pool/owner.rs
@@ -185,6 +185,11 @@
         self.suspects.report(now)
     }
 
+    /// Returns all that is known here of requests that crash endpoints, cleared ones included.
+    pub const fn suspect_table(&self) -> &quarantine::Table {
+        &self.suspects
+    }
+
     /// Returns the endpoints in the pool.
     pub fn endpoints(&self) -> impl Iterator<Item = &Announcement> {
         self.endpoints.slots.iter().map(|slot| &slot.announcement)
