entry, scheduler: the new owner of a pool is told which endpoints left

Cause: at 21.80 s the leave was acknowledged, and the owner of the pool took the endpoint out. At 24.33 s an added host started, which ranked first among the owners and took the pool over at 24.54 s. It had never heard of the leave, and the next late announcement brought the endpoint back. The memory of leaves stayed with the old owner, and an entry kept a leave only for endpoints that it had heard of.

Ruled out: the old owner handing the endpoint on (it had 83 endpoints of 90, this one not among them), and an unacknowledged leave.

Now every entry that hears of a leave remembers it for 60 s, whether it knew the endpoint or not, an owner hands its memory on when it gives the pool up, and whoever sees a new owner tells it, with the start number and age of each leave, 512 at most. A later process of the endpoint is another one and stays.

Tests: a_new_owner_knows_which_endpoints_left failed before (38 requests at the endpoint that had left, 1 before the change of owner) and passes; what_left_under_an_earlier_owner_stays_away (new function).

--- a/crates/wasabi-entry/src/message.rs
+++ b/crates/wasabi-entry/src/message.rs
@@ -8,8 +8,8 @@
     id,
     request::Request,
     rpc::{
-        Acquire, Acquired, Grant, Heartbeat, Held, Holdings, Lend, Preempt, Proposed, Release,
-        Slice, Update,
+        Acquire, Acquired, Grant, Heartbeat, Held, Holdings, Left, Lend, Preempt, Proposed,
+        Release, Slice, Update,
     },
 };
 
@@ -68,6 +68,8 @@
     Announce(Box<Announcement>),
     /// A relayed leave.
     Leave(id::Endpoint),
+    /// Endpoints that left before this entry owned their pools.
+    Left(Vec<Left>),
     /// An announcement of which the peer does not reach the owner.
     AnnounceThrough(Box<Announcement>),
     /// A leave of which the peer does not reach the owner.
--- a/crates/wasabi-entry/src/peers/server.rs
+++ b/crates/wasabi-entry/src/peers/server.rs
@@ -10,7 +10,7 @@
 use serde::de::DeserializeOwned;
 use wasabi_protocol::{
     id,
-    rpc::{Acquire, Heartbeat, Holdings, Lend, MESSAGE_BYTES_MAX, Preempt, Release, method},
+    rpc::{Acquire, Heartbeat, Holdings, Left, Lend, MESSAGE_BYTES_MAX, Preempt, Release, method},
 };
 
 use crate::message::{Handle, Message, Peer};
@@ -83,6 +83,11 @@
         handle.send(Message::Peer(Peer::Leave(endpoint)));
         Answer::Ok(())
     })?;
+    module.register_async_method(method::LEFT, |params, handle, _| async move {
+        let left: Vec<Left> = one(&params)?;
+        handle.send(Message::Peer(Peer::Left(left)));
+        Answer::Ok(())
+    })?;
     module.register_async_method(method::ANNOUNCE_THROUGH, |params, handle, _| async move {
         let announcement = Box::new(one(&params)?);
         handle.send(Message::Peer(Peer::AnnounceThrough(announcement)));
--- a/crates/wasabi-entry/src/pools/follow.rs
+++ b/crates/wasabi-entry/src/pools/follow.rs
@@ -7,7 +7,11 @@
 };
 
 use jsonrpsee::rpc_params;
-use wasabi_protocol::{endpoint::Announcement, id, rpc::method};
+use wasabi_protocol::{
+    endpoint::Announcement,
+    id,
+    rpc::{Left, method},
+};
 use wasabi_routing::rendezvous;
 use wasabi_scheduler::pool::Event;
 
@@ -137,6 +141,14 @@
         self.perform(effects);
     }
 
+    /// Takes over which endpoints left before this entry owned their pools.
+    pub(crate) fn left_before(self: &Rc<Self>, left: &[Left]) {
+        let now = self.now();
+        self.standby.borrow_mut().learn(now, left);
+        let effects = self.pools.borrow_mut().step_all(now, || Event::Left(left));
+        self.perform(effects);
+    }
+
     /// Returns the pools of the models and services that the configuration in force names.
     pub(crate) fn wanted_pools(&self) -> HashMap<id::Pool, id::Backend> {
         let in_force = self.shared.in_force();
@@ -167,8 +179,12 @@
                 self.tell(owner.name.clone(), method::ANNOUNCE, rpc_params![announcement]);
                 self.standby.borrow_mut().announce(self.now(), &pool, announcement);
             }
+            let now = self.now();
+            let left = self.pools.borrow().departed_of(now, &pool);
+            self.standby.borrow_mut().learn(now, &left);
             self.pools.borrow_mut().disown(&pool, in_force.config.view.number, &owner.name);
         }
+        let mut new_owners = HashSet::new();
         for (pool, backend) in wanted {
             let Some(owner) = self.owner_of(&pool) else { continue };
             let before = self.owners.borrow_mut().insert(pool.clone(), owner.name.clone());
@@ -187,8 +203,14 @@
                 let effects = self.pools.borrow_mut().step(now, &pool, event);
                 self.perform(effects);
             } else {
-                self.tell(owner.name, method::REPORT, rpc_params![holdings]);
+                self.tell(owner.name.clone(), method::REPORT, rpc_params![holdings]);
+                new_owners.insert(owner.name);
             }
         }
+        // It may be new itself, and late announcements still come.
+        let left = self.standby.borrow().departed(self.now());
+        for owner in new_owners.into_iter().filter(|_| !left.is_empty()) {
+            self.tell(owner, method::LEFT, rpc_params![&left]);
+        }
     }
 }
--- a/crates/wasabi-entry/src/pools/owner.rs
+++ b/crates/wasabi-entry/src/pools/owner.rs
@@ -10,7 +10,7 @@
     fault::Fault,
     id,
     request::{End, Report, Request},
-    rpc::{Acquired, Evidence, Grant, Release, Usage},
+    rpc::{Acquired, Evidence, Grant, Left, Release, Usage},
 };
 use wasabi_routing::quarantine;
 use wasabi_scheduler::pool::{Action, Event, Pool};
@@ -106,6 +106,11 @@
         }
     }
 
+    /// Returns the endpoints that left an owned pool lately.
+    pub(crate) fn departed_of(&self, now: Millis, name: &id::Pool) -> Vec<Left> {
+        self.owned.get(name).map(|owned| owned.pool.departed(now)).unwrap_or_default()
+    }
+
     /// Returns the names of the owned pools.
     pub(crate) fn names(&self) -> Vec<id::Pool> {
         self.owned.keys().cloned().collect()
--- a/crates/wasabi-entry/src/shell.rs
+++ b/crates/wasabi-entry/src/shell.rs
@@ -180,15 +180,12 @@
         let effects = self.pools.borrow_mut().step(now, pool, event);
         self.perform(effects);
         let known = self.standby.borrow_mut().take(now, pool);
-        tracing::info!(%pool, endpoints = known.len(), "taking over with what is known");
-        for known in known {
-            let endpoint = known.announcement.name.clone();
-            let event = Event::Announce(known.announcement);
-            let mut effects = self.pools.borrow_mut().step(now, pool, event);
-            if known.has_left {
-                let event = Event::Leave { endpoint };
-                effects.extend(self.pools.borrow_mut().step(now, pool, event));
-            }
+        let left = self.standby.borrow().departed(now);
+        tracing::info!(%pool, endpoints = known.len(), left = left.len(), "taking over with what is known");
+        let effects = self.pools.borrow_mut().step(now, pool, Event::Left(&left));
+        self.perform(effects);
+        for announcement in known {
+            let effects = self.pools.borrow_mut().step(now, pool, Event::Announce(announcement));
             self.perform(effects);
         }
     }
@@ -379,6 +376,7 @@
             Peer::Preempt(preempt) => self.holder.borrow_mut().preempt(preempt.attempt),
             Peer::Announce(announcement) => self.announce_here(*announcement),
             Peer::Leave(endpoint) => self.leave_here(&endpoint),
+            Peer::Left(left) => self.left_before(&left),
             Peer::AnnounceThrough(announcement) => self.announce_to_owners(&announcement),
             Peer::LeaveThrough(endpoint) => {
                 drop(actix_rt::spawn(self.leave_to_owners(endpoint)));
--- a/crates/wasabi-entry/tests/owners.rs
+++ b/crates/wasabi-entry/tests/owners.rs
@@ -6,6 +6,7 @@
 
 use std::time::{Duration, Instant};
 
+use awc::http::StatusCode;
 use rstest::rstest;
 use serde_json::Value;
 use support::{
@@ -118,3 +119,35 @@
     assert!(believed.acquires() <= 2, "asked {} times in vain", believed.acquires());
     until("each grant is given back to its owner", async || owner.releases() == 10).await;
 }
+
+/// Guards against an endpoint that left and gets work again, because the next owner of its pool joined
+/// after the leave and hears a late announcement.
+#[actix_rt::test]
+async fn a_new_owner_knows_which_endpoints_left() {
+    let control = Control::start().await;
+    let first = Entry::controlled("e1", &control.address(), "");
+    // Both announce themselves for as long as the test runs.
+    let leaving = engine("m1", &[&first]);
+    let _staying = engine("m2", &[&first]);
+    let caller = first.caller();
+    until("both endpoints serve", async || {
+        caller.until_served().await;
+        0 < leaving.counts().requests
+    })
+    .await;
+    let left = caller.send(caller.request("DELETE", "/v1/endpoints/m1"), "").await;
+    assert_eq!(left.status, StatusCode::NO_CONTENT);
+    let second = Entry::controlled(&names(1)[0], &control.address(), "");
+    until("the second entry is in the view", async || control.config().view.entries.len() == 2)
+        .await;
+    let caller = second.caller();
+    caller.until_served().await;
+    let before = leaving.counts().requests;
+    let started = Instant::now();
+    // Each endpoint announces itself twice in this time.
+    while started.elapsed() < Duration::from_millis(2_500) {
+        assert_eq!(caller.chat("stock", 2).await.status, StatusCode::OK);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(leaving.counts().requests, before, "an endpoint that left got work");
+}
--- a/crates/wasabi-protocol/src/rpc/method.rs
+++ b/crates/wasabi-protocol/src/rpc/method.rs
@@ -12,6 +12,8 @@
 pub const ANNOUNCE: &str = "endpoint.announce";
 /// Relays that an endpoint leaves.
 pub const LEAVE: &str = "endpoint.leave";
+/// Tells the new owner of a pool which endpoints left lately.
+pub const LEFT: &str = "endpoint.left";
 /// Asks an entry to relay an announcement to a pool owner that the asker does not reach.
 pub const ANNOUNCE_THROUGH: &str = "endpoint.announce_through";
 /// Asks an entry to relay a leave to a pool owner that the asker does not reach.
--- a/crates/wasabi-protocol/src/rpc/mod.rs
+++ b/crates/wasabi-protocol/src/rpc/mod.rs
@@ -20,7 +20,7 @@
     MemberStatus, MembersChanged, Operate, Operated, Role, Source, Standing, Status,
 };
 pub use pool::{
-    Acquire, Acquired, Grant, Holdings, Lend, Lent, Preempt, Pressure, Release, Running, Slice,
-    Usage,
+    Acquire, Acquired, Grant, Holdings, Left, Lend, Lent, Preempt, Pressure, Release, Running,
+    Slice, Usage,
 };
 pub use update::{Held, Update};
--- a/crates/wasabi-protocol/src/rpc/pool.rs
+++ b/crates/wasabi-protocol/src/rpc/pool.rs
@@ -118,6 +118,18 @@
     pub running: Vec<Running>,
 }
 
+/// An endpoint that left, as the new owner of a pool is told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Left {
+    /// The endpoint.
+    pub endpoint: id::Endpoint,
+    /// Processes up to this start number left; none when the teller never knew one.
+    pub incarnation: Option<u64>,
+    /// Time since it left, in milliseconds.
+    pub age: Millis,
+}
+
 /// The load of a pool, shared between entries.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/wasabi-scheduler/src/pool/announce.rs
+++ b/crates/wasabi-scheduler/src/pool/announce.rs
@@ -1,7 +1,7 @@
 //! Endpoints that come, renew their announcement, restart, leave or fall silent.
 
 use wasabi_protocol::{
-    clock::Millis, contract::Tier, endpoint::Announcement, fingerprint::Body, id,
+    clock::Millis, contract::Tier, endpoint::Announcement, fingerprint::Body, id, rpc::Left,
 };
 use wasabi_routing::pace::Kind;
 
@@ -44,6 +44,15 @@
         self.settle_versions();
     }
 
+    /// Takes into account that an endpoint left under an earlier owner, unless a later process of it
+    /// is there.
+    pub(super) fn left(&mut self, now: Millis, left: &Left) {
+        if self.endpoints.left(now, left) {
+            self.board.leave(&left.endpoint);
+            self.settle_versions();
+        }
+    }
+
     /// Takes out the endpoints that fell silent; what ran on them is suspected, unless the silence
     /// may come from a pause of this process.
     pub(super) fn expire_endpoints(&mut self, now: Millis) {
--- a/crates/wasabi-scheduler/src/pool/endpoint.rs
+++ b/crates/wasabi-scheduler/src/pool/endpoint.rs
@@ -10,6 +10,7 @@
     fingerprint::PREFIX_BLOCK_BYTES,
     id,
     request::Request,
+    rpc,
 };
 use wasabi_routing::{
     affinity::Cache,
@@ -186,7 +187,8 @@
 struct Left {
     /// Processes up to this start number left; `None` when the leave came first.
     incarnation: Option<u64>,
-    at: Millis,
+    /// Time up to which it is remembered.
+    until: Millis,
 }
 
 /// What an announcement meant.
@@ -213,7 +215,7 @@
     pub(super) fn announce(&mut self, now: Millis, announcement: Announcement) -> Announced {
         if let Some(left) = self.left.get(&announcement.name) {
             let is_old = left.incarnation.is_none_or(|last| announcement.incarnation <= last);
-            if is_old && now.since(left.at) < LEFT_KEPT {
+            if is_old && now < left.until {
                 return Announced::Ignored;
             }
         }
@@ -243,24 +245,63 @@
         let index = self.find(name);
         let slot = index.map(|index| self.slots.swap_remove(index));
         let incarnation = slot.map(|slot| slot.announcement.incarnation);
-        if self.left.len() < LEFT_MAX {
-            self.left.insert(name.clone(), Left { incarnation, at: now });
+        self.remember(name, Left { incarnation, until: now + LEFT_KEPT });
+    }
+
+    /// Takes an endpoint that left under an earlier owner out of the table. Returns whether it was
+    /// there; a later process than the one that left stays.
+    pub(super) fn left(&mut self, now: Millis, left: &rpc::Left) -> bool {
+        let until = now + (LEFT_KEPT - left.age);
+        if until <= now {
+            return false;
+        }
+        let index = self.find(&left.endpoint);
+        let held = index.map(|index| self.slots[index].announcement.incarnation);
+        if held.is_some_and(|held| left.incarnation.is_some_and(|last| last < held)) {
+            return false;
+        }
+        if let Some(index) = index {
+            self.slots.swap_remove(index);
+        }
+        let known = self.left.get(&left.endpoint);
+        let (earlier, kept) = known.map_or((None, until), |known| (known.incarnation, known.until));
+        let incarnation = held.max(left.incarnation).max(earlier);
+        self.remember(&left.endpoint, Left { incarnation, until: until.max(kept) });
+        index.is_some()
+    }
+
+    /// Returns the endpoints that left lately.
+    pub(super) fn departed(&self, now: Millis) -> Vec<rpc::Left> {
+        let left = self.left.iter().filter(|(_, left)| now < left.until);
+        left.map(|(endpoint, left)| rpc::Left {
+            endpoint: endpoint.clone(),
+            incarnation: left.incarnation,
+            age: LEFT_KEPT - left.until.since(now),
+        })
+        .collect()
+    }
+
+    fn remember(&mut self, name: &id::Endpoint, left: Left) {
+        if self.left.len() < LEFT_MAX || self.left.contains_key(name) {
+            self.left.insert(name.clone(), left);
         }
     }
 
     /// Takes the endpoints that were silent for too long out of the table.
     pub(super) fn expire(&mut self, now: Millis) -> Vec<Slot> {
-        self.left.retain(|_, left| now.since(left.at) < LEFT_KEPT);
+        self.left.retain(|_, left| now < left.until);
         let gone: Vec<_> =
             self.slots.extract_if(.., |slot| SILENT_AFTER <= now.since(slot.heard)).collect();
+        let mut departed = Vec::new();
         for slot in &gone {
             // The same process may come back; an announcement of an earlier one is a stray.
             let earlier = slot.announcement.incarnation.saturating_sub(1);
             let known = self.left.get(slot.name()).and_then(|left| left.incarnation);
             let incarnation = Some(known.map_or(earlier, |known| known.max(earlier)));
-            if self.left.len() < LEFT_MAX {
-                self.left.insert(slot.name().clone(), Left { incarnation, at: now });
-            }
+            departed.push((slot.name().clone(), incarnation));
+        }
+        for (name, incarnation) in departed {
+            self.remember(&name, Left { incarnation, until: now + LEFT_KEPT });
         }
         gone
     }
--- a/crates/wasabi-scheduler/src/pool/event.rs
+++ b/crates/wasabi-scheduler/src/pool/event.rs
@@ -6,7 +6,7 @@
     fault::Fault,
     id,
     request::Request,
-    rpc::{Grant, Holdings, Release, Slice, Suspect, Usage},
+    rpc::{Grant, Holdings, Left, Release, Slice, Suspect, Usage},
 };
 
 /// What happened.
@@ -21,6 +21,9 @@
         /// The endpoint.
         endpoint: id::Endpoint,
     },
+    /// Endpoints that left before this entry owned the pool: they get no new work, whatever they
+    /// announce late.
+    Left(&'a [Left]),
     /// A request asks for a grant.
     Acquire {
         /// The number by which the shell knows the waiting call.
--- a/crates/wasabi-scheduler/src/pool/owner.rs
+++ b/crates/wasabi-scheduler/src/pool/owner.rs
@@ -12,7 +12,7 @@
     fault::{Fault, Kind},
     id,
     request::Request,
-    rpc::{Evidence, Holdings, Pressure, Suspect},
+    rpc::{Evidence, Holdings, Left, Pressure, Suspect},
 };
 use wasabi_routing::{
     choice::Candidate,
@@ -122,6 +122,11 @@
             Event::Config(config) => self.configure(config),
             Event::Announce(announcement) => self.announce(now, announcement),
             Event::Leave { endpoint } => self.leave(now, &endpoint),
+            Event::Left(left) => {
+                for left in left {
+                    self.left(now, left);
+                }
+            }
             Event::Acquire { ticket, request } => {
                 let organisation = request.organisation.clone();
                 let tier = request.tier;
@@ -195,6 +200,11 @@
         self.endpoints.slots.iter().map(|slot| &slot.announcement)
     }
 
+    /// Returns the endpoints that left lately, for the next owner.
+    pub fn departed(&self, now: Millis) -> Vec<Left> {
+        self.endpoints.departed(now)
+    }
+
     /// Returns whether an entry may still hold grants of an earlier owner that it did not report.
     pub(super) fn is_taking_over(&self, now: Millis) -> bool {
         let started = self.started.unwrap_or(now);
--- a/crates/wasabi-scheduler/tests/pool.rs
+++ b/crates/wasabi-scheduler/tests/pool.rs
@@ -11,7 +11,7 @@
     request::End,
     rpc::{Grant, Holdings, Running},
 };
-use wasabi_scheduler::pool::{Action, Event};
+use wasabi_scheduler::pool::{Action, Event, Pool};
 
 /// Guards against a lower tier that starts while a higher one waits, and against an endpoint that
 /// gets more than its announced concurrency.
@@ -199,3 +199,28 @@
     }
     assert_eq!(refused, 0, "100 calls a second of 30 ms each need 3 of 6 places");
 }
+
+/// Guards against endpoints that left and get work from the next owner of the pool, and against a new
+/// process of such an endpoint that gets none.
+#[test]
+fn what_left_under_an_earlier_owner_stays_away() {
+    let mut before = ready(2, 8);
+    before.step(Millis(1_100), Event::Leave { endpoint: "a".into() });
+    before.step(Millis(1_100), Event::Leave { endpoint: "c".into() });
+    let left = before.departed(Millis(2_000));
+    let mut after = ready(3, 8);
+    after.step(Millis(2_100), Event::Left(&left));
+    let names = |pool: &Pool| {
+        let mut names: Vec<_> = pool.endpoints().map(|one| one.name.to_string()).collect();
+        names.sort_unstable();
+        names
+    };
+    assert_eq!(names(&after), ["b"]);
+    let late = announcement("a", 8);
+    after.step(Millis(2_200), Event::Announce(late.clone()));
+    assert_eq!(names(&after), ["b"], "a late announcement");
+    let restarted = Announcement { incarnation: late.incarnation + 1, ..late };
+    after.step(Millis(2_300), Event::Announce(restarted));
+    after.step(Millis(2_400), Event::Left(&left));
+    assert_eq!(names(&after), ["a", "b"], "a later process is another one");
+}
