admission: reports of lenders are bounded, and former lenders tell on nothing new

Callers would see: links of 10 Mbit/s that stay full after a time of changing owners, and after that organisations that are refused although they are below their limit.

Cause: each heartbeat to a coordinator carried one line for each organisation, pool and owner of the pool in the window, without a bound. A lender that was followed by another took over what that one reported, for as long as it reported, and reported the same again; so its budgets were never forgotten.

Ruled out: to report only what a lender lent itself.

Why it works: a budget that is not asked of takes nothing over, so that what it holds leaves its window; when it is asked of again, it takes over the last reports, as a new one does. A report has 4 KiB at most, the largest amounts first. What is cut a successor may lend once more, unless the pool's owner tells it what it started.

--- a/crates/wasabi-admission/src/lender.rs
+++ b/crates/wasabi-admission/src/lender.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     limit::{SLICE, overdraft, wanted_tokens, window_tokens},
+    report,
     window::Window,
 };
 
@@ -108,38 +109,42 @@
         used: &Usage,
     ) -> Slice {
         let purse = match self.purses.entry(organisation.clone()) {
-            Entry::Occupied(purse) => purse.into_mut(),
-            Entry::Vacant(place) => {
-                let reports = self.reports.values();
-                place.insert(Purse::open(now, organisation, limits, reports, self.restarted))
+            Entry::Occupied(purse) if purse.get().is_asked(now) => purse.into_mut(),
+            purse => {
+                let purse = purse.or_insert_with(|| Purse::new(now, self.restarted));
+                purse.recall(now, organisation, limits, self.reports.values());
+                purse
             }
         };
         purse.fill(now, limits);
         purse.lend(now, limits, (pool, owner), used)
     }
 
-    /// Returns what was lent in the windows of limits with a burst, for the other entries.
+    /// Returns what was lent in the windows of limits with a burst, for the entries that may lend
+    /// next: at most [`report::REPORT_BYTES_MAX`] of it as JSON, the largest amounts first.
     pub fn lent(&mut self, now: Millis) -> Vec<Lent> {
         let mut all = Vec::new();
         for (organisation, purse) in &mut self.purses {
-            for ((pool, owner), window) in &mut purse.lent_to {
-                let tokens: Vec<_> = window.by_age(now).iter().map(|sum| *sum as u64).collect();
-                if !tokens.is_empty() {
+            for ((pool, owner), lent) in &mut purse.lent_to {
+                let tokens: Vec<_> = lent.by_age(now).iter().map(|sum| *sum as u64).collect();
+                if tokens.iter().any(|tokens| 0 < *tokens) {
                     let (pool, owner) = (pool.clone(), owner.clone());
                     all.push(Lent { organisation: organisation.clone(), pool, owner, tokens });
                 }
             }
         }
-        all
+        report::bounded(all)
     }
 
     /// Takes over what another entry reports to have lent, for the case that this one follows it.
     ///
     /// A lender goes on for a moment after another one has begun, and its last report before that is
     /// old by up to a heartbeat, so that later ones count as well. What the present owner of a pool
-    /// was lent is known better from what it says that it started.
+    /// was lent is known better from what it says that it started. A budget of which nothing is asked
+    /// here takes it over when it is asked of again: it would only tell its lender what it heard from it.
     pub fn hear(&mut self, now: Millis, from: &id::Entry, lent: &[Lent]) {
-        for (organisation, purse) in &mut self.purses {
+        let asked = self.purses.iter_mut().filter(|(_, purse)| purse.is_asked(now));
+        for (organisation, purse) in asked {
             for one in lent.iter().filter(|one| one.organisation == *organisation) {
                 if !purse.knows(now, &one.pool, &one.owner) {
                     purse.restarted = None;
@@ -153,7 +158,7 @@
     /// Forgets budgets of which nothing was asked for a while; called now and then.
     pub fn sweep(&mut self, now: Millis) {
         // What was lent counts until its window has passed, however long nothing is asked for.
-        self.purses.retain(|_, purse| now.since(purse.filled) < FORGET || 0.0 < purse.lent(now));
+        self.purses.retain(|_, purse| purse.is_asked(now) || 0.0 < purse.lent(now));
         self.reports.retain(|_, report| now.since(report.at) < REPORT_KEPT);
     }
 }
@@ -174,15 +179,8 @@
 }
 
 impl Purse {
-    /// Returns a purse in which what is known of earlier lenders counts.
-    fn open<'a>(
-        now: Millis,
-        organisation: &id::Organisation,
-        limits: &Limits,
-        reports: impl Iterator<Item = &'a Report>,
-        restarted: Option<Millis>,
-    ) -> Self {
-        let mut purse = Self {
+    fn new(now: Millis, restarted: Option<Millis>) -> Self {
+        Self {
             requests: 0.0,
             tokens: 0.0,
             filled: now,
@@ -191,16 +189,30 @@
             restarted,
             lent_to: HashMap::new(),
             borrowers: HashMap::new(),
-        };
-        let Some(burst) = &limits.burst else { return purse };
+        }
+    }
+
+    /// Returns whether something was asked of it lately.
+    fn is_asked(&self, now: Millis) -> bool {
+        now.since(self.filled) < FORGET
+    }
+
+    /// Counts what is known of other lenders.
+    fn recall<'a>(
+        &mut self,
+        now: Millis,
+        organisation: &id::Organisation,
+        limits: &Limits,
+        reports: impl Iterator<Item = &'a Report>,
+    ) {
+        let Some(burst) = &limits.burst else { return };
         for report in reports.filter(|report| now.since(report.at) < burst.window) {
             for one in report.lent.iter().filter(|one| one.organisation == *organisation) {
-                purse.restarted = None;
-                purse.inherit(report.at, burst.window, one);
-                purse.extrapolate(now, report.at, one);
+                self.restarted = None;
+                self.inherit(report.at, burst.window, one);
+                self.extrapolate(now, report.at, one);
             }
         }
-        purse
     }
 
     /// Counts what another lender may have lent after its report: as much in a time as in the second
--- a/crates/wasabi-admission/src/lib.rs
+++ b/crates/wasabi-admission/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod lender;
 pub mod limit;
 pub mod queue;
+pub mod report;
 pub mod window;
--- a/crates/wasabi-admission/tests/window.rs
+++ b/crates/wasabi-admission/tests/window.rs
@@ -156,6 +156,24 @@
     assert_one_limit(&started);
 }
 
+/// Guards against a limit that is lent twice when a lender is lost, its successor is lost soon after, and
+/// the third one, or the first one anew, has heard only the second: it must be told what both lent.
+#[test]
+fn the_successor_of_a_successor_holds_one_limit() {
+    let (mut first, mut account) = (Lender::new(), Account::new(Millis::ZERO, WINDOWED));
+    let mut started = vec![0; 400];
+    press(&mut first, &mut account, (0, 3_000), &mut started);
+    let mut next = Lender::new();
+    next.hear(Millis(3_100), &"first".into(), &first.lent(Millis(3_000)));
+    let mut account = Account::new(Millis(3_100), WINDOWED);
+    press(&mut next, &mut account, (3_100, 6_000), &mut started);
+    let mut third = Lender::restarted(Millis(5_500));
+    third.hear(Millis(6_100), &"next".into(), &next.lent(Millis(6_000)));
+    let mut account = Account::new(Millis(6_100), WINDOWED);
+    press(&mut third, &mut account, (6_100, 40_000), &mut started);
+    assert_one_limit(&started);
+}
+
 /// Guards against what a lender lent after its last report: an organisation that has just begun to press
 /// started it while lender and owner of the pool changed together, and nobody else knew of it.
 #[test]
