routing, entry: a grant reopens a pool, and the most urgent request takes the turn

Callers would see: after one call for a grant out of many under way had failed, new requests of an entry waited though the owner granted the others; urgent ones waited behind less urgent ones that the owner did not know of either.

Cause: a failed call closes the pool at the holder, and only an answer to a question that was asked after it opened it again. The grants of the calls under way were ignored. The next question may wait in the owner's queue for seconds, and until it is answered one request asks in 50 to 400 ms, whichever wakes first.

Before: with the two new rules taken out, an_answer_to_an_earlier_question_opens_the_pool and the_most_urgent_request_takes_the_turn (wasabi-routing, tests/approach.rs) fail. After: the 10 tests of that file pass, and the 6 of tests/owners.rs of wasabi-entry with their bounds on calls as they were.

Ruled out: to open the pool for any late answer. An entry that was asked before and is not asked now may own nothing (an_answer_of_an_earlier_owner_opens_nothing).

Why it works: a grant or a refusal of the entry that would be asked now proves that it owns the pool, whenever it was asked. While the pool is closed, waiting requests have places by tier and then by their arrival, and only the first one takes the turn; a request whose call is under way has no place.

--- a/crates/wasabi-entry/src/pools/acquire.rs
+++ b/crates/wasabi-entry/src/pools/acquire.rs
@@ -157,6 +157,7 @@
 ) -> Result<Box<Unclaimed>, Fault> {
     let started = shell.now();
     let mut dropped = Dropped { shell, pool, attempt: request.attempt, owners: Vec::new() };
+    let mut waits = None;
     loop {
         let age = shell.now().since(started);
         if request.remaining <= age {
@@ -175,13 +176,20 @@
         let answer = if is_here {
             here(shell, pool, asked).await
         } else {
-            let Some(turn) = shell.turn(pool, asked.remaining).await else { continue };
+            let waiter = waits.take().unwrap_or_else(|| {
+                shell.wait_for_turn(pool, request.tier, started - request.waited)
+            });
+            let Some(turn) = shell.turn(&waiter, asked.remaining).await else {
+                waits = Some(waiter);
+                continue;
+            };
+            drop(waiter);
             let answer = there(shell, pool, &owner, asked).await;
             dropped.note(&owner, &answer);
             match &answer {
                 Answer::Again(named) => shell.turn_failed(pool, turn, named.clone()),
                 Answer::Unanswered => shell.turn_failed(pool, turn, None),
-                Answer::Granted(_) | Answer::Refused(_) => shell.turn_answered(pool, turn),
+                Answer::Granted(_) | Answer::Refused(_) => shell.turn_answered(pool, turn, &owner),
             }
             answer
         };
--- a/crates/wasabi-entry/src/pools/approach.rs
+++ b/crates/wasabi-entry/src/pools/approach.rs
@@ -3,8 +3,8 @@
 use std::{collections::HashMap, rc::Rc};
 
 use tokio::sync::Notify;
-use wasabi_protocol::{clock::Millis, id};
-use wasabi_routing::approach::{Approach, Turn};
+use wasabi_protocol::{clock::Millis, contract::Tier, id};
+use wasabi_routing::approach::{Approach, Place, Source, Turn};
 
 use crate::shell::Shell;
 
@@ -22,14 +22,42 @@
     pools: HashMap<id::Pool, Pool>,
 }
 
+/// A request that waits for its turn at a pool. Dropping it takes it out.
+pub(crate) struct Waiter<'a> {
+    shell: &'a Shell,
+    pool: &'a id::Pool,
+    place: Place,
+}
+
+impl Drop for Waiter<'_> {
+    fn drop(&mut self) {
+        let mut approaches = self.shell.approaches.borrow_mut();
+        if let Some(pool) = approaches.pools.get_mut(self.pool) {
+            pool.approach.leave(self.place);
+        }
+    }
+}
+
 impl Shell {
+    /// Adds a request that waits for its turn at a pool.
+    pub(crate) fn wait_for_turn<'a>(
+        &'a self,
+        pool: &'a id::Pool,
+        tier: Tier,
+        arrived: Millis,
+    ) -> Waiter<'a> {
+        let mut approaches = self.approaches.borrow_mut();
+        let place = approaches.pools.entry(pool.clone()).or_default().approach.wait(tier, arrived);
+        Waiter { shell: self, pool, place }
+    }
+
     /// Waits for the turn of a request to ask for a grant, for `longest` at most.
-    pub(crate) async fn turn(&self, pool: &id::Pool, longest: Millis) -> Option<Turn> {
+    pub(crate) async fn turn(&self, waiter: &Waiter<'_>, longest: Millis) -> Option<Turn> {
         let now = self.now();
         let (next, changed) = {
             let mut approaches = self.approaches.borrow_mut();
-            let pool = approaches.pools.entry(pool.clone()).or_default();
-            match pool.approach.ask(now, fastrand::f64()) {
+            let pool = approaches.pools.entry(waiter.pool.clone()).or_default();
+            match pool.approach.ask_from(now, waiter.place, fastrand::f64()) {
                 Ok(turn) => return Some(turn),
                 Err(next) => (next, Rc::clone(&pool.changed)),
             }
@@ -40,10 +68,12 @@
     }
 
     /// Notes that an owner granted or refused what was asked in this turn.
-    pub(crate) fn turn_answered(&self, pool: &id::Pool, turn: Turn) {
+    pub(crate) fn turn_answered(&self, pool: &id::Pool, turn: Turn, owner: &id::Entry) {
+        let is_asked = self.asked_of(pool).as_ref() == Some(owner);
+        let from = if is_asked { Source::Asked } else { Source::Earlier };
         let mut approaches = self.approaches.borrow_mut();
         let Some(pool) = approaches.pools.get_mut(pool) else { return };
-        if pool.approach.answered(turn) {
+        if pool.approach.answered(turn, from) {
             pool.changed.notify_waiters();
         }
     }
--- a/crates/wasabi-routing/src/approach.rs
+++ b/crates/wasabi-routing/src/approach.rs
@@ -4,7 +4,9 @@
 //! name of all: if each of them asked again by itself, the calls would fill the links just when the
 //! heartbeats that settle the owner need them.
 
-use wasabi_protocol::{clock::Millis, id};
+use std::collections::BTreeSet;
+
+use wasabi_protocol::{clock::Millis, contract::Tier, id};
 
 /// The first pause after a call that no owner answered.
 pub const PAUSE_MIN: Millis = Millis(50);
@@ -20,6 +22,23 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Turn(u64);
 
+/// The entry whose answer came.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// The one that would be asked now.
+    Asked,
+    /// One that was asked before.
+    Earlier,
+}
+
+/// The place of a waiting request: the most urgent tier first, then the one that came first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Place {
+    tier: Tier,
+    arrived: Millis,
+    number: u64,
+}
+
 /// One pool as a holder sees it: a circuit breaker that one request at a time may probe.
 #[derive(Debug, Default)]
 pub struct Approach {
@@ -31,9 +50,40 @@
     hops: u32,
     /// The owner that another entry named, if it is not the one that this entry believes in.
     named: Option<id::Entry>,
+    /// The requests that wait for a turn.
+    waiting: BTreeSet<Place>,
+    last_place: u64,
 }
 
 impl Approach {
+    /// Adds a request that waits for a turn, until [`Self::leave`].
+    pub fn wait(&mut self, tier: Tier, arrived: Millis) -> Place {
+        self.last_place += 1;
+        let place = Place { tier, arrived, number: self.last_place };
+        self.waiting.insert(place);
+        place
+    }
+
+    /// Takes out a request that waits no more.
+    pub fn leave(&mut self, place: Place) {
+        self.waiting.remove(&place);
+    }
+
+    /// Returns the turn of a waiting request that asks now. While the owner is not known, the first
+    /// one in the order of places gets it: the owner's queue is in that order too, and an urgent
+    /// request that it does not know waits in vain.
+    ///
+    /// # Errors
+    ///
+    /// Returns when to try again, unless the pool opens before.
+    pub fn ask_from(&mut self, now: Millis, place: Place, jitter: f64) -> Result<Turn, Millis> {
+        let is_first = self.waiting.first() == Some(&place);
+        match self.next {
+            Some(next) if next <= now && !is_first => Err(now + PAUSE_MIN),
+            _ => self.ask(now, jitter),
+        }
+    }
+
     /// Returns the turn of a request that asks now.
     ///
     /// `jitter`, from 0 to 1, shortens the pause until the next one, so that holders which lost an
@@ -54,8 +104,12 @@
     }
 
     /// Notes that an owner granted or refused; returns whether the pool is open to all since then.
-    pub fn answered(&mut self, turn: Turn) -> bool {
-        if turn.0 != self.state || self.next.is_none() {
+    ///
+    /// An answer of the entry that would be asked now proves that it owns the pool, also when another
+    /// call has failed since the question: of many calls that are under way one may fail alone.
+    pub fn answered(&mut self, turn: Turn, from: Source) -> bool {
+        let counts = from == Source::Asked || turn.0 == self.state;
+        if !counts || self.next.is_none() {
             return false;
         }
         self.state += 1;
--- a/crates/wasabi-routing/tests/approach.rs
+++ b/crates/wasabi-routing/tests/approach.rs
@@ -1,8 +1,8 @@
 //! Tests of the approach to a pool whose owner is unsettled.
 
 use proptest::{prelude::*, test_runner::RngSeed};
-use wasabi_protocol::{clock::Millis, id};
-use wasabi_routing::approach::{Approach, HOPS_MAX, PAUSE_MAX, PAUSE_MIN};
+use wasabi_protocol::{clock::Millis, contract::Tier, id};
+use wasabi_routing::approach::{Approach, HOPS_MAX, PAUSE_MAX, PAUSE_MIN, Source};
 
 fn entry(name: &str) -> Option<id::Entry> {
     Some(name.into())
@@ -14,7 +14,7 @@
     let mut approach = Approach::default();
     let turns: Vec<_> = (0..10).map(|_| approach.ask(Millis(5), 0.0).unwrap()).collect();
     for turn in turns {
-        assert!(!approach.answered(turn), "an open pool does not open");
+        assert!(!approach.answered(turn, Source::Asked), "an open pool does not open");
     }
     assert!(approach.ask(Millis(5), 0.0).is_ok());
 }
@@ -48,7 +48,7 @@
     let first = approach.ask(Millis(50), 0.0).unwrap();
     assert_eq!(approach.ask(Millis(50), 0.0), Err(Millis(150)));
     let second = approach.ask(Millis(150), 0.0).unwrap();
-    assert!(approach.answered(second));
+    assert!(approach.answered(second, Source::Asked));
     assert!(!approach.failed(Millis(160), first, None, 0.0), "an old call closes the pool again");
     assert!(approach.ask(Millis(160), 0.0).is_ok());
 }
@@ -66,7 +66,7 @@
     approach.changed(Millis(1));
     let turn = approach.ask(Millis(1), 0.0).unwrap();
     assert!(approach.ask(Millis(1), 0.0).is_err());
-    assert!(approach.answered(turn));
+    assert!(approach.answered(turn, Source::Asked));
     assert!(approach.ask(Millis(1), 0.0).is_ok());
 }
 
@@ -90,7 +90,7 @@
     let turn = approach.ask(Millis::ZERO, 0.0).unwrap();
     approach.failed(Millis::ZERO, turn, entry("b"), 0.0);
     let turn = approach.ask(Millis::ZERO, 0.0).unwrap();
-    assert!(approach.answered(turn));
+    assert!(approach.answered(turn, Source::Asked));
     assert_eq!(approach.named(), entry("b").as_ref());
     let turn = approach.ask(Millis(9), 0.0).unwrap();
     assert!(approach.failed(Millis(9), turn, None, 0.0));
@@ -101,6 +101,57 @@
     assert_eq!(approach.named(), None);
 }
 
+/// Guards against a pool that one failed call closes for good: of 300 calls under way one failed, the
+/// owner granted the others, and new requests still asked it one at a time.
+#[test]
+fn an_answer_to_an_earlier_question_opens_the_pool() {
+    let mut approach = Approach::default();
+    let first = approach.ask(Millis::ZERO, 0.0).unwrap();
+    let second = approach.ask(Millis::ZERO, 0.0).unwrap();
+    approach.failed(Millis(10), first, None, 0.0);
+    assert!(approach.ask(Millis(20), 0.0).is_err());
+    assert!(approach.answered(second, Source::Asked), "the owner that is asked has answered");
+    assert!(approach.ask(Millis(20), 0.0).is_ok());
+    assert!(approach.ask(Millis(20), 0.0).is_ok(), "all requests may ask");
+}
+
+/// Guards against a late answer of an owner that was followed by another: all requests would ask an
+/// entry that may own nothing.
+#[test]
+fn an_answer_of_an_earlier_owner_opens_nothing() {
+    let mut approach = Approach::default();
+    let first = approach.ask(Millis::ZERO, 0.0).unwrap();
+    let second = approach.ask(Millis::ZERO, 0.0).unwrap();
+    approach.failed(Millis(10), first, entry("b"), 0.0);
+    assert!(!approach.answered(second, Source::Earlier));
+    let probe = approach.ask(Millis(11), 0.0).unwrap();
+    assert!(approach.ask(Millis(11), 0.0).is_err());
+    assert!(approach.answered(probe, Source::Asked));
+}
+
+/// Guards against turns that are taken in the order of waking: the owner then knows nothing of the
+/// urgent requests that wait here.
+#[test]
+fn the_most_urgent_request_takes_the_turn() {
+    let mut approach = Approach::default();
+    let turn = approach.ask(Millis::ZERO, 0.0).unwrap();
+    approach.failed(Millis::ZERO, turn, None, 0.0);
+    let least = approach.wait(Tier(4), Millis::ZERO);
+    let later = approach.wait(Tier::TOP, Millis(9));
+    let first = approach.wait(Tier::TOP, Millis(3));
+    let now = Millis(50);
+    assert!(approach.ask_from(now, least, 0.0).is_err());
+    assert!(approach.ask_from(now, later, 0.0).is_err());
+    assert!(approach.ask_from(now, first, 0.0).is_ok());
+    approach.leave(first);
+    assert!(approach.ask_from(now, later, 0.0).is_err(), "one request asks at one time");
+    let now = Millis(150);
+    assert!(approach.ask_from(now, least, 0.0).is_err());
+    let turn = approach.ask_from(now, later, 0.0).unwrap();
+    assert!(approach.answered(turn, Source::Asked));
+    assert!(approach.ask_from(now, least, 0.0).is_ok(), "an open pool has no order");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(24), ..ProptestConfig::default() })]
 
