protocol, scheduler, entry: an owner frees the grants that their holder does not know

Callers would see: after an entry had been taken for the owner of a pool for a while by mistake, the pool of the true owner looked full until 5 s after the deadlines of requests that had ended.

Cause: a release that is lost, as on full links, was made up for by nothing: what a holder tells an owner that it believes in anew was only added to the grants that the owner counted.

Ruled out: to free all that a holder does not list. A grant may be on its way while the holder's word is on its way too, for longer than a second on full links; its endpoint would be overrun.

Why it works: the holder tells the attempts for which it asks as well, so that a grant on its way counts on. What it neither runs nor asks for has ended, or was granted to a call that it dropped. Grants of the last second are kept, for calls that the word overtook on another connection.

--- a/crates/wasabi-bench/src/owner.rs
+++ b/crates/wasabi-bench/src/owner.rs
@@ -101,8 +101,12 @@
             request.remaining = request.remaining - now.since(*started);
             Running { request, endpoint: grant.endpoint.clone() }
         });
-        let holdings =
-            Holdings { pool: pool_name(), holder: "e1".into(), running: running.collect() };
+        let holdings = Holdings {
+            pool: pool_name(),
+            holder: "e1".into(),
+            running: running.collect(),
+            asking: None,
+        };
         let mut commands = self.step(now, Event::Holdings(holdings));
         for (ticket, (request, asked)) in self.waiting.clone() {
             let mut request = request;
--- a/crates/wasabi-entry/src/pools/acquire.rs
+++ b/crates/wasabi-entry/src/pools/acquire.rs
@@ -81,28 +81,34 @@
     Unanswered,
 }
 
-/// The owners whose calls for an attempt were dropped. Once the attempt asks no more, they are told:
-/// the grants that they give to these calls would count until after the deadline.
-struct Dropped<'a> {
+/// An attempt that asks for a grant, and the owners whose calls for it were dropped. Once it asks no
+/// more, they are told: the grants that they give to these calls would count until after the deadline.
+struct Asking<'a> {
     shell: &'a Rc<Shell>,
     pool: &'a id::Pool,
     attempt: id::Attempt,
-    owners: Vec<id::Entry>,
+    dropped: Vec<id::Entry>,
 }
 
-impl Dropped<'_> {
+impl<'a> Asking<'a> {
+    fn new(shell: &'a Rc<Shell>, pool: &'a id::Pool, attempt: id::Attempt) -> Self {
+        shell.holder.borrow_mut().asks(attempt, pool.clone());
+        Self { shell, pool, attempt, dropped: Vec::new() }
+    }
+
     /// Notes how a call ended. An owner that answers a later call has settled the earlier ones.
     fn note(&mut self, owner: &id::Entry, answer: &Answer) {
-        self.owners.retain(|other| other != owner);
+        self.dropped.retain(|other| other != owner);
         if matches!(answer, Answer::Unanswered) {
-            self.owners.push(owner.clone());
+            self.dropped.push(owner.clone());
         }
     }
 }
 
-impl Drop for Dropped<'_> {
+impl Drop for Asking<'_> {
     fn drop(&mut self) {
-        for owner in self.owners.drain(..) {
+        self.shell.holder.borrow_mut().asks_no_more(self.attempt);
+        for owner in self.dropped.drain(..) {
             self.shell.call_dropped(self.pool, owner, self.attempt);
         }
     }
@@ -156,7 +162,7 @@
     request: Request,
 ) -> Result<Box<Unclaimed>, Fault> {
     let started = shell.now();
-    let mut dropped = Dropped { shell, pool, attempt: request.attempt, owners: Vec::new() };
+    let mut asking = Asking::new(shell, pool, request.attempt);
     let mut waits = None;
     loop {
         let age = shell.now().since(started);
@@ -185,7 +191,7 @@
             };
             drop(waiter);
             let answer = there(shell, pool, &owner, asked).await;
-            dropped.note(&owner, &answer);
+            asking.note(&owner, &answer);
             match &answer {
                 Answer::Again(named) => shell.turn_failed(pool, turn, named.clone()),
                 Answer::Unanswered => shell.turn_failed(pool, turn, None),
--- a/crates/wasabi-entry/src/pools/holder.rs
+++ b/crates/wasabi-entry/src/pools/holder.rs
@@ -23,13 +23,28 @@
     preempt: Option<oneshot::Sender<()>>,
 }
 
-/// The grants in use, by attempt.
+/// Most attempts without a grant that an owner is told of, so that a report stays small.
+const ASKING_MAX: usize = 256;
+
+/// The grants in use and the attempts that ask for one.
 #[derive(Debug, Default)]
 pub(crate) struct Holder {
     held: HashMap<id::Attempt, Held>,
+    /// The attempts without a grant, with the pool that they ask.
+    asking: HashMap<id::Attempt, id::Pool>,
 }
 
 impl Holder {
+    /// Notes that an attempt asks for a grant, until [`Self::asks_no_more`].
+    pub(crate) fn asks(&mut self, attempt: id::Attempt, pool: id::Pool) {
+        self.asking.insert(attempt, pool);
+    }
+
+    /// Notes that an attempt has its grant or asks no more.
+    pub(crate) fn asks_no_more(&mut self, attempt: id::Attempt) {
+        self.asking.remove(&attempt);
+    }
+
     /// Notes a grant and returns it as the traffic thread needs it.
     pub(crate) fn take(&mut self, now: Millis, grant: Grant, request: Request) -> Granted {
         let (preempt, preempted) = oneshot::channel();
@@ -57,7 +72,7 @@
         }
     }
 
-    /// Returns what runs in a pool, for its new owner.
+    /// Returns what runs in a pool and what asks for a grant there, for its new owner.
     pub(crate) fn holdings(&self, now: Millis, pool: &id::Pool, holder: &id::Entry) -> Holdings {
         let running = self
             .held
@@ -71,6 +86,9 @@
                 Running { request, endpoint: held.endpoint.clone() }
             })
             .collect();
-        Holdings { pool: pool.clone(), holder: holder.clone(), running }
+        let asking = self.asking.iter().filter(|(_, asked)| *asked == pool);
+        let asking: Vec<_> = asking.map(|(attempt, _)| *attempt).collect();
+        let asking = (asking.len() <= ASKING_MAX).then_some(asking);
+        Holdings { pool: pool.clone(), holder: holder.clone(), running, asking }
     }
 }
--- a/crates/wasabi-entry/src/pools/owner.rs
+++ b/crates/wasabi-entry/src/pools/owner.rs
@@ -1,6 +1,6 @@
 //! The shell of the pools that this entry owns: waiting calls, grants and their holders.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use tokio::sync::oneshot;
 use wasabi_protocol::{
@@ -10,7 +10,7 @@
     fault::Fault,
     id,
     request::{End, Report, Request},
-    rpc::{Acquired, Evidence, Grant, Release, Suspect, Usage},
+    rpc::{Acquired, Evidence, Grant, Holdings, Release, Suspect, Usage},
 };
 use wasabi_scheduler::pool::{Action, Event, Pool};
 
@@ -206,8 +206,18 @@
                 self.holders.insert(running.request.attempt, holdings.holder.clone());
             }
         }
+        let unheld = match &event {
+            Event::Holdings(holdings) => self.unheld(holdings),
+            _ => Vec::new(),
+        };
         let mut effects = Vec::new();
         let mut actions = self.pool.step(now, event);
+        if !unheld.is_empty() {
+            tracing::info!(pool = %self.pool.name(), count = unheld.len(), "grants are not held");
+            actions.extend(self.pool.step(now, Event::Unheld { attempts: unheld }));
+            let pool = &self.pool;
+            self.holders.retain(|attempt, _| pool.holds(*attempt));
+        }
         self.note_endpoints();
         self.note_stop();
         while !actions.is_empty() {
@@ -220,6 +230,15 @@
         effects
     }
 
+    /// Returns the attempts that count for a holder, but that it neither runs nor asks for.
+    fn unheld(&self, holdings: &Holdings) -> Vec<id::Attempt> {
+        let Some(asking) = &holdings.asking else { return Vec::new() };
+        let running = holdings.running.iter().map(|running| running.request.attempt);
+        let known: HashSet<_> = running.chain(asking.iter().copied()).collect();
+        let of_holder = self.holders.iter().filter(|(_, holder)| **holder == holdings.holder);
+        of_holder.map(|(attempt, _)| *attempt).filter(|attempt| !known.contains(attempt)).collect()
+    }
+
     fn act(
         &mut self,
         now: Millis,
--- a/crates/wasabi-entry/tests/owners.rs
+++ b/crates/wasabi-entry/tests/owners.rs
@@ -22,7 +22,7 @@
     contract::Tier,
     endpoint, fingerprint, id,
     request::Request,
-    rpc::{Acquire, Acquired, method},
+    rpc::{Acquire, Acquired, Holdings, method},
 };
 use wasabi_routing::rendezvous;
 
@@ -183,7 +183,7 @@
     let _engine = engine("m1", &[&entry]);
     entry.caller().until_served().await;
     let client = || WsClientBuilder::default().build(format!("ws://{}", entry.daemon.peers()));
-    let asked = Acquire { pool: "coal/north/0".into(), holder: "h1".into(), request: request() };
+    let asked = Acquire { pool: "coal/north/0".into(), holder: "h1".into(), request: request(7) };
     let mut grants = Vec::new();
     for _ in 0..2 {
         let client = client().await.unwrap();
@@ -196,9 +196,40 @@
     assert_eq!(grants[0], grants[1]);
 }
 
-fn request() -> Request {
+/// Guards against grants that an owner counts until after their deadline since their release was lost,
+/// as on full links, though their holder has told it since what it runs.
+#[actix_rt::test]
+async fn a_grant_that_its_holder_does_not_report_is_freed() {
+    let entry = Entry::stand_alone("");
+    let change = |settings: &mut wasabi_standin::Settings| settings.concurrency = 1;
+    let _engine = standin("m1", endpoint::Kind::Model, "coal", &[&entry], change);
+    entry.caller().until_served().await;
+    let address = format!("ws://{}", entry.daemon.peers());
+    let client = WsClientBuilder::default().build(address).await.unwrap();
+    let pool: id::Pool = "coal/north/0".into();
+    let asked =
+        |number| Acquire { pool: pool.clone(), holder: "h1".into(), request: request(number) };
+    let first =
+        client.request::<Acquired, _>(method::ACQUIRE, rpc_params![asked(7)]).await.unwrap();
+    assert!(matches!(first, Acquired::Granted(_)), "{first:?}");
+    let report = async {
+        // Reports of a holder may cross a grant within the first second.
+        tokio::time::sleep(Duration::from_millis(1_200)).await;
+        let asking = Some(vec![id::Attempt(8)]);
+        let pool = pool.clone();
+        let holdings = Holdings { pool, holder: "h1".into(), running: Vec::new(), asking };
+        client.request::<(), _>(method::REPORT, rpc_params![holdings]).await.unwrap();
+    };
+    let second = client.request::<Acquired, _>(method::ACQUIRE, rpc_params![asked(8)]);
+    let second = tokio::time::timeout(Duration::from_secs(5), second);
+    let (second, ()) = futures_util::future::join(second, report).await;
+    let second = second.expect("the second request waits for the first grant").unwrap();
+    assert!(matches!(second, Acquired::Granted(_)), "{second:?}");
+}
+
+fn request(number: u128) -> Request {
     Request {
-        attempt: id::Attempt(7),
+        attempt: id::Attempt(number),
         organisation: "hospital".into(),
         route: "query".into(),
         backend: "coal".into(),
--- a/crates/wasabi-protocol/src/rpc/pool.rs
+++ b/crates/wasabi-protocol/src/rpc/pool.rs
@@ -106,7 +106,7 @@
     pub endpoint: id::Endpoint,
 }
 
-/// Tells a new pool owner what a holder still runs.
+/// Tells a new pool owner what a holder still runs, and one that comes back what has ended.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct Holdings {
@@ -116,6 +116,10 @@
     pub holder: id::Entry,
     /// What it runs.
     pub running: Vec<Running>,
+    /// The attempts for which it asks for a grant; none when it does not tell. A grant of any other
+    /// attempt that it does not run has ended, or was lost on its way.
+    #[serde(default)]
+    pub asking: Option<Vec<id::Attempt>>,
 }
 
 /// The load of a pool, shared between entries.
--- a/crates/wasabi-scheduler/src/pool/event.rs
+++ b/crates/wasabi-scheduler/src/pool/event.rs
@@ -39,6 +39,11 @@
     Release(Release),
     /// A holder tells a new owner what it still runs.
     Holdings(Holdings),
+    /// Attempts that their holder neither runs nor asks for: the grants or their releases were lost.
+    Unheld {
+        /// The attempts.
+        attempts: Vec<id::Attempt>,
+    },
     /// Suspects and quarantined requests known to other entries.
     Suspects(&'a [Suspect]),
     /// A slice of an organisation's budget arrived.
--- a/crates/wasabi-scheduler/src/pool/owner.rs
+++ b/crates/wasabi-scheduler/src/pool/owner.rs
@@ -140,6 +140,7 @@
             }
             Event::Release(release) => self.release(now, &release, &mut actions),
             Event::Holdings(holdings) => self.adopt(now, holdings),
+            Event::Unheld { attempts } => self.end_unheld(now, &attempts),
             Event::Suspects(suspects) => self.suspects.merge(now, suspects),
             Event::Budget { organisation, slice } => {
                 self.budgets.lend(now, &organisation, &slice);
@@ -184,6 +185,11 @@
         self.suspects.report(now)
     }
 
+    /// Returns whether an attempt holds a grant.
+    pub fn holds(&self, attempt: id::Attempt) -> bool {
+        self.running.contains(attempt)
+    }
+
     /// Returns the endpoints in the pool.
     pub fn endpoints(&self) -> impl Iterator<Item = &Announcement> {
         self.endpoints.slots.iter().map(|slot| &slot.announcement)
--- a/crates/wasabi-scheduler/src/pool/release.rs
+++ b/crates/wasabi-scheduler/src/pool/release.rs
@@ -16,6 +16,10 @@
 /// The number in the release of a grant whose number its holder does not know.
 const UNKNOWN: id::Grant = id::Grant(0);
 
+/// Age up to which a grant counts although its holder does not know of it: what the holder tells may
+/// have crossed it on the way, or have overtaken the call for it.
+const CROSSING: Millis = Millis::from_secs(1);
+
 impl Pool {
     pub(super) fn release(&mut self, now: Millis, release: &Release, actions: &mut Vec<Action>) {
         if !self.is_meant(release) {
@@ -55,6 +59,19 @@
         }
     }
 
+    /// Ends the attempts that their holder neither runs nor asks for, and which show nothing.
+    pub(super) fn end_unheld(&mut self, now: Millis, attempts: &[id::Attempt]) {
+        for attempt in attempts {
+            let running = self.running.get(*attempt);
+            if running.is_none_or(|running| now.since(running.started) < CROSSING) {
+                continue;
+            }
+            if let Some(running) = self.running.remove(*attempt) {
+                self.free(&running);
+            }
+        }
+    }
+
     /// Returns whether a release is that of the grant by which its attempt counts here.
     ///
     /// A holder releases a grant at its giver and at the present owner, and a call that it dropped at
--- a/crates/wasabi-scheduler/tests/pool.rs
+++ b/crates/wasabi-scheduler/tests/pool.rs
@@ -123,12 +123,13 @@
     pool.step(Millis::ZERO, Event::Config(&config(1, &["e1", "e2"])));
     pool.step(Millis::ZERO, Event::Announce(announcement("a", 4)));
     let running = vec![Running { request: request(90, 0), endpoint: "a".into() }];
-    let holdings = Holdings { pool: kit::POOL.into(), holder: "e1".into(), running };
+    let holdings = Holdings { pool: kit::POOL.into(), holder: "e1".into(), running, asking: None };
     pool.step(Millis(10), Event::Holdings(holdings.clone()));
     pool.step(Millis(11), Event::Holdings(holdings));
     assert_eq!(grants(&acquire(&mut pool, 20, 0, 0)).len(), 1);
     assert!(grants(&acquire(&mut pool, 20, 1, 0)).is_empty(), "half of 4 are in flight");
-    let empty = Holdings { pool: kit::POOL.into(), holder: "e2".into(), running: Vec::new() };
+    let empty =
+        Holdings { pool: kit::POOL.into(), holder: "e2".into(), running: Vec::new(), asking: None };
     let actions = pool.step(Millis(30), Event::Holdings(empty));
     assert_eq!(grants(&actions).len(), 1, "all entries have reported");
     assert_eq!(grants(&acquire(&mut pool, 40, 2, 0)).len(), 1);
@@ -288,7 +289,7 @@
     let mut pool = ready(1, 2);
     let own = grants(&acquire(&mut pool, 1_000, 0, 0)).remove(0).1;
     let running = vec![Running { request: request(1, 0), endpoint: "a".into() }];
-    let holdings = Holdings { pool: kit::POOL.into(), holder: "e2".into(), running };
+    let holdings = Holdings { pool: kit::POOL.into(), holder: "e2".into(), running, asking: None };
     pool.step(Millis(1_001), Event::Holdings(holdings));
     let of_other = Grant { grant: id::Grant(own.grant.0 + 7), owner: "e3".into(), ..own.clone() };
     pool.step(Millis(1_100), release(&of_other, request(0, 0).attempt, End::Finished));
@@ -302,3 +303,17 @@
             .map(|tiers| tiers.iter().sum::<u32>());
     assert_eq!((waiting, running), (0, 2), "the two that waited run in the two places");
 }
+
+/// Guards against grants whose release was lost and that count until after their deadline, and against
+/// a place that is freed under a grant which is still on its way to its holder.
+#[test]
+fn a_grant_that_its_holder_does_not_know_is_freed_after_a_second() {
+    let mut pool = ready(1, 2);
+    let lost = || Event::Unheld { attempts: vec![request(0, 0).attempt, request(9, 0).attempt] };
+    assert_eq!(grants(&acquire(&mut pool, 1_000, 0, 0)).len(), 1);
+    assert_eq!(grants(&acquire(&mut pool, 1_000, 1, 0)).len(), 1);
+    assert!(grants(&acquire(&mut pool, 1_001, 2, 0)).is_empty());
+    assert!(grants(&pool.step(Millis(1_999), lost())).is_empty(), "it may be on its way");
+    assert_eq!(grants(&pool.step(Millis(2_000), lost())).len(), 1);
+    assert!(grants(&acquire(&mut pool, 2_001, 3, 0)).is_empty(), "two run on the endpoint");
+}
