--- a/crates/wasabi-entry/src/pools/acquire.rs
+++ b/crates/wasabi-entry/src/pools/acquire.rs
@@ -9,7 +9,7 @@
     fault::{Fault, Kind},
     id,
     request::Request,
-    rpc::{Acquire, Acquired, Grant, method},
+    rpc::{Acquire, Acquired, Grant, Release, method},
 };
 use wasabi_routing::{approach, rendezvous};
 
@@ -41,6 +41,7 @@
     fn drop(&mut self) {
         let Some(grant) = self.grant.take() else { return };
         let mut release = owner::abandoned(grant.pool, grant.owner, self.request.attempt);
+        release.grant = grant.grant;
         release.endpoint = grant.endpoint;
         release.version = grant.version;
         release.route = self.request.route.clone();
@@ -74,8 +75,43 @@
 enum Answer {
     Granted(Box<Unclaimed>),
     Refused(Fault),
-    /// Ask again: the asked entry is not the owner, or is lost. It may name the owner.
+    /// Ask again: the asked entry is not the owner. It may name the owner.
     Again(Option<id::Entry>),
+    /// Ask again: the call was dropped, or broke off. The asked entry may grant it all the same.
+    Unanswered,
+}
+
+/// An attempt that asks for a grant, and the owners whose calls for it were dropped. Once it asks no
+/// more, they are told: the grants that they give to these calls would count until after the deadline.
+struct Asking<'a> {
+    shell: &'a Rc<Shell>,
+    pool: &'a id::Pool,
+    attempt: id::Attempt,
+    dropped: Vec<id::Entry>,
+}
+
+impl<'a> Asking<'a> {
+    fn new(shell: &'a Rc<Shell>, pool: &'a id::Pool, attempt: id::Attempt) -> Self {
+        shell.holder.borrow_mut().asks(attempt, pool.clone());
+        Self { shell, pool, attempt, dropped: Vec::new() }
+    }
+
+    /// Notes how a call ended. An owner that answers a later call has settled the earlier ones.
+    fn note(&mut self, owner: &id::Entry, answer: &Answer) {
+        self.dropped.retain(|other| other != owner);
+        if matches!(answer, Answer::Unanswered) {
+            self.dropped.push(owner.clone());
+        }
+    }
+}
+
+impl Drop for Asking<'_> {
+    fn drop(&mut self) {
+        self.shell.holder.borrow_mut().asks_no_more(self.attempt);
+        for owner in self.dropped.drain(..) {
+            self.shell.call_dropped(self.pool, owner, self.attempt);
+        }
+    }
 }
 
 /// Gets a grant for a caller's request.
@@ -95,7 +131,9 @@
     });
     if let Err(Ok(granted)) = reply.send(answer) {
         let grant = granted.grant;
-        shell.release(owner::abandoned(grant.pool, grant.owner, attempt));
+        let number = grant.grant;
+        let release = owner::abandoned(grant.pool, grant.owner, attempt);
+        shell.release(Release { grant: number, ..release });
     }
 }
 
@@ -124,6 +162,8 @@
     request: Request,
 ) -> Result<Box<Unclaimed>, Fault> {
     let started = shell.now();
+    let mut asking = Asking::new(shell, pool, request.attempt);
+    let mut waits = None;
     loop {
         let age = shell.now().since(started);
         if request.remaining <= age {
@@ -142,11 +182,20 @@
         let answer = if is_here {
             here(shell, pool, asked).await
         } else {
-            let Some(turn) = shell.turn(pool, asked.remaining).await else { continue };
+            let waiter = waits.take().unwrap_or_else(|| {
+                shell.wait_for_turn(pool, request.tier, started - request.waited)
+            });
+            let Some(turn) = shell.turn(&waiter, asked.remaining).await else {
+                waits = Some(waiter);
+                continue;
+            };
+            drop(waiter);
             let answer = there(shell, pool, &owner, asked).await;
+            asking.note(&owner, &answer);
             match &answer {
                 Answer::Again(named) => shell.turn_failed(pool, turn, named.clone()),
-                Answer::Granted(_) | Answer::Refused(_) => shell.turn_answered(pool, turn),
+                Answer::Unanswered => shell.turn_failed(pool, turn, None),
+                Answer::Granted(_) | Answer::Refused(_) => shell.turn_answered(pool, turn, &owner),
             }
             answer
         };
@@ -154,7 +203,7 @@
             Answer::Granted(unclaimed) => return Ok(unclaimed),
             Answer::Refused(fault) => return Err(fault),
             // The pool is given up here only when its owner is known to be another entry.
-            Answer::Again(_) => tokio::task::yield_now().await,
+            Answer::Again(_) | Answer::Unanswered => tokio::task::yield_now().await,
         }
     }
 }
@@ -181,7 +230,7 @@
     let message = Acquire { pool: pool.clone(), holder, request: request.clone() };
     let (reply, answer) = oneshot::channel();
     let task_shell = Rc::clone(shell);
-    let name = owner.clone();
+    let (name, pool) = (owner.clone(), pool.clone());
     // The call is not cancelled with its caller: a grant that is on its way must be given back.
     actix_rt::spawn(async move {
         let call = client.request::<Acquired, _>(method::ACQUIRE, rpc_params![message]);
@@ -198,11 +247,14 @@
         if acquired.is_some() {
             task_shell.answered(&name);
         }
-        if reply.send(answered(&task_shell, request, acquired)).is_err() {
-            tracing::debug!("a grant came for a caller that left");
+        let attempt = request.attempt;
+        match reply.send(answered(&task_shell, request, acquired)) {
+            Err(Answer::Unanswered) => task_shell.call_dropped(&pool, name, attempt),
+            Err(_) => tracing::debug!("an answer came for a caller that left"),
+            Ok(()) => {}
         }
     });
-    answer.await.unwrap_or(Answer::Again(None))
+    answer.await.unwrap_or(Answer::Unanswered)
 }
 
 fn answered(shell: &Rc<Shell>, request: Request, acquired: Option<Acquired>) -> Answer {
@@ -213,7 +265,7 @@
         }
         Some(Acquired::Refused(fault)) => Answer::Refused(fault),
         Some(Acquired::NotOwner { owner, .. }) => Answer::Again(owner),
-        None => Answer::Again(None),
+        None => Answer::Unanswered,
     }
 }
 
--- a/crates/wasabi-entry/src/pools/owner.rs
+++ b/crates/wasabi-entry/src/pools/owner.rs
@@ -1,6 +1,6 @@
 //! The shell of the pools that this entry owns: waiting calls, grants and their holders.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use tokio::sync::oneshot;
 use wasabi_protocol::{
@@ -10,7 +10,7 @@
     fault::Fault,
     id,
     request::{End, Report, Request},
-    rpc::{Acquired, Evidence, Grant, Left, Release, Usage},
+    rpc::{Acquired, Evidence, Grant, Holdings, Left, Release, Usage},
 };
 use wasabi_routing::quarantine;
 use wasabi_scheduler::pool::{Action, Event, Pool};
@@ -116,7 +116,7 @@
         self.owned.keys().cloned().collect()
     }
 
-    /// Queues a call and returns its ticket.
+    /// Queues a call and returns its ticket. An attempt that was given a grant gets it again.
     pub(crate) fn acquire(
         &mut self,
         now: Millis,
@@ -128,6 +128,12 @@
         let Some(owned) = self.owned.get_mut(pool) else { return (None, Vec::new()) };
         self.last_ticket += 1;
         let ticket = self.last_ticket;
+        if let Some(grant) = owned.pool.given(now, request.attempt) {
+            owned.holders.insert(request.attempt, holder);
+            // It is not taken back if it arrives nowhere: the first call may have brought it.
+            answer(reply, Acquired::Granted(grant));
+            return (Some(ticket), Vec::new());
+        }
         owned.waiting.insert(ticket, Waiting { holder, request: request.clone(), reply });
         let effects = owned.step(now, Event::Acquire { ticket, request });
         (Some(ticket), effects)
@@ -206,8 +212,18 @@
                 self.holders.insert(running.request.attempt, holdings.holder.clone());
             }
         }
+        let unheld = match &event {
+            Event::Holdings(holdings) => self.unheld(holdings),
+            _ => Vec::new(),
+        };
         let mut effects = Vec::new();
         let mut actions = self.pool.step(now, event);
+        if !unheld.is_empty() {
+            tracing::info!(pool = %self.pool.name(), count = unheld.len(), "grants are not held");
+            actions.extend(self.pool.step(now, Event::Unheld { attempts: unheld }));
+            let pool = &self.pool;
+            self.holders.retain(|attempt, _| pool.holds(*attempt));
+        }
         self.note_endpoints();
         self.note_stop();
         while !actions.is_empty() {
@@ -220,6 +236,15 @@
         effects
     }
 
+    /// Returns the attempts that count for a holder, but that it neither runs nor asks for.
+    fn unheld(&self, holdings: &Holdings) -> Vec<id::Attempt> {
+        let Some(asking) = &holdings.asking else { return Vec::new() };
+        let running = holdings.running.iter().map(|running| running.request.attempt);
+        let known: HashSet<_> = running.chain(asking.iter().copied()).collect();
+        let of_holder = self.holders.iter().filter(|(_, holder)| **holder == holdings.holder);
+        of_holder.map(|(attempt, _)| *attempt).filter(|attempt| !known.contains(attempt)).collect()
+    }
+
     fn act(
         &mut self,
         now: Millis,
@@ -230,6 +255,7 @@
         match action {
             Action::Grant { ticket, grant } => self.grant(now, ticket, grant, follow),
             Action::Refuse { ticket, fault } => self.refuse(ticket, fault),
+            Action::Discard { ticket } => drop(self.waiting.remove(&ticket)),
             Action::Preempt { attempt, .. } => {
                 if let Some(holder) = self.holders.get(&attempt).cloned() {
                     let pool = self.pool.name().clone();
@@ -274,6 +300,7 @@
             endpoint: grant.endpoint,
             version: grant.version,
             route: waiting.request.route,
+            grant: grant.grant,
             ..abandoned(grant.pool, grant.owner, attempt)
         };
         follow.extend(self.pool.step(now, Event::Release(release)));
