scheduler: room that no request may use starts no search for one

Cause: `has_room` counted endpoints of a version that is unproven or stopped. While those in use were full, each event tried every waiting request in vain, up to 36 in each tier and twice over all endpoints, so that the owner was late for everything else.

All tests of the crate pass.

--- a/crates/wasabi-scheduler/src/pool/choice.rs
+++ b/crates/wasabi-scheduler/src/pool/choice.rs
@@ -50,9 +50,22 @@
     }
 
     /// Returns whether any endpoint has room, be it for a suspect only.
+    ///
+    /// An endpoint that no request may use now has none: with its room counted, every event would look
+    /// at the waiting requests in vain for as long as the others are full.
     pub(super) fn has_room(&self, half: bool) -> bool {
-        self.endpoints.slots.iter().any(|slot| {
-            slot.in_flight() < slot.limit(half)
+        let slots = &self.endpoints.slots;
+        // The share of an unproven version is counted in dispatches, which begin with the others.
+        let is_unproven_open =
+            self.versions.has_moved() || !slots.iter().any(|slot| slot.offer == Offer::Proven);
+        slots.iter().any(|slot| {
+            let is_open = match slot.offer {
+                Offer::Proven => true,
+                Offer::Unproven => is_unproven_open,
+                Offer::Never => false,
+            };
+            is_open
+                && slot.in_flight() < slot.limit(half)
                 && !slot.unreachable
                 && (slot.running.is_empty() || !self.reserve.holds(slot.name()))
         })
