protocol: the clock goes on while a host is suspended

Callers could see: a leader whose host was suspended wakes with a read lease that has ended for all others, and answers reads and check-ins from an older configuration.

Cause: the clock counted CLOCK_MONOTONIC, which stands still during a suspension; leases, serving times and the notice of a pause rest on it.

Now it counts CLOCK_BOOTTIME, through rustix, which was among the libraries already. Timers of the runtime still fire late by the suspension; what acts compares with this clock first.

--- a/crates/wasabi-protocol/src/clock.rs
+++ b/crates/wasabi-protocol/src/clock.rs
@@ -3,9 +3,10 @@
 use std::{
     fmt,
     ops::{Add, Sub},
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
+use rustix::time::{ClockId, clock_gettime};
 use serde::{Deserialize, Serialize};
 
 /// A point in time or a span, in milliseconds.
@@ -71,23 +72,35 @@
 }
 
 /// A monotonic clock of one process.
+///
+/// It goes on while the host is suspended, so that a process that wakes finds its leases ended.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
-    origin: Instant,
+    /// Time from the start of the host to the origin.
+    origin: Duration,
 }
 
 impl Clock {
     /// Returns a clock whose origin is now.
     pub fn start() -> Self {
-        Self { origin: Instant::now() }
+        Self { origin: since_boot() }
     }
 
     /// Returns the monotonic time since the origin.
     pub fn now(&self) -> Millis {
-        self.origin.elapsed().into()
+        since_boot().saturating_sub(self.origin).into()
     }
 }
 
+/// Returns the time since the host started, suspensions included.
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    // Neither part is negative on this clock.
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanos = u32::try_from(time.tv_nsec).unwrap_or_default();
+    Duration::new(seconds, nanos)
+}
+
 /// Returns the wall-clock time in milliseconds since the Unix epoch.
 pub fn unix_now() -> Millis {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().into()
