consensus: a heartbeat does not rest on entries that are on their way

Callers saw: leaders that changed while a large configuration was sent over slow links, and orders answered "unknown".

Cause: a heartbeat rested on the last entry that was sent. To be answered without a conflict it had to stay behind that entry on the link, for as long as the entry took.

Change: while more than 16 KiB are on their way to a member, its heartbeat rests on what the member is known to hold, so that it may overtake them. A check, an empty message behind the entries, shows whether they arrived; its conflict makes the leader go back. A conflict that answers a message from before the present stream has nothing large sent again. Lease, vote hold and check-quorum are as they were.

Ruled out: heartbeats that always rest on what is held, also beside small entries.

--- a/crates/wasabi-consensus/src/config.rs
+++ b/crates/wasabi-consensus/src/config.rs
@@ -23,10 +23,15 @@
     pub bytes_max: usize,
     /// Time after which a snapshot chunk without an answer is sent again, in milliseconds.
     pub chunk_again: Millis,
+    /// Time after which the question whether a stream arrived is asked again, in milliseconds.
+    pub check_again: Millis,
     /// Most entries sent to one member ahead of its answers.
     pub ahead_max: u64,
     /// Bytes of entries sent to one member ahead of its answers from which on no more are sent.
     pub ahead_bytes_max: usize,
+    /// Bytes without an answer up to which a heartbeat rests on what is on its way to a member, and
+    /// goes behind it. More of them would delay it on a slow link.
+    pub behind_bytes_max: usize,
     /// Most uncommitted entries at the leader; further proposals are refused.
     pub uncommitted_max: u64,
     /// Seed of the election timeouts.
@@ -46,8 +51,10 @@
             // 70 ms on a link of 10 Mbit/s, with the overhead of the encoding.
             bytes_max: 64 * 1_024,
             chunk_again: Millis(300),
+            check_again: Millis(300),
             ahead_max: 8_192,
             ahead_bytes_max: 1_024 * 1_024,
+            behind_bytes_max: 16 * 1_024,
             uncommitted_max: 65_536,
             seed,
         }
--- a/crates/wasabi-consensus/src/leader.rs
+++ b/crates/wasabi-consensus/src/leader.rs
@@ -6,7 +6,7 @@
 use crate::{
     Action, Entry, Message, Node, Payload, Position, Reason, Request, Verdict,
     node::State,
-    progress::{Mode, Progress},
+    progress::{Check, Mode, Progress},
 };
 
 impl Node {
@@ -38,12 +38,19 @@
         self.broadcast(now, actions);
     }
 
-    /// Sends a heartbeat to every member.
+    /// Sends a heartbeat to every member. While much is on its way to one, its heartbeat rests only on
+    /// what it is known to hold, so that it may overtake the rest.
     pub(crate) fn broadcast(&mut self, now: Millis, actions: &mut Vec<Action>) {
         let State::Leader(leader) = &self.state else { return };
-        let peers: Vec<_> = leader.peers.keys().cloned().collect();
-        for peer in peers {
-            self.probe(now, &peer, actions);
+        let behind = self.config.behind_bytes_max;
+        let held = |peer: &Progress| peer.is_under_way(behind).then_some(peer.matched);
+        let peers: Vec<_> =
+            leader.peers.iter().map(|(member, peer)| (member.clone(), held(peer))).collect();
+        for (member, held) in peers {
+            if let Some(index) = held {
+                self.send_empty(now, &member, index, actions);
+            }
+            self.probe(now, &member, actions);
         }
     }
 
@@ -100,10 +107,11 @@
                     Mode::Stream => false,
                     Mode::Install { snapshot, .. } => snapshot.last.index <= peer.matched,
                 };
+                if peer.check.is_some_and(|check| check.index <= index) {
+                    peer.check = None;
+                }
                 if covered {
-                    peer.next = peer.matched + 1;
-                    peer.mode = Mode::Stream;
-                    peer.flight.clear();
+                    peer.stream(now);
                 }
             }
             Verdict::Conflict(index) => {
@@ -113,7 +121,11 @@
                 // messages, probes would otherwise multiply.
                 let is_new = match peer.mode {
                     Mode::Probe => next < peer.next,
-                    Mode::Stream => true,
+                    // One that answers a message from before this stream tells nothing of it, and
+                    // must not have much sent again.
+                    Mode::Stream => {
+                        peer.streamed <= sent || !peer.is_under_way(self.config.behind_bytes_max)
+                    }
                     Mode::Install { .. } => false,
                 };
                 if !is_new || next <= peer.matched {
@@ -174,28 +186,42 @@
         }
     }
 
-    /// Sends one heartbeat, or a snapshot's chunk when the entries that the member needs are gone.
+    /// Sends what shows where the member's log stands: a message that rests on the last entry that was
+    /// sent, or a snapshot's chunk when the entries that it needs are gone. What is on its way already
+    /// gets time for its answer.
     fn probe(&mut self, now: Millis, member: &id::Member, actions: &mut Vec<Action>) {
-        let term = self.vote.term;
         let State::Leader(leader) = &mut self.state else { return };
         let Some(peer) = leader.peers.get_mut(member) else { return };
-        let prev_index = peer.next - 1;
-        if !matches!(peer.mode, Mode::Install { .. }) {
-            if let Some(prev_term) = self.log.term_at(prev_index) {
-                let prev = Position { term: prev_term, index: prev_index };
-                let commit = self.commit.min(prev_index);
-                let entries = Vec::new();
-                let message = Message::Append { term, prev, entries, commit, sent: now };
-                actions.push(Action::Send(member.clone(), message));
-                return;
-            }
+        let end = peer.next - 1;
+        let is_installing = matches!(peer.mode, Mode::Install { .. });
+        if !is_installing && self.log.term_at(end).is_none() {
             let snapshot = self.log.snapshot().clone();
             peer.mode = Mode::Install { snapshot, offset: 0, since: now, sent: None };
         }
-        let Mode::Install { sent, .. } = &peer.mode else { return };
-        if sent.is_none_or(|sent| sent + self.config.chunk_again <= now) {
+        if let Mode::Install { sent, .. } = &peer.mode {
+            if sent.is_some_and(|sent| now < sent + self.config.chunk_again) {
+                return;
+            }
             self.send_chunk(now, member, actions);
+            return;
+        }
+        if peer.is_under_way(self.config.behind_bytes_max) {
+            if peer.check.is_some_and(|check| now < check.sent + self.config.check_again) {
+                return;
+            }
+            peer.check = Some(Check { index: end, sent: now });
         }
+        self.send_empty(now, member, end, actions);
+    }
+
+    /// Sends a message without entries that rests on the entry at the index. Without that entry it
+    /// rests on the beginning of the log, which all members share.
+    fn send_empty(&self, now: Millis, member: &id::Member, index: u64, actions: &mut Vec<Action>) {
+        let prev = self.log.term_at(index).map(|term| Position { term, index }).unwrap_or_default();
+        let commit = self.commit.min(prev.index);
+        let term = self.vote.term;
+        let message = Message::Append { term, prev, entries: Vec::new(), commit, sent: now };
+        actions.push(Action::Send(member.clone(), message));
     }
 
     fn send_chunk(&mut self, now: Millis, member: &id::Member, actions: &mut Vec<Action>) {
--- a/crates/wasabi-consensus/src/node.rs
+++ b/crates/wasabi-consensus/src/node.rs
@@ -151,6 +151,13 @@
         self.log.membership()
     }
 
+    /// Returns the highest index that another member is known to hold durably, or 0 when this one does
+    /// not lead.
+    pub fn matched(&self, member: &id::Member) -> u64 {
+        let State::Leader(leader) = &self.state else { return 0 };
+        leader.peers.get(member).map_or(0, |peer| peer.matched)
+    }
+
     /// Returns what is known of each member in force.
     pub fn members(&self, now: Millis) -> Vec<Status> {
         let membership = self.log.membership();
--- a/crates/wasabi-consensus/src/progress.rs
+++ b/crates/wasabi-consensus/src/progress.rs
@@ -38,6 +38,18 @@
     pub(crate) mode: Mode,
     /// The messages of entries without an answer.
     pub(crate) flight: Flight,
+    /// When the present stream of entries began.
+    pub(crate) streamed: Millis,
+    /// The last unanswered message that shows whether the stream arrived.
+    pub(crate) check: Option<Check>,
+}
+
+/// An empty message behind the entries of a stream. Its answer shows whether they arrived.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Check {
+    /// The last index of the stream when it was sent.
+    pub(crate) index: u64,
+    pub(crate) sent: Millis,
 }
 
 /// Messages of entries that were sent ahead of the answers.
@@ -78,7 +90,34 @@
 impl Progress {
     pub(crate) fn new(next: u64, since: Millis) -> Self {
         let flight = Flight::default();
-        Self { next, matched: 0, since, contact: None, mode: Mode::Probe, flight }
+        Self {
+            next,
+            matched: 0,
+            since,
+            contact: None,
+            mode: Mode::Probe,
+            flight,
+            streamed: since,
+            check: None,
+        }
+    }
+
+    /// Begins to send entries from the first one on that the member is not known to hold.
+    pub(crate) fn stream(&mut self, now: Millis) {
+        self.next = self.matched + 1;
+        self.mode = Mode::Stream;
+        self.flight.clear();
+        self.streamed = now;
+        self.check = None;
+    }
+
+    /// Returns whether more than so many bytes were sent that the member is not known to hold.
+    pub(crate) const fn is_under_way(&self, bytes: usize) -> bool {
+        match &self.mode {
+            Mode::Probe => false,
+            Mode::Stream => bytes < self.flight.bytes(),
+            Mode::Install { snapshot, .. } => bytes < snapshot.data.len(),
+        }
     }
 }
 
