--- a/crates/wasabi-consensus/src/config.rs
+++ b/crates/wasabi-consensus/src/config.rs
@@ -21,8 +21,11 @@
     pub entries_max: usize,
     /// Most bytes of entries in one message, and of a snapshot chunk.
     pub bytes_max: usize,
-    /// Time after which a snapshot chunk without an answer is sent again, in milliseconds.
+    /// Shortest time after which a snapshot chunk without an answer is sent again, in milliseconds.
+    /// Otherwise it is twice the time that the chunk before took.
     pub chunk_again: Millis,
+    /// Longest time after which a snapshot chunk without an answer is sent again, in milliseconds.
+    pub chunk_again_max: Millis,
     /// Time after which the question whether a stream arrived is asked again, in milliseconds.
     pub check_again: Millis,
     /// Most entries sent to one member ahead of its answers.
@@ -51,6 +54,7 @@
             // 70 ms on a link of 10 Mbit/s, with the overhead of the encoding.
             bytes_max: 64 * 1_024,
             chunk_again: Millis(300),
+            chunk_again_max: Millis(1_200),
             check_again: Millis(300),
             ahead_max: 8_192,
             ahead_bytes_max: 1_024 * 1_024,
--- a/crates/wasabi-consensus/src/leader.rs
+++ b/crates/wasabi-consensus/src/leader.rs
@@ -152,7 +152,7 @@
         let State::Leader(leader) = &mut self.state else { return };
         let Some(peer) = leader.peers.get_mut(from) else { return };
         peer.contact = peer.contact.max(Some(sent));
-        let Mode::Install { snapshot, offset, since, .. } = &mut peer.mode else { return };
+        let Mode::Install { snapshot, offset, since, again, .. } = &mut peer.mode else { return };
         // A late answer for an earlier chunk must not start a second stream of chunks. A lower
         // offset counts only in answer to the present chunk: then the member lost the earlier ones.
         let lost = next < *offset && *since <= sent;
@@ -160,6 +160,8 @@
             return;
         }
         *offset = next.min(snapshot.data.len() as u64);
+        let took = now.since(sent);
+        *again = (took + took).max(self.config.chunk_again).min(self.config.chunk_again_max);
         *since = now;
         self.send_chunk(now, from, actions);
     }
@@ -196,10 +198,11 @@
         let is_installing = matches!(peer.mode, Mode::Install { .. });
         if !is_installing && self.log.term_at(end).is_none() {
             let snapshot = self.log.snapshot().clone();
-            peer.mode = Mode::Install { snapshot, offset: 0, since: now, sent: None };
+            let again = self.config.chunk_again;
+            peer.mode = Mode::Install { snapshot, offset: 0, since: now, sent: None, again };
         }
-        if let Mode::Install { sent, .. } = &peer.mode {
-            if sent.is_some_and(|sent| now < sent + self.config.chunk_again) {
+        if let Mode::Install { sent, again, .. } = &peer.mode {
+            if sent.is_some_and(|sent| now < sent + *again) {
                 return;
             }
             self.send_chunk(now, member, actions);
--- a/crates/wasabi-consensus/src/progress.rs
+++ b/crates/wasabi-consensus/src/progress.rs
@@ -21,6 +21,8 @@
         since: Millis,
         /// When the last chunk was sent.
         sent: Option<Millis>,
+        /// Time after which the chunk is sent again, in milliseconds.
+        again: Millis,
     },
 }
 
--- a/crates/wasabi-consensus/tests/under_way.rs
+++ b/crates/wasabi-consensus/tests/under_way.rs
@@ -1,7 +1,10 @@
 //! What a leader sends while entries or a snapshot are on their way to a member.
 #![allow(clippy::unwrap_used, reason = "a test ends at the first error")]
 
-use wasabi_consensus::{Action, Config, Event, Message, Node, Persist, Restored, Role, Verdict};
+use bytes::Bytes;
+use wasabi_consensus::{
+    Action, Config, Event, Message, Node, Persist, Position, Restored, Role, Verdict,
+};
 use wasabi_protocol::{clock::Millis, id};
 
 /// When the node under test was elected.
@@ -78,6 +81,30 @@
     }
 }
 
+impl Leader {
+    /// Returns the offsets of the chunks that the next round of heartbeats sends to `c`.
+    fn round(&mut self) -> Vec<u64> {
+        self.matched("b", 3);
+        let sent = self.heartbeat();
+        let chunks = chunks(&sent);
+        let is_first = chunks == [0] && rests_on(&sent, "c").is_empty();
+        assert!(
+            is_first || rests_on(&sent, "c") == [0],
+            "a heartbeat beside the chunk: {chunks:?}"
+        );
+        chunks
+    }
+}
+
+/// Returns the offsets of the chunks for `c`.
+fn chunks(sent: &[(id::Member, Message)]) -> Vec<u64> {
+    let offset = |(to, message): &(id::Member, Message)| match message {
+        Message::Install { offset, .. } if *to == member("c") => Some(*offset),
+        _ => None,
+    };
+    sent.iter().filter_map(offset).collect()
+}
+
 fn stored(persist: Persist) -> Event {
     Event::Persisted(persist.store(|_| Ok::<_, ()>(())).unwrap())
 }
@@ -161,3 +188,23 @@
     leader.now = third;
     assert_eq!(rests_on(&leader.conflict("b", 2, third), "b"), [2], "a later one counts");
 }
+
+/// Guards against a slow link that is filled with copies of one chunk, and against a member that hears
+/// nothing from its leader while a chunk is on its way.
+#[test]
+fn a_chunk_gets_twice_the_time_of_the_one_before() {
+    let mut leader = Leader::elected();
+    leader.propose(LARGE);
+    leader.matched("b", 3);
+    leader.step(Event::Compact { index: 3, data: Bytes::from(vec![1; 256 * 1024]) });
+    let sent = leader.now + HEARTBEAT;
+    let first: Vec<_> = (0..5).map(|_| leader.round()).collect();
+    assert_eq!(first, [vec![0], vec![], vec![], vec![0], vec![]]);
+    let last = Position { term: 1, index: 3 };
+    let reply = Message::InstallReply { term: 1, last, next: 64 * 1024, sent };
+    let sent = leader.receive("c", reply);
+    assert_eq!(chunks(&sent), [64 * 1024], "the next chunk follows an answer");
+    // The first one took 400 ms.
+    let second: Vec<_> = (0..8).map(|_| leader.round()).collect();
+    assert_eq!(second, [&vec![vec![]; 7][..], &[vec![64 * 1024]]].concat());
+}
