control: a member states one address of its own

`a_silent_member_leaves_and_silent_connections_are_replaced` failed once on the code before ("the member stays"): the leader had recorded the address at which the member listens, as its question to be taken in said, and not the one that its messages and the settings name. The test then cut a relay that the leader did not use.

Cause: whichever of the two came first was recorded in the log.

Change: the question to be taken in names the address that the messages name.

--- a/crates/wasabi-control/src/join.rs
+++ b/crates/wasabi-control/src/join.rs
@@ -48,19 +48,14 @@
 const SIZE_MIN: usize = 3;
 
 /// Asks to be in the group until the control thread has ended.
-/// `callers` are members that took this one for its predecessor.
+/// The address is the one that this member states in its messages. `callers` are members that took this one for its predecessor.
 pub(crate) async fn run(
-    name: id::Member,
+    (name, address): (id::Member, String),
     options: Options,
     callers: Contacts,
     inputs: mpsc::Sender<Input>,
 ) {
-    let mut join = Join {
-        member: name,
-        address: options.listen.to_string(),
-        proofs: options.proofs(),
-        leader: None,
-    };
+    let mut join = Join { member: name, address, proofs: options.proofs(), leader: None };
     let mut leader = None;
     let mut was_in = false;
     let mut said: Option<Instant> = None;
--- a/crates/wasabi-control/src/server.rs
+++ b/crates/wasabi-control/src/server.rs
@@ -145,10 +145,10 @@
         let (parcels, outgoing) = tokio::sync::mpsc::unbounded_channel();
         let own = options.members.iter().find(|(name, _)| *name == start.name);
         let own = own.map_or_else(|| address.to_string(), |(_, address)| address.clone());
-        actix_rt::spawn(link::run(start.name.clone(), own, options.proofs(), outgoing));
+        actix_rt::spawn(link::run(start.name.clone(), own.clone(), options.proofs(), outgoing));
         if !options.contacts.get().is_empty() {
             actix_rt::spawn(join::run(
-                start.name.clone(),
+                (start.name.clone(), own),
                 options.clone(),
                 callers,
                 inputs.clone(),
