entry, control: the answer to a check-in names the revision and holds no configuration

Callers saw a valid change in force late or never at an entry, and the entry refusing work meanwhile: the answer to a check-in carried the whole configuration, has 700 ms, and its connection ends when that is over, so that nothing of it is kept. Beyond the bytes that a link passes in 700 ms (62 KB on 10 Mbit/s when 14 entries share it) neither the change nor the proof that control is heard ever came. The first configuration of an entry had the same bound. The leader cloned and encoded all of it for each host.

Cause: one answer proved liveness and carried bulk. Ruled out: that the change is named late. A check-in names it within 0.5 s; the same tests pass when the answer holds the revision alone.

The answer names the revision, and the entry fetches it by fetch::plan on the connection of fetches: from a peer before control, from its data centre first; coordinators and entries without a view ask control at once, all others when no peer named it for 0.4 s. An entry without a view asks the members in an order of its own. An entry that does not say `fetches` is of an earlier version and still gets the configuration in the answer; one of this version takes it from an earlier leader.

An entry that cannot get what the leader named must not serve for as long as the leader answers, and one that is always a revision behind under frequent changes must: an answer counts, from the time of its question, once the entry holds the revision that it named (control::confirmation).

Answers to fetches are encoded once for all askers that hold the same (rpc::Answers). To see where a late change was late: the time from the first naming to being in force, fetches by source and end, bytes by extent on the entry; answers and their bytes by extent on the member.

--- a/crates/wasabi-control/examples/measure/entries.rs
+++ b/crates/wasabi-control/examples/measure/entries.rs
@@ -75,6 +75,7 @@
         endpoints: Vec::new(),
         suspects: Vec::new(),
         degraded: Vec::new(),
+        fetches: false,
     };
     let settled = Instant::now() + Duration::from_secs(3);
     let (mut messages, mut bytes) = (0, 0);
--- a/crates/wasabi-control/examples/measure/state.rs
+++ b/crates/wasabi-control/examples/measure/state.rs
@@ -127,6 +127,7 @@
             endpoints: (number * 10..number * 10 + 10).map(endpoint).collect(),
             suspects: Vec::new(),
             degraded: Vec::new(),
+            fetches: false,
         };
         sent += serde_json::to_vec(&checkin).unwrap().len();
         liveness.check_in(Millis(1), checkin);
--- a/crates/wasabi-control/src/input.rs
+++ b/crates/wasabi-control/src/input.rs
@@ -6,8 +6,8 @@
     command::{Move, View},
     id,
     rpc::{
-        ChangeMembers, Checked, Checkin, Drain, Drained, Held, Inquire, Inquired, Join, Joined,
-        Lead, MembersChanged, MoveOrder, Operate, Operated, Propose, Proposed, Read, Update,
+        Answer, ChangeMembers, Checked, Checkin, Drain, Drained, Held, Inquire, Inquired, Join,
+        Joined, Lead, MembersChanged, MoveOrder, Operate, Operated, Propose, Proposed, Read,
     },
     site,
 };
@@ -28,7 +28,7 @@
     /// An order to drain an entry.
     Drain(Drain, Sender<Drained>),
     /// A question for the configuration that this member holds.
-    Config(Option<Held>, Sender<Update>),
+    Config(Option<Held>, Sender<Answer>),
     /// A member that asks to be in the group.
     Join(Join, Sender<Joined>),
     /// A question who leads.
--- a/crates/wasabi-control/src/member.rs
+++ b/crates/wasabi-control/src/member.rs
@@ -18,7 +18,7 @@
     clock::{Clock, Millis, unix_now},
     command::{self, Command, Outcome},
     id,
-    rpc::{Drained, Operated, Proposed},
+    rpc::{Answers, Drained, Operated, Proposed},
 };
 use wasabi_state::Machine;
 
@@ -85,6 +85,8 @@
     pub(crate) learned: Addresses,
     pub(crate) liveness: Liveness,
     pub(crate) duties: Duties,
+    /// Answers with the configuration of the present revision.
+    pub(crate) answers: Answers,
     /// Answers that wait for the commit of their proposal, by its number.
     waiting: BTreeMap<u64, Waiting>,
     /// Numbers of the proposals that have a place in the log, by index, with their term.
@@ -144,6 +146,7 @@
             addresses: Addresses::new(),
             learned,
             duties: Duties::default(),
+            answers: Answers::default(),
             waiting: BTreeMap::new(),
             placed: BTreeMap::new(),
             next_request: 0,
--- a/crates/wasabi-control/src/metrics.rs
+++ b/crates/wasabi-control/src/metrics.rs
@@ -7,6 +7,7 @@
     metrics::{counter::Counter, family::Family, gauge::Gauge},
     registry::Registry,
 };
+use wasabi_protocol::rpc::Extent;
 
 /// What a member shows of itself. Clones share their values.
 #[derive(Debug, Clone, Default)]
@@ -22,6 +23,16 @@
     pub(crate) short_seconds: Gauge<f64, AtomicU64>,
     pub(crate) commits: Counter,
     forwarded: Family<Forwarded, Counter>,
+    config_answers: Family<ByExtent, Counter>,
+    config_answer_bytes: Family<ByExtent, Counter>,
+}
+
+/// Labels of an answer with the configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct ByExtent {
+    /// How much of the configuration it held.
+    extent: &'static str,
 }
 
 /// A kind of calls that this host made at the leader for its own callers.
@@ -68,10 +79,27 @@
             "Operators' calls that this host made at the leader, by their end",
             self.forwarded.clone(),
         );
+        registry.register(
+            "config_answers",
+            "Answers with the configuration, by how much of it they held",
+            self.config_answers.clone(),
+        );
+        registry.register(
+            "config_answer_bytes",
+            "Bytes of answers with the configuration",
+            self.config_answer_bytes.clone(),
+        );
         registry.register("commits", "Committed log entries", self.commits.clone());
         Arc::new(registry)
     }
 
+    /// Counts an answer with the configuration.
+    pub(crate) fn count_answer(&self, extent: Extent, bytes: usize) {
+        let labels = ByExtent { extent: extent.as_str() };
+        self.config_answers.get_or_create(&labels).inc();
+        self.config_answer_bytes.get_or_create(&labels).inc_by(bytes as u64);
+    }
+
     pub(crate) fn count_forwarded(&self, call: &'static str, end: End) {
         self.forwarded.get_or_create(&Forwarded { call, end }).inc();
     }
--- a/crates/wasabi-control/src/serve.rs
+++ b/crates/wasabi-control/src/serve.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use tokio::sync::oneshot::Sender;
-use tracing::info;
+use tracing::{error, info};
 use wasabi_consensus::Part;
 use wasabi_protocol::{
     clock::{Millis, unix_now},
@@ -12,8 +12,8 @@
     fault::{Fault, Kind},
     fingerprint, id,
     rpc::{
-        Checked, Checkin, Drain, Drained, Force, Inquire, Inquired, Lead, MemberStatus, MoveOrder,
-        Operate, Operated, Proposed, Read, Role, Source, Status, Update,
+        Answer, Checked, Checkin, Drain, Drained, Force, Held, Inquire, Inquired, Lead,
+        MemberStatus, MoveOrder, Operate, Operated, Proposed, Read, Role, Source, Status,
     },
     site,
 };
@@ -65,9 +65,7 @@
             Input::ChangeMembers(change, reply) => {
                 let _ = reply.send(self.change_members(&change));
             }
-            Input::Config(held, reply) => {
-                let _ = reply.send(Update::new(self.machine.config(), held.as_ref()));
-            }
+            Input::Config(held, reply) => self.answer_config(held, reply),
             Input::Join(join, reply) => {
                 let _ = reply.send(self.join(&join));
             }
@@ -124,12 +122,14 @@
         if !self.leads() {
             return Checked::NotLeader { leader: self.leader_address() };
         }
-        let (held, held_site) = (checkin.revision, checkin.site);
+        let (held, held_site, fetches) = (checkin.revision, checkin.site, checkin.fetches);
         self.add_evidence(&checkin);
         self.liveness.check_in(self.clock.now(), checkin);
         let revision = self.machine.revision();
         let site = self.machine.site().map(|site| site.config.version);
-        let config = (held < revision).then(|| {
+        // An answer that holds no configuration comes in time whatever the size of that is. Entries
+        // of earlier versions fetch nothing from control.
+        let config = (!fetches && held < revision).then(|| {
             let mut config = Box::new(self.machine.config());
             if held_site.is_some() && held_site == site {
                 config.site = None;
@@ -141,6 +141,17 @@
         Checked::Heard { revision, config, members }
     }
 
+    fn answer_config(&mut self, held: Option<Held>, reply: Sender<Answer>) {
+        let machine = &self.machine;
+        match self.answers.answer(machine.revision(), held, || machine.config()) {
+            Ok(answer) => {
+                self.options.metrics.count_answer(answer.extent(), answer.bytes());
+                let _ = reply.send(answer);
+            }
+            Err(error) => error!(%error, "the configuration cannot be encoded"),
+        }
+    }
+
     fn operate(&mut self, operate: Operate, reply: Sender<Operated>) {
         let is_order = matches!(
             operate.command,
--- a/crates/wasabi-control/tests/entries.rs
+++ b/crates/wasabi-control/tests/entries.rs
@@ -57,6 +57,7 @@
             endpoints: Vec::new(),
             suspects: Vec::new(),
             degraded: Vec::new(),
+            fetches: false,
         };
         let state = State { checkin, config: Config::default(), adopts: true };
         let state = Arc::new(Mutex::new(state));
--- a/crates/wasabi-control/tests/liveness.rs
+++ b/crates/wasabi-control/tests/liveness.rs
@@ -38,6 +38,7 @@
         endpoints: Vec::new(),
         suspects: Vec::new(),
         degraded: Vec::new(),
+        fetches: false,
     }
 }
 
--- a/crates/wasabi-control/tests/orders.rs
+++ b/crates/wasabi-control/tests/orders.rs
@@ -56,6 +56,7 @@
         endpoints,
         suspects: Vec::new(),
         degraded: Vec::new(),
+        fetches: false,
     };
     let client = WsClientBuilder::default().build(format!("ws://{leader}")).await.unwrap();
     let checked: Checked =
--- a/crates/wasabi-control/tests/single.rs
+++ b/crates/wasabi-control/tests/single.rs
@@ -10,7 +10,7 @@
 use wasabi_control::{Batching, Contacts, Options, Running};
 use wasabi_protocol::{
     clock::Millis,
-    command::{Command, Duty, Entry, Key, Order, Outcome},
+    command::{Command, Config, Duty, Entry, Key, Order, Outcome},
     contract::{Contract, Limits, Repeat, Route, Target, Tier},
     fault::{Fault, Kind},
     fingerprint, id,
@@ -58,6 +58,7 @@
         endpoints: Vec::new(),
         suspects: Vec::new(),
         degraded: Vec::new(),
+        fetches: false,
     }
 }
 
@@ -121,6 +122,29 @@
     });
 }
 
+/// Guards against an answer that proves liveness and waits behind a configuration, and against a
+/// configuration that an entry finds nowhere.
+#[test]
+fn a_check_in_of_an_entry_that_fetches_is_answered_without_the_configuration() {
+    actix_rt::System::new().block_on(async {
+        let folder = tempfile::tempdir().unwrap();
+        let options = options(folder.path());
+        let registry = options.metrics.registry();
+        let running = Running::start(options).await.unwrap();
+        let url = format!("ws://{}", running.address());
+        let client = WsClientBuilder::default().build(&url).await.unwrap();
+        heartbeat_until(&client, 1).await;
+        let checkin = Checkin { fetches: true, ..checkin(0) };
+        let checked: Checked = call(&client, method::CONTROL_HEARTBEAT, checkin).await;
+        let Checked::Heard { revision, config, .. } = checked else { panic!("{checked:?}") };
+        assert_eq!((revision, config), (id::Revision(1), None));
+        let config: Config = client.request(method::CONFIG, rpc_params![]).await.unwrap();
+        assert_eq!(config.revision, id::Revision(1));
+        let page = metrics::encode(&registry);
+        assert!(page.contains("config_answers_total{extent="), "{page}");
+    });
+}
+
 /// Guards against commands without a credential, against forged messages of members, against an
 /// answer before the change is in force at the entry, and against entries that never get it.
 #[test]
--- a/crates/wasabi-entry/src/control/checkin.rs
+++ b/crates/wasabi-entry/src/control/checkin.rs
@@ -1,4 +1,6 @@
-//! Check-ins with the control leader: liveness, evidence and the configuration in force.
+//! Check-ins with the control leader: liveness, evidence and the revision in force.
+//!
+//! The answer holds no configuration, so that it comes in time however large that is.
 
 use std::rc::Rc;
 
@@ -8,7 +10,11 @@
     rpc::{Checked, Checkin},
 };
 
-use crate::shell::Shell;
+use crate::{
+    control::confirmation::Confirmation,
+    fetch::{self, plan::Source},
+    shell::Shell,
+};
 
 /// Time between two check-ins.
 const EVERY: Millis = Millis(500);
@@ -32,6 +38,7 @@
         Some(Checked::Heard { revision, config, members }) => {
             shell.control.learn(members);
             if let Some(mut config) = config {
+                // Only a leader of an earlier version sends it.
                 if config.site.is_none() {
                     config.site.clone_from(&shell.shared.in_force().config.site);
                 }
@@ -39,32 +46,59 @@
             }
             shell.control_heard.set(Some(sent));
             confirm(shell, revision, sent);
+            name(shell, revision);
         }
         Some(Checked::NotLeader { .. }) | None => {
             // Evidence counts from check-in to check-in, so what was not taken is sent again.
             shell.unsent.borrow_mut().extend(checkin.evidence);
-            if shell.shared.in_force().config.view.entries.is_empty()
-                && let Some(config) = shell.control.fetch().await
-            {
-                // It may be old, so it names the peers, and nothing is served before a leader is heard.
-                tracing::info!(revision = %config.revision, "a member's configuration, not confirmed");
-                shell.apply(&config);
+            let in_force = shell.shared.in_force();
+            if in_force.config.view.entries.is_empty() {
+                // What a member holds may be old, so it names the peers, and nothing is served
+                // before a leader is heard.
+                ask_members(shell, in_force.config.revision.next());
             }
         }
     }
 }
 
-/// Extends the serving time after a leader named the revision in force.
-///
-/// A process serves from the first time on that it holds what a leader named: nothing that was
-/// acknowledged before its start is newer.
-fn confirm(shell: &Shell, revision: id::Revision, heard: Millis) {
+/// Takes into account that a leader named a revision in the answer to a question sent at `sent`.
+fn confirm(shell: &Shell, revision: id::Revision, sent: Millis) {
     let held = shell.shared.in_force().config.revision;
-    if revision <= held && !shell.is_confirmed.replace(true) {
-        tracing::info!(revision = %held, "confirmed by the leader");
+    prove(shell, |confirmation| confirmation.name(revision, sent, held));
+}
+
+/// Takes into account that a revision is in force here.
+pub(crate) fn hold(shell: &Shell, revision: id::Revision) {
+    prove(shell, |confirmation| confirmation.hold(revision));
+}
+
+/// Extends the serving time when that proves that this entry holds what a leader named.
+fn prove(shell: &Shell, step: impl FnOnce(&mut Confirmation) -> Option<Millis>) {
+    let mut confirmation = shell.confirmation.borrow_mut();
+    let is_first = !confirmation.is_confirmed();
+    let Some(from) = step(&mut confirmation) else { return };
+    if is_first {
+        tracing::info!("confirmed by the leader");
     }
-    if shell.is_confirmed.get() {
-        shell.shared.extend_serving(heard);
+    shell.shared.extend_serving(from);
+}
+
+/// Fetches the revision that the leader named, if it is newer. An entry without a view asks any
+/// member: when all entries start at one time, the leader would have to send it to each of them.
+fn name(shell: &Rc<Shell>, revision: id::Revision) {
+    if shell.shared.in_force().config.view.entries.is_empty() {
+        ask_members(shell, revision);
+    } else if let Some(leader) = shell.control.leader() {
+        fetch::run::named(shell, Source::Member(leader), revision);
+    }
+}
+
+/// Asks the members, in an order of this process's own, for a revision that they may hold.
+fn ask_members(shell: &Rc<Shell>, revision: id::Revision) {
+    let mut members = shell.control.members();
+    fastrand::shuffle(&mut members);
+    for member in members {
+        fetch::run::named(shell, Source::Member(member), revision);
     }
 }
 
@@ -82,5 +116,6 @@
         endpoints: pools.endpoints(),
         suspects: shell.suspects.borrow().worst(now),
         degraded: shell.degraded(),
+        fetches: true,
     }
 }
--- a/crates/wasabi-entry/src/control/link.rs
+++ b/crates/wasabi-entry/src/control/link.rs
@@ -9,7 +9,7 @@
 };
 use tokio::net::TcpStream;
 use wasabi_protocol::{
-    command::{Command, Config},
+    command::Command,
     rpc::{Checked, Checkin, MESSAGE_BYTES_MAX, Propose, Proposed, method},
 };
 
@@ -100,16 +100,10 @@
         None
     }
 
-    /// Returns the configuration that some member holds. It may be an old one.
-    pub(crate) async fn fetch(&self) -> Option<Config> {
-        for member in &self.members {
-            let Some(client) = self.client(member).await else { continue };
-            let call = client.request::<Config, _>(method::CONFIG, rpc_params![]);
-            if let Ok(Ok(config)) = tokio::time::timeout(CHECKIN_TIME, call).await {
-                return Some(config);
-            }
-        }
-        None
+    /// Returns the members that the leader named last, or else those of the settings.
+    pub(crate) fn members(&self) -> Vec<String> {
+        let learned = self.learned.borrow();
+        if learned.is_empty() { self.members.clone() } else { learned.clone() }
     }
 
     /// Returns the address of the member that answered as the leader last.
--- a/crates/wasabi-entry/src/fetch/plan.rs
+++ b/crates/wasabi-entry/src/fetch/plan.rs
@@ -1,7 +1,13 @@
 //! Decides when an entry fetches a newer configuration, and from whom.
 //!
-//! Every peer names the revision that it has in force, several times a second. One fetch is under
-//! way at a time, so that a change costs an entry its own size once, whatever the number of peers.
+//! Every peer names the revision that it has in force, several times a second, and the control
+//! leader does in its answers. One fetch is under way at a time, so that a change costs an entry its
+//! own size once, whatever the number of peers.
+//!
+//! The coordinators fetch from control and all others from them, so that the leader's link carries a
+//! few copies of a change, whatever the number of entries.
+
+use std::cmp::Reverse;
 
 use wasabi_protocol::{clock::Millis, id};
 
@@ -14,15 +20,39 @@
 /// Time for which a source that gave nothing newer is not asked again.
 pub const REST: Millis = Millis(500);
 
+/// Time for which an entry that takes its turn after the coordinators waits for a peer to name what
+/// control named. It is shorter than the time between two check-ins, so that the second one that
+/// names a revision finds the wait over.
+pub const PEERS_FIRST: Millis = Millis(400);
+
 /// Who may hold a newer configuration.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Source {
-    /// The control leader.
-    Control,
+    /// The control member at this address.
+    Member(String),
     /// Another entry.
     Peer(id::Entry),
 }
 
+/// Where a source is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Place {
+    /// In the data centre of this entry.
+    Here,
+    /// In another one, or not known.
+    Elsewhere,
+}
+
+/// When an entry asks control.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Turn {
+    /// At once: it is a coordinator, or it has no view and so no peers.
+    #[default]
+    First,
+    /// When no peer has named a newer revision for [`PEERS_FIRST`].
+    AfterPeers,
+}
+
 /// How a fetch ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum End {
@@ -38,7 +68,10 @@
 #[derive(Debug)]
 struct Named {
     source: Source,
+    place: Place,
     revision: id::Revision,
+    /// When it first named more than this entry held then.
+    since: Millis,
     failed: Option<Millis>,
 }
 
@@ -58,40 +91,55 @@
 #[derive(Debug, Default)]
 pub struct Plan {
     held: id::Revision,
+    turn: Turn,
     named: Vec<Named>,
     flight: Option<Flight>,
 }
 
 impl Plan {
-    /// Takes into account that this revision is in force here.
-    pub fn hold(&mut self, revision: id::Revision) {
-        self.held = self.held.max(revision);
-        let held = self.held;
-        self.named.retain(|named| held < named.revision);
+    /// Takes into account that this revision is in force here. Returns the time since it, or an
+    /// earlier one that was newer then, was first named.
+    pub fn hold(&mut self, now: Millis, revision: id::Revision, turn: Turn) -> Option<Millis> {
+        self.turn = turn;
+        if revision <= self.held {
+            return None;
+        }
+        self.held = revision;
+        let since = self.named.iter().map(|named| named.since).min();
+        self.named.retain(|named| revision < named.revision);
+        for named in &mut self.named {
+            named.since = now;
+        }
+        since.map(|since| now.since(since))
     }
 
     /// Takes into account that a source has this revision in force.
-    pub fn name(&mut self, source: Source, revision: id::Revision) {
+    pub fn name(&mut self, now: Millis, source: Source, place: Place, revision: id::Revision) {
         if revision <= self.held {
             return;
         }
         match self.named.iter_mut().find(|named| named.source == source) {
             Some(named) => named.revision = named.revision.max(revision),
-            None => self.named.push(Named { source, revision, failed: None }),
+            None => {
+                self.named.push(Named { source, place, revision, since: now, failed: None });
+            }
         }
     }
 
     /// Returns whom to ask now, if somebody named a newer revision and no fetch is under way. The
     /// caller fetches and then calls [`Plan::end`].
     ///
-    /// Sources that have not failed go first, then the highest revision, then the one named first.
+    /// Sources that have not failed go first, then peers, then the highest revision, then those of
+    /// this data centre, then the one named first.
     pub fn start(&mut self, now: Millis) -> Option<Source> {
         if self.flight.is_some() {
             return None;
         }
-        let may_ask = |named: &&Named| named.failed.is_none_or(|failed| REST <= now.since(failed));
-        let order = |named: &&Named| (named.failed, std::cmp::Reverse(named.revision));
-        let source = self.named.iter().filter(may_ask).min_by_key(order)?.source.clone();
+        let order = |named: &&Named| {
+            (named.failed, named.is_member(), Reverse(named.revision), named.place)
+        };
+        let due = self.named.iter().filter(|named| named.is_due(now, self.turn));
+        let source = due.min_by_key(order)?.source.clone();
         self.flight = Some(Flight {
             source: source.clone(),
             started: now,
@@ -140,3 +188,17 @@
         }
     }
 }
+
+impl Named {
+    const fn is_member(&self) -> bool {
+        matches!(self.source, Source::Member(_))
+    }
+
+    /// Returns whether it may be asked now.
+    fn is_due(&self, now: Millis, turn: Turn) -> bool {
+        let is_rested = self.failed.is_none_or(|failed| REST <= now.since(failed));
+        let waits =
+            self.is_member() && turn == Turn::AfterPeers && now.since(self.since) < PEERS_FIRST;
+        is_rested && !waits
+    }
+}
--- a/crates/wasabi-entry/src/fetch/run.rs
+++ b/crates/wasabi-entry/src/fetch/run.rs
@@ -23,12 +23,13 @@
     net::TcpStream,
 };
 use wasabi_protocol::{
+    clock::Millis,
     id,
-    rpc::{Held, MESSAGE_BYTES_MAX, Update, method},
+    rpc::{Extent, Held, MESSAGE_BYTES_MAX, Update, method},
 };
 
 use crate::{
-    fetch::plan::{End, Plan, Source, WATCH_EVERY},
+    fetch::plan::{End, Place, Plan, Source, Turn, WATCH_EVERY},
     shell::Shell,
 };
 
@@ -53,12 +54,13 @@
 
 /// Takes into account that a source has a revision in force, and fetches that if it is newer.
 pub(crate) fn named(shell: &Rc<Shell>, source: Source, revision: id::Revision) {
-    let held = shell.shared.in_force().config.revision;
+    let now = shell.now();
+    hold(shell, now);
+    let place = place(shell, &source);
     let next = {
         let mut plan = shell.fetcher.plan.borrow_mut();
-        plan.hold(held);
-        plan.name(source, revision);
-        plan.start(shell.now())
+        plan.name(now, source, place, revision);
+        plan.start(now)
     };
     if let Some(source) = next {
         actix_rt::spawn(run(Rc::clone(shell), source));
@@ -70,18 +72,47 @@
     let mut next = Some(first);
     while let Some(source) = next {
         let end = fetch(&shell, &source).await;
+        let now = shell.now();
+        let behind = hold(&shell, now).unwrap_or_default();
         let held = shell.shared.in_force().config.revision;
         let mut plan = shell.fetcher.plan.borrow_mut();
-        let now = shell.now();
-        let age = plan.age(now).unwrap_or_default();
-        shell.shared.metrics.fetched(end);
-        tracing::debug!(?source, ?end, revision = %held, age = age.0, "fetch ended");
-        plan.hold(held);
+        let took = plan.age(now).unwrap_or_default();
+        shell.shared.metrics.fetched(&source, end);
+        tracing::info!(
+            ?source,
+            ?end,
+            revision = %held,
+            took_ms = took.0,
+            behind_ms = behind.0,
+            "fetch ended"
+        );
         plan.end(now, end);
         next = plan.start(now);
     }
 }
 
+/// Takes into account what is in force. Returns the time since it was first named, if it is newer
+/// than at the last call.
+fn hold(shell: &Shell, now: Millis) -> Option<Millis> {
+    let in_force = shell.shared.in_force();
+    let has_peers = !in_force.config.view.entries.is_empty();
+    let has_others_first = has_peers && !shell.peers.borrow().is_coordinating();
+    let turn = if has_others_first { Turn::AfterPeers } else { Turn::First };
+    let behind = shell.fetcher.plan.borrow_mut().hold(now, in_force.config.revision, turn)?;
+    shell.shared.metrics.behind(behind);
+    Some(behind)
+}
+
+/// Returns where a source is, by the view.
+fn place(shell: &Shell, source: &Source) -> Place {
+    let Source::Peer(name) = source else { return Place::Elsewhere };
+    let in_force = shell.shared.in_force();
+    let mut entries = in_force.config.view.entries.iter();
+    let is_here = entries
+        .any(|entry| entry.name == *name && entry.data_centre == shell.shared.entry.data_centre);
+    if is_here { Place::Here } else { Place::Elsewhere }
+}
+
 async fn fetch(shell: &Rc<Shell>, source: &Source) -> End {
     let Some(address) = address(shell, source) else { return End::Gone };
     let Some(line) = shell.fetcher.line(&address).await else { return End::Failed };
@@ -90,8 +121,8 @@
     let received_before = line.received.load(Ordering::Relaxed);
     let answer = answer(shell, &line, Held::of(&before.config)).await;
     let received = line.received.load(Ordering::Relaxed).saturating_sub(received_before);
-    let is_whole = answer.as_ref().is_ok_and(Update::is_whole);
-    shell.shared.metrics.fetched_bytes(is_whole, received);
+    let extent = answer.as_ref().map_or(Extent::Nothing, Update::extent);
+    shell.shared.metrics.fetched_bytes(extent, received);
     match answer {
         Ok(update) => {
             let config = update.onto(&before.config);
@@ -129,7 +160,7 @@
 /// Returns the address of a source, if it still has one.
 fn address(shell: &Shell, source: &Source) -> Option<String> {
     match source {
-        Source::Control => shell.control.leader(),
+        Source::Member(address) => Some(address.clone()),
         Source::Peer(name) => {
             let in_force = shell.shared.in_force();
             let mut entries = in_force.config.view.entries.iter();
--- a/crates/wasabi-entry/src/lib.rs
+++ b/crates/wasabi-entry/src/lib.rs
@@ -4,7 +4,7 @@
 //! way of a request is in `dispatch::way`, which calls the stages in order.
 
 mod callers;
-mod control;
+pub mod control;
 pub mod daemon;
 pub mod dispatch;
 mod drain;
--- a/crates/wasabi-entry/src/message.rs
+++ b/crates/wasabi-entry/src/message.rs
@@ -8,8 +8,8 @@
     id,
     request::Request,
     rpc::{
-        Acquire, Acquired, Grant, Heartbeat, Held, Holdings, Lend, Preempt, Proposed, Release,
-        Slice, Update,
+        Acquire, Acquired, Answer, Grant, Heartbeat, Held, Holdings, Lend, Preempt, Proposed,
+        Release, Slice,
     },
 };
 
@@ -77,7 +77,7 @@
     /// A heartbeat, answered with the own one.
     Heartbeat(Box<Heartbeat>, oneshot::Sender<Heartbeat>),
     /// The configuration in force here, without what the peer holds.
-    Config(Option<Held>, oneshot::Sender<Update>),
+    Config(Option<Held>, oneshot::Sender<Answer>),
     /// A slice of an organisation's budget.
     Lend(Lend, oneshot::Sender<Slice>),
 }
--- a/crates/wasabi-entry/src/metrics.rs
+++ b/crates/wasabi-entry/src/metrics.rs
@@ -10,9 +10,9 @@
     },
     registry::Registry,
 };
-use wasabi_protocol::{contract::Tier, fault::Kind};
+use wasabi_protocol::{clock::Millis, contract::Tier, fault::Kind, rpc::Extent};
 
-use crate::fetch::plan::End;
+use crate::fetch::plan::{End, Source};
 
 /// Labels of what is counted by tier.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -42,6 +42,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
 pub(crate) struct ByEnd {
+    /// Who was asked.
+    source: &'static str,
     /// How it ended.
     end: &'static str,
 }
@@ -50,7 +52,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
 struct ByExtent {
-    /// Whether the view and the site came whole.
+    /// How much of the configuration came.
     extent: &'static str,
 }
 
@@ -81,6 +83,8 @@
     pub(crate) fetches: Family<ByEnd, Counter>,
     /// Bytes received for fetches of the configuration.
     fetched_bytes: Family<ByExtent, Counter>,
+    /// Time from the first naming of a newer revision to its being in force, in seconds.
+    behind: Histogram,
 }
 
 impl Metrics {
@@ -101,6 +105,7 @@
             revision: Gauge::default(),
             fetches: Family::default(),
             fetched_bytes: Family::default(),
+            behind: Histogram::new(exponential_buckets(0.001, 2.0, 16)),
         };
         let prefix = registry.sub_registry_with_prefix("wasabi_entry");
         prefix.register("goodput", "Whole answers within their targets", metrics.goodput.clone());
@@ -131,23 +136,37 @@
             "Bytes received for fetches of the configuration",
             metrics.fetched_bytes.clone(),
         );
+        prefix.register(
+            "config_behind_seconds",
+            "Time from the first naming of a newer revision to its being in force",
+            metrics.behind.clone(),
+        );
         metrics
     }
 
     /// Counts a fetch of the configuration.
-    pub(crate) fn fetched(&self, end: End) {
+    pub(crate) fn fetched(&self, source: &Source, end: End) {
+        let source = match source {
+            Source::Member(_) => "control",
+            Source::Peer(_) => "peer",
+        };
         let end = match end {
             End::Taken => "taken",
             End::Failed => "failed",
             End::Gone => "gone",
         };
-        self.fetches.get_or_create(&ByEnd { end }).inc();
+        self.fetches.get_or_create(&ByEnd { source, end }).inc();
+    }
+
+    /// Notes the time from the first naming of a newer revision to its being in force.
+    pub(crate) fn behind(&self, time: Millis) {
+        self.behind.observe(time.seconds());
     }
 
     /// Counts bytes received for a fetch of the configuration.
-    pub(crate) fn fetched_bytes(&self, is_whole: bool, bytes: u64) {
-        let extent = if is_whole { "whole" } else { "part" };
-        self.fetched_bytes.get_or_create(&ByExtent { extent }).inc_by(bytes);
+    pub(crate) fn fetched_bytes(&self, extent: Extent, bytes: u64) {
+        let labels = ByExtent { extent: extent.as_str() };
+        self.fetched_bytes.get_or_create(&labels).inc_by(bytes);
     }
 
     /// Counts an error answered to a caller.
--- a/crates/wasabi-entry/src/peers/table.rs
+++ b/crates/wasabi-entry/src/peers/table.rs
@@ -134,6 +134,11 @@
         self.peers.get(name).is_some_and(|peer| peer.is_coordinator)
     }
 
+    /// Returns whether this entry is a coordinator of the view.
+    pub(crate) const fn is_coordinating(&self) -> bool {
+        self.is_coordinator
+    }
+
     /// Notes an answer of a peer, to whatever question.
     pub(crate) fn answered(&mut self, now: Millis, name: &id::Entry) {
         self.liveness.answered(now, name);
--- a/crates/wasabi-entry/src/shell.rs
+++ b/crates/wasabi-entry/src/shell.rs
@@ -15,13 +15,13 @@
     clock::Millis,
     command::{Config, Duty, Entry},
     id,
-    rpc::{Acquired, Evidence, Heartbeat, Lend, Preempt, Release, Update, method},
+    rpc::{Acquired, Answers, Evidence, Heartbeat, Lend, Preempt, Release, method},
 };
 use wasabi_routing::{liveness, rendezvous};
 use wasabi_scheduler::pool::Event;
 
 use crate::{
-    control::link::Link,
+    control::{checkin, confirmation::Confirmation, link::Link},
     drain,
     fetch::run::Fetcher,
     message::{Message, Peer},
@@ -58,10 +58,12 @@
     pub(crate) lender: RefCell<Lender>,
     pub(crate) control: Link,
     pub(crate) fetcher: Fetcher,
+    /// Answers with the configuration in force.
+    answers: RefCell<Answers>,
     /// When the control leader was last heard.
     pub(crate) control_heard: Cell<Option<Millis>>,
-    /// Whether a leader told this process what is in force.
-    pub(crate) is_confirmed: Cell<bool>,
+    /// What the leader's answers prove about what is in force.
+    pub(crate) confirmation: RefCell<Confirmation>,
     /// Evidence that control has not taken yet.
     pub(crate) unsent: RefCell<Vec<Evidence>>,
     /// The owner of each pool as last seen, so that a change is noticed.
@@ -85,8 +87,9 @@
             lender: RefCell::new(lender),
             control,
             fetcher: Fetcher::default(),
+            answers: RefCell::default(),
             control_heard: Cell::new(None),
-            is_confirmed: Cell::new(false),
+            confirmation: RefCell::default(),
             unsent: RefCell::default(),
             owners: RefCell::default(),
             approaches: RefCell::default(),
@@ -243,6 +246,7 @@
             return;
         }
         tracing::info!(revision = %config.revision, view = %config.view.number, "in force");
+        checkin::hold(self, config.revision);
         let now = self.now();
         let own = &self.shared.entry.name;
         let pools = self.wanted_pools();
@@ -272,7 +276,7 @@
             from: self.shared.entry.name.clone(),
             view: in_force.config.view.number,
             revision: in_force.config.revision,
-            is_confirmed: self.is_confirmed.get(),
+            is_confirmed: self.confirmation.borrow().is_confirmed(),
             suspects: Vec::new(),
             lent: Vec::new(),
         };
@@ -288,7 +292,7 @@
     ///
     /// Entries that only agree may all hold what a member had in its last snapshot.
     pub(crate) fn extend_by_majority(&self) {
-        if !self.is_confirmed.get() {
+        if !self.confirmation.borrow().is_confirmed() {
             return;
         }
         let in_force = self.shared.in_force();
@@ -394,8 +398,13 @@
                 drop(reply.send(self.heartbeat(&beat.from)));
             }
             Peer::Config(held, reply) => {
-                let config = self.shared.in_force().config.clone();
-                drop(reply.send(Update::new(config, held.as_ref())));
+                let in_force = self.shared.in_force();
+                let config = || in_force.config.clone();
+                let mut answers = self.answers.borrow_mut();
+                match answers.answer(in_force.config.revision, held, config) {
+                    Ok(answer) => drop(reply.send(answer)),
+                    Err(error) => tracing::error!(%error, "the configuration cannot be encoded"),
+                }
             }
             Peer::Lend(lend, reply) => {
                 if let Some(slice) = self.lend(&lend) {
--- /dev/null
+++ b/crates/wasabi-entry/tests/confirmation.rs
@@ -0,0 +1,41 @@
+//! What the leader's answers prove about the configuration in force.
+
+use wasabi_entry::control::confirmation::Confirmation;
+use wasabi_protocol::{clock::Millis, id::Revision};
+
+/// Guards against an entry that serves on an older configuration for as long as a leader answers it.
+#[test]
+fn an_answer_that_names_a_newer_revision_proves_nothing() {
+    let mut confirmation = Confirmation::default();
+    assert_eq!(confirmation.name(Revision(2), Millis(100), Revision(2)), Some(Millis(100)));
+    for sent in 1..100 {
+        assert_eq!(confirmation.name(Revision(3), Millis(100 + sent * 500), Revision(2)), None);
+    }
+    assert!(confirmation.is_confirmed());
+}
+
+/// Guards against an entry that stops serving under frequent changes, when each answer names a
+/// revision that it gets only later.
+#[test]
+fn an_answer_counts_from_its_question_once_the_revision_is_held() {
+    let mut confirmation = Confirmation::default();
+    assert_eq!(confirmation.name(Revision(5), Millis(500), Revision(4)), None);
+    assert_eq!(confirmation.name(Revision(9), Millis(1_000), Revision(4)), None);
+    assert!(!confirmation.is_confirmed());
+    assert_eq!(confirmation.hold(Revision(7)), Some(Millis(500)));
+    assert!(confirmation.is_confirmed());
+    assert_eq!(confirmation.name(Revision(12), Millis(1_500), Revision(8)), None);
+    assert_eq!(confirmation.hold(Revision(11)), Some(Millis(1_000)));
+    assert_eq!(confirmation.hold(Revision(11)), None);
+}
+
+/// Guards against answers that are kept for ever while none of their revisions comes.
+#[test]
+fn the_newest_answers_are_kept() {
+    let mut confirmation = Confirmation::default();
+    for number in 1..1_000 {
+        assert_eq!(confirmation.name(Revision(number), Millis(number), Revision(0)), None);
+    }
+    assert_eq!(confirmation.hold(Revision(900)), None);
+    assert_eq!(confirmation.hold(Revision(999)), Some(Millis(999)));
+}
--- a/crates/wasabi-entry/tests/fetch_plan.rs
+++ b/crates/wasabi-entry/tests/fetch_plan.rs
@@ -3,21 +3,32 @@
 #![allow(clippy::unwrap_used, reason = "a fault here fails the test")]
 
 use rstest::rstest;
-use wasabi_entry::fetch::plan::{End, Plan, REST, STALLED_AFTER, Source, WATCH_EVERY};
+use wasabi_entry::fetch::plan::{
+    End, PEERS_FIRST, Place, Plan, REST, STALLED_AFTER, Source, Turn, WATCH_EVERY,
+};
 use wasabi_protocol::{clock::Millis, id::Revision};
 
 fn peer(number: u64) -> Source {
     Source::Peer(format!("p{number:02}").as_str().into())
 }
 
+/// Names a revision of a peer in another data centre.
+fn name(plan: &mut Plan, now: u64, number: u64, revision: u64) {
+    plan.name(Millis(now), peer(number), Place::Elsewhere, Revision(revision));
+}
+
+fn hold(plan: &mut Plan, now: u64, revision: u64) -> Option<Millis> {
+    plan.hold(Millis(now), Revision(revision), Turn::First)
+}
+
 /// A plan that holds revision 1 and asks the first of 83 peers that named revision 2.
 fn under_way() -> Plan {
     let mut plan = Plan::default();
-    plan.hold(Revision(1));
-    plan.name(peer(0), Revision(2));
+    hold(&mut plan, 0, 1);
+    name(&mut plan, 0, 0, 2);
     assert_eq!(plan.start(Millis(0)), Some(peer(0)));
     for number in 1..83 {
-        plan.name(peer(number), Revision(2));
+        name(&mut plan, number, number, 2);
         assert_eq!(plan.start(Millis(number)), None);
     }
     plan
@@ -27,10 +38,10 @@
 #[test]
 fn a_fetch_that_brought_all_is_the_only_one() {
     let mut plan = under_way();
-    plan.hold(Revision(2));
+    hold(&mut plan, 300, 2);
     plan.end(Millis(300), End::Taken);
     assert_eq!(plan.start(Millis(300)), None);
-    plan.name(peer(7), Revision(2));
+    name(&mut plan, 400, 7, 2);
     assert_eq!(plan.start(Millis(400)), None);
 }
 
@@ -39,14 +50,14 @@
 fn a_revision_named_meanwhile_is_fetched_once() {
     let mut plan = under_way();
     for number in 0..83 {
-        plan.name(peer(number), Revision(3));
+        name(&mut plan, 100, number, 3);
         assert_eq!(plan.start(Millis(100)), None);
     }
-    plan.hold(Revision(2));
+    hold(&mut plan, 300, 2);
     plan.end(Millis(300), End::Taken);
     assert_eq!(plan.start(Millis(300)), Some(peer(0)));
     assert_eq!(plan.start(Millis(300)), None);
-    plan.hold(Revision(3));
+    hold(&mut plan, 600, 3);
     plan.end(Millis(600), End::Taken);
     assert_eq!(plan.start(Millis(600)), None);
 }
@@ -56,13 +67,13 @@
 #[test]
 fn the_next_source_is_asked_after_a_failure() {
     let mut plan = Plan::default();
-    plan.name(peer(0), Revision(2));
-    plan.name(peer(1), Revision(2));
+    name(&mut plan, 0, 0, 2);
+    name(&mut plan, 0, 1, 2);
     assert_eq!(plan.start(Millis(0)), Some(peer(0)));
     plan.end(Millis(10), End::Failed);
     assert_eq!(plan.start(Millis(10)), Some(peer(1)));
     plan.end(Millis(20), End::Failed);
-    plan.name(peer(0), Revision(2));
+    name(&mut plan, 0, 0, 2);
     assert_eq!(plan.start(Millis(20)), None);
     assert_eq!(plan.start(Millis(10) + REST), Some(peer(0)));
 }
@@ -71,7 +82,7 @@
 #[test]
 fn a_source_that_is_gone_is_not_asked_again() {
     let mut plan = Plan::default();
-    plan.name(peer(0), Revision(2));
+    name(&mut plan, 0, 0, 2);
     assert_eq!(plan.start(Millis(0)), Some(peer(0)));
     plan.end(Millis(1), End::Gone);
     assert_eq!(plan.start(Millis(5_000)), None);
@@ -100,3 +111,66 @@
     assert!(!plan.is_stalled(WATCH_EVERY, 1_000));
     assert!(!plan.is_stalled(WATCH_EVERY + STALLED_AFTER + STALLED_AFTER, 1_000));
 }
+
+fn control() -> Source {
+    Source::Member("10.0.0.1:7070".to_owned())
+}
+
+/// Guards against a leader that sends a change to every entry although peers hold it.
+#[test]
+fn control_is_asked_after_the_peers() {
+    let mut plan = Plan::default();
+    plan.hold(Millis(0), Revision(1), Turn::AfterPeers);
+    plan.name(Millis(0), control(), Place::Elsewhere, Revision(3));
+    assert_eq!(plan.start(Millis(0)), None);
+    name(&mut plan, 100, 0, 2);
+    assert_eq!(plan.start(Millis(100)), Some(peer(0)));
+    plan.hold(Millis(150), Revision(2), Turn::AfterPeers);
+    plan.end(Millis(150), End::Taken);
+    // What came meanwhile shows that the peers are on their way to the rest.
+    assert_eq!(plan.start(PEERS_FIRST), None);
+}
+
+/// Guards against an entry that stays behind when no peer holds what control named.
+#[rstest]
+#[case::coordinator(Turn::First, Millis(0))]
+#[case::other(Turn::AfterPeers, PEERS_FIRST)]
+fn control_is_asked_when_no_peer_has_the_revision(#[case] turn: Turn, #[case] due: Millis) {
+    let mut plan = Plan::default();
+    plan.hold(Millis(0), Revision(1), turn);
+    plan.name(Millis(0), control(), Place::Elsewhere, Revision(2));
+    let mut asked = None;
+    let mut now = Millis(0);
+    while asked.is_none() {
+        asked = plan.start(now).map(|source| (source, now));
+        now = now + Millis(1);
+    }
+    assert_eq!(asked, Some((control(), due)));
+}
+
+/// Guards against copies that cross data centres although a peer beside the entry has the same one,
+/// and against a near peer that goes before a newer revision.
+#[test]
+fn a_peer_of_the_data_centre_goes_first() {
+    let mut plan = Plan::default();
+    name(&mut plan, 0, 0, 2);
+    plan.name(Millis(0), peer(1), Place::Here, Revision(2));
+    assert_eq!(plan.start(Millis(0)), Some(peer(1)));
+    plan.end(Millis(1), End::Gone);
+    plan.name(Millis(1), peer(2), Place::Here, Revision(2));
+    name(&mut plan, 1, 3, 3);
+    assert_eq!(plan.start(Millis(1)), Some(peer(3)));
+}
+
+/// Guards against a time behind that is counted from a later naming, or not at all.
+#[test]
+fn the_time_behind_counts_from_the_first_naming() {
+    let mut plan = Plan::default();
+    assert_eq!(hold(&mut plan, 0, 1), None);
+    name(&mut plan, 100, 0, 2);
+    name(&mut plan, 200, 1, 3);
+    assert_eq!(hold(&mut plan, 250, 1), None);
+    assert_eq!(hold(&mut plan, 300, 2), Some(Millis(200)));
+    assert_eq!(hold(&mut plan, 350, 3), Some(Millis(50)));
+    assert_eq!(hold(&mut plan, 400, 4), None);
+}
--- a/crates/wasabi-entry/tests/support/control.rs
+++ b/crates/wasabi-entry/tests/support/control.rs
@@ -19,7 +19,7 @@
     command::{Command, Config, Order, Outcome},
     contract::Contract,
     id,
-    rpc::{Checked, Checkin, Propose, Proposed, method},
+    rpc::{Checked, Checkin, Held, Propose, Proposed, Update, method},
 };
 use wasabi_state::Machine;
 
@@ -32,6 +32,8 @@
     lost: AtomicBool,
     /// Commits proposals and answers that their outcome is unknown.
     unknown: AtomicBool,
+    /// Answers check-ins with the configuration, as leaders of earlier versions do.
+    carries: AtomicBool,
 }
 
 struct State {
@@ -98,6 +100,11 @@
         self.faults.unknown.store(is_unknown, Ordering::SeqCst);
     }
 
+    /// Answers check-ins as a leader of an earlier version, or as one of this version.
+    pub fn carry(&self, carries: bool) {
+        self.faults.carries.store(carries, Ordering::SeqCst);
+    }
+
     /// Returns the configuration that it holds.
     pub fn config(&self) -> Config {
         self.state.lock().unwrap().machine.config()
@@ -134,6 +141,12 @@
         }
     });
     added.unwrap();
+    let added = module.register_method(method::CONFIG, |params, shared, _| {
+        let held: Option<Held> = params.sequence().optional_next()?;
+        let config = shared.0.lock().unwrap().machine.config();
+        Ok::<_, ErrorObjectOwned>(Update::new(config, held.as_ref()))
+    });
+    added.unwrap();
     module
 }
 
@@ -157,7 +170,8 @@
     }
     let config = state.machine.config();
     let revision = config.revision;
-    let config = (checkin.revision < revision).then(|| Box::new(config));
+    let carries = faults.carries.load(Ordering::SeqCst) || !checkin.fetches;
+    let config = (carries && checkin.revision < revision).then(|| Box::new(config));
     Ok(Checked::Heard { revision, config, members: Vec::new() })
 }
 
--- a/crates/wasabi-protocol/src/rpc/entry.rs
+++ b/crates/wasabi-protocol/src/rpc/entry.rs
@@ -70,6 +70,10 @@
     pub suspects: Vec<Suspect>,
     /// Parts that are degraded, in words for the operator.
     pub degraded: Vec<String>,
+    /// Whether the entry fetches the revision that the answer names. Entries of earlier versions do
+    /// not say so, and are answered with the configuration itself.
+    #[serde(default)]
+    pub fetches: bool,
 }
 
 /// The control leader's answer to [`Checkin`].
@@ -80,7 +84,8 @@
     Heard {
         /// The revision in force.
         revision: id::Revision,
-        /// The configuration, when the entry's is older; without the site when the entry has it.
+        /// The configuration, when that of an entry that does not fetch is older; without the site
+        /// when the entry has it.
         config: Option<Box<Config>>,
         /// The addresses of the control members.
         members: Vec<String>,
--- a/crates/wasabi-protocol/src/rpc/mod.rs
+++ b/crates/wasabi-protocol/src/rpc/mod.rs
@@ -1,5 +1,6 @@
 //! Messages between entries, control and operators.
 
+mod answers;
 mod control;
 mod entry;
 mod member;
@@ -12,6 +13,7 @@
 /// same bound, so that what one process may send the other one takes.
 pub const MESSAGE_BYTES_MAX: u32 = 64 * 1024 * 1024;
 
+pub use answers::{Answer, Answers};
 pub use control::{Forwarded, Lead, MoveOrder, Read};
 pub use entry::{Checked, Checkin, Evidence, Heartbeat, Propose, Proposed, Suspect};
 pub use member::{Hello, Join, Joined, Met, Part, Step};
@@ -23,4 +25,4 @@
     Acquire, Acquired, Grant, Holdings, Lend, Lent, Preempt, Pressure, Release, Running, Slice,
     Usage,
 };
-pub use update::{Held, Update};
+pub use update::{Extent, Held, Update};
--- a/crates/wasabi-protocol/src/rpc/update.rs
+++ b/crates/wasabi-protocol/src/rpc/update.rs
@@ -53,6 +53,28 @@
     pub site: Option<site::Config>,
 }
 
+/// How much of a configuration an update holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Extent {
+    /// The revision alone.
+    Nothing,
+    /// All but the view or the site.
+    Part,
+    /// The view, the site and all else.
+    Whole,
+}
+
+impl Extent {
+    /// Returns the name under which it is counted.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Nothing => "nothing",
+            Self::Part => "part",
+            Self::Whole => "whole",
+        }
+    }
+}
+
 impl Update {
     /// Returns what an asker lacks; one that does not say what it holds gets everything.
     ///
@@ -78,9 +100,14 @@
         }
     }
 
-    /// Returns whether it holds the view and the site.
-    pub const fn is_whole(&self) -> bool {
-        self.view.is_some() && self.site.is_some()
+    /// Returns how much of the configuration it holds.
+    pub fn extent(&self) -> Extent {
+        let lists = [self.contracts.len(), self.moves.len(), self.banned.len()];
+        match (&self.view, &self.site) {
+            (None, None) if lists == [0; 3] => Extent::Nothing,
+            (Some(_), Some(_)) => Extent::Whole,
+            _ => Extent::Part,
+        }
     }
 
     /// Returns the configuration of an asker that held `before` when it asked.
