bench: the time and the bytes of a change until it is in force at all entries

There was no figure for what a change costs with many hosts and routes, so that a change in force late could not be told from one that was named late.

`spread` plays one changed route over simulated links, one for each host, with fetch::plan, the coordinators of the view and the lengths of real answers, for 12, 84 and 300 hosts and 50, 500 and 5,000 routes.

--- a/crates/wasabi-bench/src/lib.rs
+++ b/crates/wasabi-bench/src/lib.rs
@@ -1,4 +1,5 @@
-//! Measuring programs: the pool owner's policy in virtual time, against a naive baseline.
+//! Measuring programs in virtual time: the pool owner's policy against a naive baseline, and the way
+//! of a change of the configuration to the entries.
 
 pub mod baseline;
 pub mod engine;
@@ -6,4 +7,5 @@
 pub mod policy;
 pub mod run;
 pub mod score;
+pub mod spread;
 pub mod traffic;
