--- a/crates/wasabi-control/src/metrics.rs
+++ b/crates/wasabi-control/src/metrics.rs
@@ -7,7 +7,7 @@
     metrics::{counter::Counter, family::Family, gauge::Gauge},
     registry::Registry,
 };
-use wasabi_protocol::{clock::Millis, id};
+use wasabi_protocol::{clock::Millis, id, rpc::Extent};
 
 /// What a member shows of itself. Clones share their values.
 #[derive(Debug, Clone, Default)]
@@ -26,6 +26,8 @@
     replaced: Family<Replaced, Counter>,
     under_way_bytes: Family<Lane, Gauge>,
     unanswered_seconds: Family<Lane, Gauge<f64, AtomicU64>>,
+    config_answers: Family<ByExtent, Counter>,
+    config_answer_bytes: Family<ByExtent, Counter>,
 }
 
 /// What a connection to another member carries.
@@ -64,6 +66,14 @@
     kind: Kind,
 }
 
+/// Labels of an answer with the configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct ByExtent {
+    /// How much of the configuration it held.
+    extent: &'static str,
+}
+
 /// A kind of calls that this host made at the leader for its own callers.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
@@ -123,10 +133,27 @@
             "Age of the oldest request to a member without an answer, in seconds",
             self.unanswered_seconds.clone(),
         );
+        registry.register(
+            "config_answers",
+            "Answers with the configuration, by how much of it they held",
+            self.config_answers.clone(),
+        );
+        registry.register(
+            "config_answer_bytes",
+            "Bytes of answers with the configuration",
+            self.config_answer_bytes.clone(),
+        );
         registry.register("commits", "Committed log entries", self.commits.clone());
         Arc::new(registry)
     }
 
+    /// Counts an answer with the configuration.
+    pub(crate) fn count_answer(&self, extent: Extent, bytes: usize) {
+        let labels = ByExtent { extent: extent.as_str() };
+        self.config_answers.get_or_create(&labels).inc();
+        self.config_answer_bytes.get_or_create(&labels).inc_by(bytes as u64);
+    }
+
     pub(crate) fn count_forwarded(&self, call: &'static str, end: End) {
         self.forwarded.get_or_create(&Forwarded { call, end }).inc();
     }
