entry, routing: a peer that answers late is not lost

Callers saw requests that waited while the pools of a slow entry went to another entry and back, on sites whose links fill.

Cause: answers later than 1.2 s were dropped, and one heartbeat was under way at a time, so with a round trip of 0.5 to 1.0 s two answers were 1.0 s or more apart, which is the silence after which a peer was lost. Each late heartbeat also opened a second connection and was sent again on it.

Ruled out: a longer bound for all peers. A silent owner that answered quickly before would be found later.

Now a heartbeat is sent every 500 ms, while less than three of the last 2 s wait for their answers; an answer counts for 10 s. A peer is lost after 1 s, or after twice the usual delay of its answers plus 500 ms, and after 4 s at most. At most one second connection is opened in 2 s, none when anything was answered since the heartbeat was sent, and it may take 3 s, since a peer with late answers takes none in 300 ms. The log line of a verdict has the bound.

Conclusion: the gap between answers that take between nothing and twice the usual delay is at most that long plus one heartbeat. Open: a delay that grows by more than 0.5 s from one answer to the next is still a loss for a moment, as it cannot be told from a death within 1 s; and an owner that dies within some seconds after late answers is found later, after 4 s at most.

--- a/crates/wasabi-entry/src/peers/heartbeat.rs
+++ b/crates/wasabi-entry/src/peers/heartbeat.rs
@@ -8,6 +8,7 @@
     id,
     rpc::{Heartbeat, method},
 };
+use wasabi_routing::liveness::HEARTBEAT_EVERY;
 use wasabi_scheduler::pool::Event;
 
 use crate::{
@@ -15,59 +16,67 @@
     shell::Shell,
 };
 
-/// Time between two heartbeats to a peer.
-const EVERY: Millis = Millis(500);
-
 /// Time without an answer after which a second connection is tried beside the first.
 const SECOND_AFTER: Duration = Duration::from_millis(400);
 
-/// Longest time for an answer on either connection. Later ones count for nothing, and a peer that has
-/// come back is asked again soon.
-const ANSWER_TIME: Duration = Duration::from_millis(1_200);
+/// Longest time for a second connection, which is two round trips. A peer that answers late takes
+/// none in the time that work waits for one.
+const SECOND_TIME: Duration = Duration::from_secs(3);
+
+/// Longest time for an answer on either connection. Any answer before that counts, so that late ones
+/// prove that the process runs.
+const ANSWER_TIME: Duration = Duration::from_secs(10);
 
 /// Sends heartbeats until the process ends.
 pub(crate) async fn run(shell: Rc<Shell>) {
-    let mut interval = tokio::time::interval(EVERY.duration());
+    let mut interval = tokio::time::interval(HEARTBEAT_EVERY.duration());
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         interval.tick().await;
         shell.renew_suspects();
-        let due = shell.peers.borrow_mut().start_beats();
+        let now = shell.now();
+        let due = shell.peers.borrow_mut().start_beats(now);
         for name in due {
-            actix_rt::spawn(beat(Rc::clone(&shell), name));
+            actix_rt::spawn(beat(Rc::clone(&shell), name, now));
         }
     }
 }
 
-async fn beat(shell: Rc<Shell>, name: id::Entry) {
-    let answer = tokio::time::timeout(ANSWER_TIME, ask(&shell, &name)).await.ok().flatten();
-    match answer {
-        Some((sent, answer)) => {
-            shell.answered(&name);
-            shell.peers.borrow_mut().end_beat(&name, Some((sent, &answer)));
-            heard(&shell, &answer);
-        }
-        None => shell.peers.borrow_mut().end_beat(&name, None),
+async fn beat(shell: Rc<Shell>, name: id::Entry, started: Millis) {
+    let answer = tokio::time::timeout(ANSWER_TIME, ask(&shell, &name, started)).await;
+    shell.peers.borrow_mut().end_beat(&name, started);
+    if let Ok(Some((sent, answer))) = answer {
+        let now = shell.now();
+        shell.peers.borrow_mut().heard(now, &name, sent, &answer);
+        heard(&shell, &answer);
     }
 }
 
-/// Asks on the link to a peer, and on a new connection as well when that takes long: the link may
-/// have gone silent while the peer is well. The first answer counts, with the time of its question;
-/// the connection that it came on is the link from then on.
-async fn ask(shell: &Rc<Shell>, name: &id::Entry) -> Option<(Millis, Heartbeat)> {
+/// Asks on the link to a peer, and now and then on a new connection as well when that takes long: the
+/// link may have gone silent while the peer is well. The first answer counts, with the time of its
+/// question; the connection that it came on is the link from then on.
+async fn ask(shell: &Rc<Shell>, name: &id::Entry, started: Millis) -> Option<(Millis, Heartbeat)> {
     let mut on_link = pin!(async {
         let client = shell.link(name).await?;
         ask_on(shell, name, &client).await
     });
-    if let Ok(answer) = tokio::time::timeout(SECOND_AFTER, &mut on_link).await {
-        return answer;
+    let first = tokio::time::timeout(SECOND_AFTER, &mut on_link).await;
+    if let Ok(Some(answer)) = first {
+        return Some(answer);
+    }
+    let now = shell.now();
+    if !shell.peers.borrow_mut().start_second(now, name, started) {
+        return if first.is_err() { on_link.await } else { None };
     }
     let mut on_new = pin!(async {
-        let client = shell.open_link(name).await?;
+        let client = shell.open_link(name, SECOND_TIME).await?;
         let answer = ask_on(shell, name, &client).await;
         answer.is_some().then(|| shell.keep_link(name, client));
         answer
     });
+    if first.is_ok() {
+        return on_new.await;
+    }
     tokio::select! {
         answer = &mut on_link => match answer {
             Some(answer) => Some(answer),
--- a/crates/wasabi-entry/src/peers/link.rs
+++ b/crates/wasabi-entry/src/peers/link.rs
@@ -10,7 +10,7 @@
 
 use crate::{control::link, shell::Shell};
 
-/// Longest time for a connection to a peer.
+/// Longest time for a connection to a peer that work waits for.
 const CONNECT_TIME: Duration = Duration::from_millis(300);
 
 /// Longest time for a message to a peer that has no answer to wait for.
@@ -31,15 +31,19 @@
         if open.is_some() || has_failed {
             return open;
         }
-        self.open_link(name).await
+        self.open_link(name, CONNECT_TIME).await
     }
 
     /// Opens a new connection to a peer. It becomes the link when there is none.
     ///
     /// [`Self::keep_link`] puts it in the place of one that is silent.
-    pub(crate) async fn open_link(&self, name: &id::Entry) -> Option<Arc<WsClient>> {
+    pub(crate) async fn open_link(
+        &self,
+        name: &id::Entry,
+        time: Duration,
+    ) -> Option<Arc<WsClient>> {
         let address = self.peers.borrow().address(name)?;
-        let opened = link::open(&address, CONNECT_TIME).await;
+        let opened = link::open(&address, time).await;
         let now = self.now();
         let mut peers = self.peers.borrow_mut();
         match opened {
--- a/crates/wasabi-entry/src/peers/table.rs
+++ b/crates/wasabi-entry/src/peers/table.rs
@@ -19,6 +19,17 @@
 /// Pause before a connection is opened again after that failed.
 const OPENED_AGAIN_AFTER: Millis = Millis(100);
 
+/// Heartbeats to a peer that wait for their answers at one time, of those sent within [`BEAT_TIME`].
+const BEATS_MAX: usize = 3;
+
+/// Time after which a heartbeat without an answer does not hold up further ones, so that a peer that
+/// comes back is found soon.
+const BEAT_TIME: Millis = Millis::from_secs(2);
+
+/// Time between two connections that are tried beside a link. One that is late for each heartbeat
+/// would otherwise have all its traffic doubled.
+const SECOND_EVERY: Millis = Millis::from_secs(2);
+
 /// Silence after which a peer does not count for this entry's own serving.
 const HEARD_FOR: Millis = Millis::from_secs(2);
 
@@ -43,7 +54,10 @@
     /// Whether a leader told its process what is in force.
     is_confirmed: bool,
     lost: Rc<Notify>,
-    is_beating: bool,
+    /// When the heartbeats started that wait for their answers.
+    beats: Vec<Millis>,
+    /// When a connection was tried beside the link last.
+    second: Option<Millis>,
     /// Whether it counts when this entry serves on without control.
     is_coordinator: bool,
     /// Whether heartbeats are exchanged with it; of the others only the view tells.
@@ -103,7 +117,8 @@
                 revision: id::Revision::default(),
                 is_confirmed: false,
                 lost: Rc::default(),
-                is_beating: false,
+                beats: Vec::new(),
+                second: None,
                 is_coordinator: false,
                 is_tracked: false,
                 was_live: true,
@@ -139,6 +154,26 @@
         self.liveness.answered(now, name);
     }
 
+    /// Returns whether a connection may be tried beside the link on which a heartbeat was sent at
+    /// `sent`, and marks that as done.
+    ///
+    /// The link may have gone silent only when nothing was answered since, and a process that refused
+    /// a connection is not there.
+    pub(crate) fn start_second(&mut self, now: Millis, name: &id::Entry, sent: Millis) -> bool {
+        let evidence = self.liveness.evidence(now, name);
+        if evidence.is_some_and(|evidence| evidence.is_refused)
+            || self.liveness.has_answered(name, sent)
+        {
+            return false;
+        }
+        let Some(peer) = self.peers.get_mut(name) else { return false };
+        if peer.second.is_some_and(|second| now.since(second) < SECOND_EVERY) {
+            return false;
+        }
+        peer.second = Some(now);
+        true
+    }
+
     /// Notes that a connection to a peer could not be opened.
     pub(crate) fn failed(&mut self, now: Millis, name: &id::Entry, unreached: Unreached) {
         if unreached == Unreached::Refused {
@@ -192,22 +227,41 @@
     }
 
     /// Returns the peers that are due for a heartbeat, and marks them as being asked.
-    pub(crate) fn start_beats(&mut self) -> Vec<id::Entry> {
-        let peers = self.peers.iter_mut();
-        let due = peers.filter(|(_, peer)| peer.is_tracked && !peer.is_beating);
+    pub(crate) fn start_beats(&mut self, now: Millis) -> Vec<id::Entry> {
+        let is_due = |peer: &Peer| {
+            let waiting = peer.beats.iter().filter(|started| now.since(**started) < BEAT_TIME);
+            peer.is_tracked && waiting.count() < BEATS_MAX
+        };
+        let due = self.peers.iter_mut().filter(|(_, peer)| is_due(peer));
         due.map(|(name, peer)| {
-            peer.is_beating = true;
+            peer.beats.push(now);
             name.clone()
         })
         .collect()
     }
 
-    /// Notes that a heartbeat to a peer ended; with the time of sending and the answer, if any.
-    pub(crate) fn end_beat(&mut self, name: &id::Entry, answer: Option<(Millis, &Heartbeat)>) {
+    /// Notes that the heartbeat to a peer that started at this time ended.
+    pub(crate) fn end_beat(&mut self, name: &id::Entry, started: Millis) {
+        let Some(peer) = self.peers.get_mut(name) else { return };
+        if let Some(position) = peer.beats.iter().position(|beat| *beat == started) {
+            peer.beats.swap_remove(position);
+        }
+    }
+
+    /// Takes over the answer to a heartbeat that was sent at `sent`. Answers to later heartbeats may
+    /// have come before it, on another connection.
+    pub(crate) fn heard(
+        &mut self,
+        now: Millis,
+        name: &id::Entry,
+        sent: Millis,
+        answer: &Heartbeat,
+    ) {
+        self.liveness.answered(now, name);
+        self.liveness.delayed(name, now.since(sent));
         let Some(peer) = self.peers.get_mut(name) else { return };
-        peer.is_beating = false;
-        if let Some((sent, answer)) = answer {
-            peer.heard = peer.heard.max(Some(sent));
+        if peer.heard <= Some(sent) {
+            peer.heard = Some(sent);
             peer.revision = answer.revision;
             peer.is_confirmed = answer.is_confirmed;
         }
--- a/crates/wasabi-entry/src/shell.rs
+++ b/crates/wasabi-entry/src/shell.rs
@@ -127,10 +127,11 @@
     /// Logs each peer that is lost or back, with what that rests on.
     fn note_verdicts(&self, now: Millis) {
         for (peer, evidence) in self.peers.borrow_mut().verdicts(now) {
-            let liveness::Evidence { is_live, silent, is_refused, watched, answering } = evidence;
-            let silent_ms = silent.0;
+            let liveness::Evidence { is_live, silent, live_for, is_refused, watched, answering } =
+                evidence;
+            let (silent_ms, live_for_ms) = (silent.0, live_for.0);
             let message = if is_live { "a peer is back" } else { "a peer is lost" };
-            tracing::info!(%peer, silent_ms, is_refused, answering, watched, message);
+            tracing::info!(%peer, silent_ms, live_for_ms, is_refused, answering, watched, message);
         }
     }
 
--- a/crates/wasabi-entry/tests/owners.rs
+++ b/crates/wasabi-entry/tests/owners.rs
@@ -7,16 +7,13 @@
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
-use serde_json::Value;
 use support::{
     Entry,
     control::Control,
     engine,
-    peer::{Mode, Peer},
+    peer::{Mode, Peer, holder, names},
     until,
 };
-use wasabi_protocol::command::Command;
-use wasabi_routing::rendezvous;
 
 /// Requests that wait at the holder.
 const WAITING: usize = 60;
@@ -31,34 +28,6 @@
 /// between two calls, and time to run them.
 const SETTLED_IN: Duration = Duration::from_secs(1);
 
-/// Returns names of peers that come before the entry `e1` in the order of the pool's owners.
-fn names(count: usize) -> Vec<String> {
-    let score = |name: &str| rendezvous::score("coal/north/0", name);
-    let mut names: Vec<_> = (0..100).map(|number| format!("f{number}")).collect();
-    names.retain(|name| score("e1") < score(name));
-    names.truncate(count);
-    names.sort_by_key(|name| std::cmp::Reverse(score(name)));
-    names
-}
-
-/// Starts an entry that takes the peers, in this order, for the owners of the pool.
-async fn holder(control: &Control, peers: &[&Peer]) -> Entry {
-    let entry = Entry::controlled("e1", &control.address(), "");
-    until("the entry is in the view", async || control.config().view.entries.len() == 1).await;
-    let view = control.config().view;
-    let mut entries = view.entries.clone();
-    entries.extend(peers.iter().map(|peer| peer.entry()));
-    control.apply(&Command::SetView { base: view.number, entries });
-    let caller = entry.caller();
-    until("the entry holds the newest view", async || {
-        let answer = caller.send(caller.request("GET", "/v1/entries"), "").await;
-        let list: Value = serde_json::from_str(&answer.body).unwrap_or_default();
-        list["revision"] == control.config().revision.0
-    })
-    .await;
-    entry
-}
-
 /// Sends requests at the same time and returns their answers in the background.
 fn send(entry: &Entry, count: usize) -> Vec<actix_rt::task::JoinHandle<support::Answer>> {
     let address = entry.address();
@@ -77,7 +46,7 @@
 async fn an_unsettled_owner_is_not_asked_for_each_waiting_request(#[case] unsettled: Mode) {
     let control = Control::start().await;
     let peer = Peer::start(&names(1)[0], Mode::NotOwner(None)).await;
-    let entry = holder(&control, &[&peer]).await;
+    let entry = holder(&control, vec![peer.entry()]).await;
     let engine = engine("m1", &[]);
     let mut answers = send(&entry, 1);
     until("the first request was not granted", async || 0 < peer.acquires()).await;
@@ -106,7 +75,7 @@
     let engine = engine("m1", &[]);
     let believed = Peer::start(&names[0], Mode::NotOwner(Some(names[1].clone()))).await;
     let owner = Peer::start(&names[1], Mode::Grant(engine.address())).await;
-    let entry = holder(&control, &[&believed, &owner]).await;
+    let entry = holder(&control, vec![believed.entry(), owner.entry()]).await;
     let started = Instant::now();
     for _ in 0..10 {
         let [answer]: [_; 1] = send(&entry, 1).try_into().unwrap();
--- a/crates/wasabi-entry/tests/peers.rs
+++ b/crates/wasabi-entry/tests/peers.rs
@@ -8,7 +8,13 @@
 
 use jsonrpsee::{core::client::ClientT as _, rpc_params, ws_client::WsClientBuilder};
 use serde_json::{Value, json};
-use support::{Entry, control::Control, control::order, engine, expected, standin, until};
+use support::{
+    Entry,
+    control::{Control, order},
+    engine, expected,
+    peer::{Mode, Peer, holder, names},
+    standin, until,
+};
 use wasabi_protocol::{
     clock::Millis,
     command::Command,
@@ -16,6 +22,7 @@
     fingerprint, id,
     rpc::{Suspect, method},
 };
+use wasabi_testkit::relay::{Direction, Relay};
 
 /// Starts entries under one control member and waits until each knows all of them.
 async fn entries(control: &Control, count: usize) -> Vec<Entry> {
@@ -228,3 +235,31 @@
     })
     .await;
 }
+
+/// Guards against a peer that is taken for dead since its answers are late, by 0.6 to 0.9 s and then
+/// by 1.3 s: each such verdict moves the pools of that peer to another entry and back. Guards too
+/// against a new connection for each late heartbeat, with the heartbeat sent again on it.
+#[actix_rt::test]
+async fn a_peer_that_answers_late_is_not_lost() {
+    let control = Control::start().await;
+    let peer = Peer::start(&names(1)[0], Mode::NotOwner(None)).await;
+    let relay = Relay::start(peer.address()).unwrap();
+    let mut owner = peer.entry();
+    owner.peer_address = relay.address().to_string();
+    let _entry = holder(&control, vec![owner]).await;
+    until("the peer is the owner and was told what runs", async || 0 < peer.reports()).await;
+    relay.delay(Direction::Backward, 300..400);
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let (reports, connections) = (peer.reports(), relay.connections());
+    for delay in [600..900, 1_300..1_301] {
+        relay.delay(Direction::Backward, delay.clone());
+        let started = std::time::Instant::now();
+        while started.elapsed() < Duration::from_secs(6) {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            // What runs is reported to each new owner, so once more after a loss.
+            assert_eq!(peer.reports(), reports, "lost with answers after {delay:?} ms");
+        }
+    }
+    let opened = relay.connections() - connections;
+    assert!(opened <= 12 / 2, "{opened} more connections in 12 s");
+}
--- a/crates/wasabi-entry/tests/support/peer.rs
+++ b/crates/wasabi-entry/tests/support/peer.rs
@@ -17,10 +17,13 @@
 use serde_json::{Value, json};
 use wasabi_protocol::{
     clock::Millis,
-    command::{Duty, Entry},
+    command::{Command, Duty, Entry},
     id,
     rpc::{Acquire, Heartbeat, method},
 };
+use wasabi_routing::rendezvous;
+
+use super::{control::Control, until};
 
 /// What the peer answers to a call for a grant.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -33,6 +36,34 @@
     Grant(SocketAddr),
 }
 
+/// Returns names of peers that come before the entry `e1` in the order of the pool's owners.
+pub fn names(count: usize) -> Vec<String> {
+    let score = |name: &str| rendezvous::score("coal/north/0", name);
+    let mut names: Vec<_> = (0..100).map(|number| format!("f{number}")).collect();
+    names.retain(|name| score("e1") < score(name));
+    names.truncate(count);
+    names.sort_by_key(|name| std::cmp::Reverse(score(name)));
+    names
+}
+
+/// Starts an entry that takes the peers, in this order, for the owners of the pool.
+pub async fn holder(control: &Control, peers: Vec<Entry>) -> super::Entry {
+    let entry = super::Entry::controlled("e1", &control.address(), "");
+    until("the entry is in the view", async || control.config().view.entries.len() == 1).await;
+    let view = control.config().view;
+    let mut entries = view.entries.clone();
+    entries.extend(peers);
+    control.apply(&Command::SetView { base: view.number, entries });
+    let caller = entry.caller();
+    until("the entry holds the newest view", async || {
+        let answer = caller.send(caller.request("GET", "/v1/entries"), "").await;
+        let list: Value = serde_json::from_str(&answer.body).unwrap_or_default();
+        list["revision"] == control.config().revision.0
+    })
+    .await;
+    entry
+}
+
 /// What the handlers of the peer share.
 struct State {
     name: String,
@@ -65,6 +96,11 @@
         Self { address, state, _server: server }
     }
 
+    /// Returns its address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Returns it as an entry of a view.
     pub fn entry(&self) -> Entry {
         Entry {
--- a/crates/wasabi-routing/src/liveness.rs
+++ b/crates/wasabi-routing/src/liveness.rs
@@ -1,17 +1,27 @@
 //! Which peers take part: judged by their answers, and only by a judge that hears others.
 //!
 //! A peer that answered anything a moment ago is live, however late the answer was. One that is
-//! silent is lost, unless most of the watched peers are silent to the judge: then its own link or
-//! processor may be at fault, and it gives no verdict. A refused connection proves that no process
-//! is there.
+//! silent for longer than its usual delay explains is lost, unless most of the watched peers are
+//! silent to the judge: then its own link or processor may be at fault, and it gives no verdict. A
+//! refused connection proves that no process is there.
 
 use std::collections::HashMap;
 
 use wasabi_protocol::{clock::Millis, id};
 
-/// Silence after which a peer counts as lost.
+/// Silence after which a peer that answered quickly counts as lost.
 pub const LIVE_FOR: Millis = Millis::from_secs(1);
 
+/// Silence after which any peer counts as lost, however late its answers were.
+pub const LIVE_FOR_MAX: Millis = Millis::from_secs(4);
+
+/// Time between two heartbeats to a watched peer.
+pub const HEARTBEAT_EVERY: Millis = Millis(500);
+
+/// Divisor of the step down to a smaller delay. The step up is half of the difference, so that a
+/// peer that slows down is not lost before its delay is known.
+const STEP_DOWN: u64 = 8;
+
 /// What a verdict on a peer rests on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Evidence {
@@ -19,11 +29,13 @@
     pub is_live: bool,
     /// Time since its last answer, without the time in which the judge did not run, in milliseconds.
     pub silent: Millis,
+    /// Silence after which it counts as lost, by the usual delay of its answers.
+    pub live_for: Millis,
     /// Whether its address took no connection since.
     pub is_refused: bool,
     /// Watched peers whose processes may run.
     pub watched: usize,
-    /// Those of them that answered within [`LIVE_FOR`].
+    /// Those of them that are not silent for longer than they may be.
     pub answering: usize,
 }
 
@@ -32,9 +44,27 @@
 struct Peer {
     /// The last answer on any connection, or when it was first watched.
     answered: Millis,
+    /// The usual time between a heartbeat and its answer.
+    delay: Millis,
     is_refused: bool,
 }
 
+impl Peer {
+    fn new(now: Millis) -> Self {
+        Self { answered: now, delay: Millis::ZERO, is_refused: false }
+    }
+
+    /// Returns the silence after which it counts as lost. Answers that take between nothing and
+    /// twice the usual delay are at most that long and one heartbeat apart.
+    fn live_for(&self) -> Millis {
+        (self.delay + self.delay + HEARTBEAT_EVERY).clamp(LIVE_FOR, LIVE_FOR_MAX)
+    }
+
+    fn is_silent(&self, now: Millis) -> bool {
+        self.live_for() <= now.since(self.answered)
+    }
+}
+
 /// The answers of the watched peers.
 #[derive(Debug, Clone, Default)]
 pub struct Table {
@@ -46,7 +76,7 @@
     /// since nothing can have been answered before.
     pub fn watch(&mut self, now: Millis, name: &id::Entry) {
         if !self.peers.contains_key(name) {
-            self.peers.insert(name.clone(), Peer { answered: now, is_refused: false });
+            self.peers.insert(name.clone(), Peer::new(now));
         }
     }
 
@@ -63,6 +93,22 @@
         }
     }
 
+    /// Notes how long a peer took to answer a heartbeat.
+    pub fn delayed(&mut self, name: &id::Entry, delay: Millis) {
+        let Some(peer) = self.peers.get_mut(name) else { return };
+        let delay = delay.min(LIVE_FOR_MAX);
+        peer.delay = if peer.delay < delay {
+            Millis((peer.delay + delay).0.div_ceil(2))
+        } else {
+            Millis(peer.delay.0 - (peer.delay - delay).0.div_ceil(STEP_DOWN))
+        };
+    }
+
+    /// Returns whether a peer has answered anything after `since`.
+    pub fn has_answered(&self, name: &id::Entry, since: Millis) -> bool {
+        self.peers.get(name).is_some_and(|peer| since < peer.answered)
+    }
+
     /// Notes that a peer's address takes no connection.
     pub fn refused(&mut self, name: &id::Entry) {
         if let Some(peer) = self.peers.get_mut(name) {
@@ -88,10 +134,12 @@
         let silent = now.since(peer.answered);
         let running = || self.peers.values().filter(|other| !other.is_refused);
         let watched = running().count();
-        let answering = running().filter(|other| now.since(other.answered) < LIVE_FOR).count();
+        let answering = running().filter(|other| !other.is_silent(now)).count();
         // With fewer than half of them and the judge answering, it may be the one that is cut off.
         let is_sure = watched < (answering + 1) * 2;
-        let is_live = !peer.is_refused && (silent < LIVE_FOR || !is_sure);
-        Some(Evidence { is_live, silent, is_refused: peer.is_refused, watched, answering })
+        let is_refused = peer.is_refused;
+        let is_live = !is_refused && (!peer.is_silent(now) || !is_sure);
+        let live_for = peer.live_for();
+        Some(Evidence { is_live, silent, live_for, is_refused, watched, answering })
     }
 }
--- a/crates/wasabi-routing/tests/liveness.rs
+++ b/crates/wasabi-routing/tests/liveness.rs
@@ -1,7 +1,7 @@
 //! Tests of verdicts on peers.
 
 use wasabi_protocol::{clock::Millis, id};
-use wasabi_routing::liveness::{LIVE_FOR, Table};
+use wasabi_routing::liveness::{HEARTBEAT_EVERY, LIVE_FOR, LIVE_FOR_MAX, Table};
 
 fn names(count: usize) -> Vec<id::Entry> {
     (0..count).map(|number| format!("e{number}").as_str().into()).collect()
@@ -109,3 +109,56 @@
     let table = watching(&names);
     assert!(!table.is_live(LIVE_FOR, &names[0]));
 }
+
+/// Returns when a peer was lost and back, with heartbeats whose answers take the times of `delays` in
+/// turn, and two quick peers beside it.
+fn verdicts(delays: &[u64], until: u64) -> Vec<u64> {
+    let names = names(3);
+    let mut table = watching(&names);
+    let sent = (0..).map(|number| number * HEARTBEAT_EVERY.0);
+    let answers: Vec<_> =
+        sent.zip(delays.iter().cycle()).take((until / HEARTBEAT_EVERY.0) as usize).collect();
+    let (mut changes, mut is_live) = (Vec::new(), true);
+    for now in (0..until).step_by(10) {
+        for (sent, _) in answers.iter().filter(|(sent, delay)| sent + **delay == now) {
+            table.answered(Millis(now), &names[0]);
+            table.delayed(&names[0], Millis(now - sent));
+        }
+        table.answered(Millis(now), &names[1]);
+        table.answered(Millis(now), &names[2]);
+        if is_live != table.is_live(Millis(now), &names[0]) {
+            is_live = !is_live;
+            changes.push(now);
+        }
+    }
+    changes
+}
+
+/// Guards against a peer behind a slow link that is lost and back at each of its answers.
+#[test]
+fn a_peer_whose_answers_are_always_late_stays_live() {
+    assert_eq!(verdicts(&[550, 800, 600, 700], 60_000), []);
+    assert_eq!(verdicts(&[300, 500, 700, 900], 60_000), []);
+    // The first answers come when a quick peer would be lost already.
+    assert!(verdicts(&[1_000, 1_200, 1_100], 60_000).len() <= 2);
+    assert!(verdicts(&[1_250, 1_300], 60_000).len() <= 2);
+}
+
+/// Guards against a dead peer that is waited for as long as its answers once were late, and against
+/// a bound that grows without end.
+#[test]
+fn a_peer_that_is_quick_again_is_lost_as_soon_as_any() {
+    let names = names(3);
+    let mut table = watching(&names);
+    let live_for = |table: &Table, now| table.evidence(now, &names[0]).unwrap().live_for;
+    for _ in 0..20 {
+        table.delayed(&names[0], Millis::from_secs(30));
+    }
+    assert_eq!(live_for(&table, Millis(0)), LIVE_FOR_MAX);
+    for _ in 0..40 {
+        table.delayed(&names[0], Millis(5));
+    }
+    assert_eq!(live_for(&table, Millis(0)), LIVE_FOR);
+    let quick = watching(&names);
+    assert_eq!(live_for(&quick, Millis(0)), LIVE_FOR);
+}
--- a/crates/wasabi-testkit/src/relay.rs
+++ b/crates/wasabi-testkit/src/relay.rs
@@ -6,7 +6,7 @@
     ops::Range,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
         mpsc::{self, Receiver, SyncSender},
     },
     thread,
@@ -40,6 +40,7 @@
     forward_cut: AtomicBool,
     backward_cut: AtomicBool,
     closed: AtomicBool,
+    connections: AtomicU64,
     forward_pace: Mutex<Pace>,
     backward_pace: Mutex<Pace>,
 }
@@ -125,6 +126,7 @@
                     return;
                 }
                 let Ok(near) = near else { continue };
+                shared.connections.fetch_add(1, Ordering::SeqCst);
                 let Ok(far) = TcpStream::connect(target) else { continue };
                 connect(near, far, &shared);
             }
@@ -137,6 +139,11 @@
         self.address
     }
 
+    /// Returns how many connections were opened to it.
+    pub fn connections(&self) -> u64 {
+        self.state.connections.load(Ordering::SeqCst)
+    }
+
     /// Drops all bytes of one direction from now on.
     pub fn cut(&self, direction: Direction) {
         let flag = match direction {
