entry, routing: an answer of control proves that the judge is not cut off

Callers would wait to their deadlines: with most watched peers late and one owner frozen, less than half answer, and no entry gives a verdict for as long as that lasts, while the answers of the control leader keep it serving.

Cause: "fewer than half answer" was the only sign of a judge that is cut off. Besides, every tick that was late by 250 ms or more was forgiven as a whole, so a judge that is always slow never found a frozen owner.

Ruled out: a verdict after 4 s without control and without half of the peers. a_judge_that_hears_few_gives_no_verdict forbids it, and such an entry stops serving after 2 s. Also "control was heard within 1 s": an entry that is cut off from everybody at one moment may have heard control up to 500 ms after its peers and would take all of them for dead (an_answer_of_control_before_a_peers_time_had_passed_proves_nothing).

Now an answer of the control leader that came after the peer's time had passed lets the judge give its verdict. A leader on the same host does not count, since it is reached without the link. Of pauses, the first one in 5 s is forgiven as a whole (a thawed process has to read what waits), the others up to 1 s together, each beyond one tick.

Conclusion: the verdict rests on evidence that the judge's link worked while the peer was silent. Open: a leader on the judge's own host gives no such evidence, so there the rule is as before.

--- a/crates/wasabi-entry/src/peers/link.rs
+++ b/crates/wasabi-entry/src/peers/link.rs
@@ -6,9 +6,9 @@
     core::{client::ClientT as _, params::ArrayParams},
     ws_client::WsClient,
 };
-use wasabi_protocol::id;
+use wasabi_protocol::{clock::Millis, id};
 
-use crate::{control::link, shell::Shell};
+use crate::{control::link, peers::table::Where, shell::Shell};
 
 /// Longest time for a connection to a peer that work waits for.
 const CONNECT_TIME: Duration = Duration::from_millis(300);
@@ -66,6 +66,14 @@
         self.peers.borrow_mut().set_link(name, client);
     }
 
+    /// Notes whether the control leader answered, which proves that the link of this host works.
+    pub(crate) fn note_control(&self, now: Millis) {
+        let leader = self.control.leader();
+        let own = &self.shared.entry.peer_address;
+        let leader = leader.map_or(Where::Elsewhere, |leader| Where::of(own, &leader));
+        self.peers.borrow_mut().control_heard(now, self.control_heard.get(), leader);
+    }
+
     /// Notes an answer of a peer: however late it is, its process runs.
     pub(crate) fn answered(&self, name: &id::Entry) {
         let now = self.now();
--- a/crates/wasabi-entry/src/peers/table.rs
+++ b/crates/wasabi-entry/src/peers/table.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{HashMap, HashSet},
+    net::SocketAddr,
     rc::Rc,
     sync::Arc,
 };
@@ -66,11 +67,34 @@
     was_live: bool,
 }
 
+/// Where a process runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Where {
+    /// On this host.
+    Here,
+    /// On another host, or it is not known where.
+    Elsewhere,
+}
+
+impl Where {
+    /// Returns where a process with the address `other` runs, seen from one with the address `own`.
+    /// Processes that share a loopback address share no link that could be at fault.
+    pub(crate) fn of(own: &str, other: &str) -> Self {
+        let host = |address: &str| address.parse::<SocketAddr>().ok().map(|address| address.ip());
+        match (host(own), host(other)) {
+            (Some(own), Some(other)) if own == other && !own.is_loopback() => Self::Here,
+            _ => Self::Elsewhere,
+        }
+    }
+}
+
 /// The other entries of the view.
 #[derive(Debug, Default)]
 pub(crate) struct Table {
     peers: HashMap<id::Entry, Peer>,
     liveness: liveness::Table,
+    /// When the check-in was sent that the control leader answered last.
+    control_heard: Option<Millis>,
     /// Whether this entry is a coordinator.
     is_coordinator: bool,
 }
@@ -154,6 +178,15 @@
         self.liveness.answered(now, name);
     }
 
+    /// Notes when the check-in was sent that the control leader answered last. An answer of a leader
+    /// on this host is none that came over its link.
+    pub(crate) fn control_heard(&mut self, now: Millis, heard: Option<Millis>, leader: Where) {
+        if self.control_heard != heard && leader == Where::Elsewhere {
+            self.liveness.control_answered(now);
+        }
+        self.control_heard = heard;
+    }
+
     /// Returns whether a connection may be tried beside the link on which a heartbeat was sent at
     /// `sent`, and marks that as done.
     ///
--- a/crates/wasabi-entry/src/shell.rs
+++ b/crates/wasabi-entry/src/shell.rs
@@ -119,7 +119,7 @@
     /// hold the answers that peers would be judged by.
     fn note_pause(&self, now: Millis, since: Millis) {
         if PAUSED_AFTER <= since {
-            self.peers.borrow_mut().paused(now, since);
+            self.peers.borrow_mut().paused(now, since - Millis::from(TICK));
             tracing::info!(paused_ms = since.0, "this thread did not run for a while");
         }
     }
@@ -127,11 +127,15 @@
     /// Logs each peer that is lost or back, with what that rests on.
     fn note_verdicts(&self, now: Millis) {
         for (peer, evidence) in self.peers.borrow_mut().verdicts(now) {
-            let liveness::Evidence { is_live, silent, live_for, is_refused, watched, answering } =
+            let liveness::Evidence { silent, live_for, is_refused, watched, answering, .. } =
                 evidence;
             let (silent_ms, live_for_ms) = (silent.0, live_for.0);
-            let message = if is_live { "a peer is back" } else { "a peer is lost" };
-            tracing::info!(%peer, silent_ms, live_for_ms, is_refused, answering, watched, message);
+            let is_control_heard = evidence.is_control_heard;
+            let message = if evidence.is_live { "a peer is back" } else { "a peer is lost" };
+            tracing::info!(
+                %peer, silent_ms, live_for_ms, is_refused, answering, watched, is_control_heard,
+                message
+            );
         }
     }
 
@@ -410,6 +414,7 @@
         let now = self.now();
         let effects = self.pools.borrow_mut().step_all(now, || Event::Tick);
         self.perform(effects);
+        self.note_control(now);
         self.note_verdicts(now);
         self.peers.borrow().wake_lost(now);
         self.note_live();
--- a/crates/wasabi-routing/src/liveness.rs
+++ b/crates/wasabi-routing/src/liveness.rs
@@ -2,8 +2,9 @@
 //!
 //! A peer that answered anything a moment ago is live, however late the answer was. One that is
 //! silent for longer than its usual delay explains is lost, unless most of the watched peers are
-//! silent to the judge: then its own link or processor may be at fault, and it gives no verdict. A
-//! refused connection proves that no process is there.
+//! silent to the judge: then its own link or processor may be at fault, and it gives no verdict. An
+//! answer of the control leader after the peer's time had passed proves that they are not. A refused
+//! connection proves that no process is there.
 
 use std::collections::HashMap;
 
@@ -22,6 +23,13 @@
 /// peer that slows down is not lost before its delay is known.
 const STEP_DOWN: u64 = 8;
 
+/// Time over which pauses of the judge are summed up.
+const PAUSES_OVER: Millis = Millis::from_secs(5);
+
+/// Most time that is forgiven for the pauses that follow a first one within [`PAUSES_OVER`]. A judge
+/// that is always slow would otherwise never find a frozen peer.
+const FORGIVEN_MAX: Millis = Millis::from_secs(1);
+
 /// What a verdict on a peer rests on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Evidence {
@@ -37,6 +45,8 @@
     pub watched: usize,
     /// Those of them that are not silent for longer than they may be.
     pub answering: usize,
+    /// Whether the control leader answered since the peer's time had passed.
+    pub is_control_heard: bool,
 }
 
 /// One watched peer.
@@ -65,10 +75,22 @@
     }
 }
 
+/// Pauses of the judge.
+#[derive(Debug, Clone, Copy)]
+struct Pauses {
+    /// The end of the first one, which was forgiven as a whole.
+    first: Millis,
+    /// What was forgiven of those after it.
+    forgiven: Millis,
+}
+
 /// The answers of the watched peers.
 #[derive(Debug, Clone, Default)]
 pub struct Table {
     peers: HashMap<id::Entry, Peer>,
+    /// The last answer of the control leader.
+    control: Option<Millis>,
+    pauses: Option<Pauses>,
 }
 
 impl Table {
@@ -116,8 +138,14 @@
         }
     }
 
+    /// Notes an answer of the control leader on another host: the judge's link works.
+    pub fn control_answered(&mut self, now: Millis) {
+        self.control = Some(now);
+    }
+
     /// Notes that the judge did not run for a time before `now`; silence does not count then.
     pub fn paused(&mut self, now: Millis, time: Millis) {
+        let time = self.forgive(now, time);
         for peer in self.peers.values_mut() {
             peer.answered = (peer.answered + time).min(now);
         }
@@ -136,10 +164,33 @@
         let watched = running().count();
         let answering = running().filter(|other| !other.is_silent(now)).count();
         // With fewer than half of them and the judge answering, it may be the one that is cut off.
-        let is_sure = watched < (answering + 1) * 2;
+        let is_control_heard =
+            self.control.is_some_and(|control| peer.answered + peer.live_for() <= control);
+        let is_sure = is_control_heard || watched < (answering + 1) * 2;
         let is_refused = peer.is_refused;
         let is_live = !is_refused && (!peer.is_silent(now) || !is_sure);
         let live_for = peer.live_for();
-        Some(Evidence { is_live, silent, live_for, is_refused, watched, answering })
+        Some(Evidence {
+            is_live,
+            silent,
+            live_for,
+            is_refused,
+            watched,
+            answering,
+            is_control_heard,
+        })
+    }
+
+    /// Returns how much of a pause is forgiven: all of a single one, less of those that follow it.
+    fn forgive(&mut self, now: Millis, time: Millis) -> Millis {
+        let pauses = self.pauses.filter(|pauses| now.since(pauses.first) < PAUSES_OVER);
+        let Some(mut pauses) = pauses else {
+            self.pauses = Some(Pauses { first: now, forgiven: Millis::ZERO });
+            return time;
+        };
+        let time = time.min(FORGIVEN_MAX - pauses.forgiven);
+        pauses.forgiven = pauses.forgiven + time;
+        self.pauses = Some(pauses);
+        time
     }
 }
--- a/crates/wasabi-routing/tests/liveness.rs
+++ b/crates/wasabi-routing/tests/liveness.rs
@@ -162,3 +162,55 @@
     let quick = watching(&names);
     assert_eq!(live_for(&quick, Millis(0)), LIVE_FOR);
 }
+
+/// Guards against a frozen owner whose requests wait to their deadlines: most peers of the judge are
+/// silent, but the control leader answers it, so that its own link is not at fault.
+#[test]
+fn a_judge_that_control_answers_is_not_cut_off() {
+    let names = names(12);
+    let mut table = watching(&names);
+    for now in (100..=1_000).step_by(100) {
+        for name in &names[7..] {
+            table.answered(Millis(now), name);
+        }
+    }
+    assert!(table.is_live(Millis(1_000), &names[0]), "5 of 12 answer, and nobody else");
+    table.control_answered(Millis(1_000));
+    assert!(!table.is_live(Millis(1_000), &names[0]));
+    assert!(table.is_live(Millis(1_000), &names[7]));
+}
+
+/// Guards against a judge that is cut off from everybody at one moment, and takes all others for dead
+/// since the control leader was the last one that it heard.
+#[test]
+fn an_answer_of_control_before_a_peers_time_had_passed_proves_nothing() {
+    let names = names(12);
+    let mut table = watching(&names);
+    for name in &names {
+        table.answered(Millis(5_000), name);
+    }
+    table.control_answered(Millis(5_400));
+    for now in (5_000..9_000).step_by(50) {
+        assert!(names.iter().all(|name| table.is_live(Millis(now), name)), "at {now}");
+    }
+}
+
+/// Guards against a judge that is slow all the time, forgives itself each of its pauses and never finds
+/// a frozen peer.
+#[test]
+fn a_judge_that_is_always_slow_finds_a_frozen_peer() {
+    let names = names(4);
+    for tick in [300, 500, 1_500] {
+        let mut table = watching(&names);
+        let lost = (tick..10_000).step_by(tick as usize).find(|now| {
+            table.paused(Millis(*now), Millis(tick - 50));
+            for name in &names[1..] {
+                table.answered(Millis(*now), name);
+            }
+            !table.is_live(Millis(*now), &names[0])
+        });
+        // Its silence, the first pause, the second that is forgiven at most, and a tick.
+        let bound = LIVE_FOR.0 + 1_000 + 2 * tick;
+        assert!(lost.is_some_and(|lost| lost <= bound), "lost at {lost:?} with {tick} ms");
+    }
+}
