entry, routing: a restarted owner waits until it is ready

Callers would see two gaps for each restart of an owner, and grants and limits by an old configuration.

Cause: all entries turned to a restarted owner at its first answer and the successor gave the pool up, while the new process had no configuration, or a member's, which may be old. With the latter it granted and lent to entries that were confirmed.

Ruled out: that each entry waits for 2 s after the first answer of a peer that it had lost. Only some entries take a peer for lost after a short silence, so that two owners would grant for these 2 s.

Now heartbeats tell for how long the sender has been ready: confirmed by a leader, without a pause of 1 s. An entry owns pools and budgets when it has been ready for 2 s, or when no live one has been ready for 1 s longer. It judges itself by the same rule, so that all entries see the end of the wait at the same time, give or take the way of a message. When everything restarts, nobody is ready for longer and the usual order holds at once. The endpoints are announced to an owner that waits, so that it starts with all of them. An acquire at a process that is not confirmed is answered with NotOwner, and it lends nothing.

Conclusion: readiness is told by the peer and not observed by each entry, so entries that started at different times agree. Open: an owner whose link was cut for more than 1 s, and whose process went on, comes back at its first answer as before.

--- a/crates/wasabi-entry/src/peers/heartbeat.rs
+++ b/crates/wasabi-entry/src/peers/heartbeat.rs
@@ -102,8 +102,9 @@
 
 /// Takes over what a peer tells, in a heartbeat or in the answer to one.
 pub(crate) fn heard(shell: &Rc<Shell>, heartbeat: &Heartbeat) {
-    shell.extend_by_majority();
     let now = shell.now();
+    shell.peers.borrow_mut().told(now, heartbeat);
+    shell.extend_by_majority();
     shell.lender.borrow_mut().hear(now, &heartbeat.from, &heartbeat.lent);
     if !heartbeat.suspects.is_empty() {
         let suspects = &heartbeat.suspects;
--- a/crates/wasabi-entry/src/peers/mod.rs
+++ b/crates/wasabi-entry/src/peers/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod heartbeat;
 pub(crate) mod link;
+pub(crate) mod ready;
 pub(crate) mod server;
 pub(crate) mod suspects;
 pub(crate) mod table;
--- a/crates/wasabi-entry/src/peers/table.rs
+++ b/crates/wasabi-entry/src/peers/table.rs
@@ -12,7 +12,7 @@
 use wasabi_protocol::{clock::Millis, command::View, id, rpc::Heartbeat};
 use wasabi_routing::{
     liveness::{self, Evidence},
-    rendezvous,
+    readiness, rendezvous,
 };
 
 use crate::control::link::Unreached;
@@ -54,6 +54,9 @@
     revision: id::Revision,
     /// Whether a leader told its process what is in force.
     is_confirmed: bool,
+    /// What it told last of how long it has been ready, and when; none of a process that is gone or
+    /// told nothing yet.
+    ready: Option<(Millis, Millis)>,
     lost: Rc<Notify>,
     /// When the heartbeats started that wait for their answers.
     beats: Vec<Millis>,
@@ -67,6 +70,16 @@
     was_live: bool,
 }
 
+impl Peer {
+    /// Returns for how long it has been ready.
+    fn ready_for(&self, now: Millis) -> Millis {
+        match self.ready {
+            Some((told, time)) if time != Millis::ZERO => time + now.since(told),
+            _ => Millis::ZERO,
+        }
+    }
+}
+
 /// Where a process runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Where {
@@ -140,6 +153,7 @@
                 heard: None,
                 revision: id::Revision::default(),
                 is_confirmed: false,
+                ready: None,
                 lost: Rc::default(),
                 beats: Vec::new(),
                 second: None,
@@ -168,6 +182,41 @@
         self.peers.contains_key(name) && self.liveness.is_live(now, name)
     }
 
+    /// Returns whether an entry may own pools and budgets; `own` is this entry's name and for how long
+    /// it has been ready.
+    ///
+    /// Of peers that no heartbeats are exchanged with only the view tells.
+    pub(crate) fn may_own(&self, now: Millis, name: &id::Entry, own: (&id::Entry, Millis)) -> bool {
+        let ready_for = if name == own.0 {
+            own.1
+        } else {
+            if !self.is_live(now, name) {
+                return false;
+            }
+            match self.peers.get(name) {
+                Some(peer) if peer.is_tracked => peer.ready_for(now),
+                _ => return true,
+            }
+        };
+        readiness::may_own(ready_for, self.longest_ready(now).max(own.1))
+    }
+
+    /// Returns the longest time for which a live peer has been ready.
+    fn longest_ready(&self, now: Millis) -> Millis {
+        let live = self
+            .peers
+            .iter()
+            .filter(|(name, peer)| peer.is_tracked && self.liveness.is_live(now, name));
+        live.map(|(_, peer)| peer.ready_for(now)).max().unwrap_or_default()
+    }
+
+    /// Notes for how long a peer has been ready, as it tells.
+    pub(crate) fn told(&mut self, now: Millis, heartbeat: &Heartbeat) {
+        if let Some(peer) = self.peers.get_mut(&heartbeat.from) {
+            peer.ready = Some((now, heartbeat.ready_for));
+        }
+    }
+
     /// Returns whether a peer is a coordinator of the view.
     pub(crate) fn is_coordinator(&self, name: &id::Entry) -> bool {
         self.peers.get(name).is_some_and(|peer| peer.is_coordinator)
@@ -214,6 +263,9 @@
         }
         if let Some(peer) = self.peers.get_mut(name) {
             peer.failed = Some(now);
+            if unreached == Unreached::Refused {
+                peer.ready = None;
+            }
         }
     }
 
--- a/crates/wasabi-entry/src/pools/budget.rs
+++ b/crates/wasabi-entry/src/pools/budget.rs
@@ -16,13 +16,11 @@
     /// Gets a slice from the organisation's owner and hands it to the pool.
     pub(crate) fn ask_for_slice(self: &Rc<Self>, lend: Lend) {
         let in_force = self.shared.in_force();
-        let (now, own) = (self.now(), &self.shared.entry.name);
+        let own = &self.shared.entry.name;
         let owners = rendezvous::budget_owners(&lend.organisation, &in_force.config.view);
-        let owner = owners
-            .into_iter()
-            .find(|entry| entry.name == *own || self.peers.borrow().is_live(now, &entry.name));
+        let owner = owners.into_iter().find(|entry| self.may_own(&entry.name));
         let Some(owner) = owner else { return };
-        if owner.name == self.shared.entry.name {
+        if owner.name == *own {
             if let Some(slice) = self.lend(&lend) {
                 self.hand_out(&lend, slice);
             }
@@ -43,8 +41,12 @@
         });
     }
 
-    /// Returns the next slice of a budget that this entry owns.
+    /// Returns the next slice of a budget that this entry owns; none before it is known what is in
+    /// force.
     pub(crate) fn lend(&self, lend: &Lend) -> Option<Slice> {
+        if !self.knows_what_is_in_force() {
+            return None;
+        }
         let in_force = self.shared.in_force();
         let limits = in_force.config.limits(&lend.organisation)?;
         let mut lender = self.lender.borrow_mut();
--- a/crates/wasabi-entry/src/pools/follow.rs
+++ b/crates/wasabi-entry/src/pools/follow.rs
@@ -7,7 +7,7 @@
 };
 
 use jsonrpsee::rpc_params;
-use wasabi_protocol::{endpoint::Announcement, id, rpc::method};
+use wasabi_protocol::{command::Entry, endpoint::Announcement, id, rpc::method};
 use wasabi_routing::rendezvous;
 use wasabi_scheduler::pool::Event;
 
@@ -44,7 +44,7 @@
     pub(crate) fn announce_to_owners(self: &Rc<Self>, announcement: &Announcement) {
         for pool in self.pools_of(&announcement.backend) {
             // The next owner hears it too, so that it can take over at once.
-            let owners = self.owners_of(&pool, REGISTRIES);
+            let owners = self.registries_of(&pool);
             if owners.is_empty() {
                 // Before the first view names an entry, this one keeps it for whoever takes over.
                 self.standby.borrow_mut().announce(self.now(), &pool, announcement);
@@ -59,6 +59,24 @@
         }
     }
 
+    /// Returns the owner of a pool and the one after it, and the entries that will be these when they
+    /// have been ready for a while.
+    fn registries_of(&self, pool: &id::Pool) -> Vec<Entry> {
+        let mut entries = self.owners_of(pool, REGISTRIES);
+        let in_force = self.shared.in_force();
+        let (now, peers, own) = (self.now(), self.peers.borrow(), &self.shared.entry.name);
+        let owners = rendezvous::owners(pool, &in_force.config.view);
+        let live = owners
+            .into_iter()
+            .filter(|entry| entry.name == *own || peers.is_live(now, &entry.name));
+        for entry in live.take(REGISTRIES) {
+            if entries.iter().all(|known| known.name != entry.name) {
+                entries.push(entry.clone());
+            }
+        }
+        entries
+    }
+
     pub(crate) fn announce_here(self: &Rc<Self>, announcement: Announcement) {
         let now = self.now();
         for pool in self.pools_of(&announcement.backend) {
--- a/crates/wasabi-entry/src/shell.rs
+++ b/crates/wasabi-entry/src/shell.rs
@@ -25,7 +25,7 @@
     drain,
     fetch::run::Fetcher,
     message::{Message, Peer},
-    peers::{heartbeat, suspects, table},
+    peers::{heartbeat, ready::Ready, suspects, table},
     pools::{
         acquire, approach,
         holder::Holder,
@@ -62,6 +62,8 @@
     pub(crate) control_heard: Cell<Option<Millis>>,
     /// Whether a leader told this process what is in force.
     pub(crate) is_confirmed: Cell<bool>,
+    /// For how long this process has been ready to own pools.
+    pub(crate) ready: Ready,
     /// Evidence that control has not taken yet.
     pub(crate) unsent: RefCell<Vec<Evidence>>,
     /// The owner of each pool as last seen, so that a change is noticed.
@@ -74,7 +76,8 @@
 impl Shell {
     /// Returns the state of a control thread.
     pub(crate) fn new(shared: Arc<Shared>, control: Link, drain: drain::Start) -> Rc<Self> {
-        let lender = Lender::restarted(shared.clock.now());
+        let now = shared.clock.now();
+        let lender = Lender::restarted(now);
         Rc::new(Self {
             shared,
             pools: RefCell::default(),
@@ -87,6 +90,7 @@
             fetcher: Fetcher::default(),
             control_heard: Cell::new(None),
             is_confirmed: Cell::new(false),
+            ready: Ready::new(now),
             unsent: RefCell::default(),
             owners: RefCell::default(),
             approaches: RefCell::default(),
@@ -98,7 +102,6 @@
     pub(crate) async fn run(self: Rc<Self>, mut messages: mpsc::UnboundedReceiver<Message>) {
         let mut ticks = tokio::time::interval(TICK);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        let mut last = self.now();
         loop {
             tokio::select! {
                 message = messages.recv() => match message {
@@ -107,8 +110,7 @@
                 },
                 _ = ticks.tick() => {
                     let now = self.now();
-                    self.note_pause(now, now.since(last));
-                    last = now;
+                    self.note_pause(now, self.note_ready(now));
                     self.tick();
                 }
             }
@@ -144,21 +146,19 @@
         self.shared.clock.now()
     }
 
-    /// Returns the entry that owns a pool: the first live one in rendezvous order.
+    /// Returns the entry that owns a pool: the first one in rendezvous order that may.
     pub(crate) fn owner_of(&self, pool: &id::Pool) -> Option<Entry> {
         self.owners_of(pool, 1).pop()
     }
 
-    /// Returns the owner of a pool and the live entries after it in rendezvous order.
+    /// Returns the owner of a pool and the entries after it in rendezvous order that may own it.
     pub(crate) fn owners_of(&self, pool: &id::Pool, count: usize) -> Vec<Entry> {
         let in_force = self.shared.in_force();
-        let (now, peers) = (self.now(), self.peers.borrow());
         let view = &in_force.config.view;
         let own = &self.shared.entry.name;
-        let live = rendezvous::owners(pool, view)
-            .into_iter()
-            .filter(|entry| entry.name == *own || peers.is_live(now, &entry.name));
-        let mut owners: Vec<_> = live.take(count).cloned().collect();
+        let able =
+            rendezvous::owners(pool, view).into_iter().filter(|entry| self.may_own(&entry.name));
+        let mut owners: Vec<_> = able.take(count).cloned().collect();
         if owners.is_empty() {
             // An entry that drains as the last one still finishes what it has.
             owners.extend(view.entries.iter().find(|entry| entry.name == *own).cloned());
@@ -278,6 +278,7 @@
             view: in_force.config.view.number,
             revision: in_force.config.revision,
             is_confirmed: self.is_confirmed.get(),
+            ready_for: self.ready_for(),
             suspects: Vec::new(),
             lent: Vec::new(),
         };
@@ -358,9 +359,11 @@
         let now = self.now();
         match peer {
             Peer::Acquire(asked, reply) => {
-                if !self.is_owner(&asked.pool) {
+                let is_owner = self.is_owner(&asked.pool);
+                if !is_owner || !self.knows_what_is_in_force() {
                     let view = self.shared.in_force().config.view.number;
-                    let owner = self.owner_of(&asked.pool).map(|entry| entry.name);
+                    let owner = self.owner_of(&asked.pool).filter(|_| !is_owner);
+                    let owner = owner.map(|entry| entry.name);
                     tracing::debug!(pool = %asked.pool, holder = %asked.holder, ?owner, "not owned here");
                     drop(reply.send(Acquired::NotOwner { view, owner }));
                     return;
--- a/crates/wasabi-entry/tests/owners.rs
+++ b/crates/wasabi-entry/tests/owners.rs
@@ -14,6 +14,8 @@
     peer::{Mode, Peer, holder, names},
     until,
 };
+use wasabi_protocol::clock::Millis;
+use wasabi_testkit::relay::Relay;
 
 /// Requests that wait at the holder.
 const WAITING: usize = 60;
@@ -87,3 +89,69 @@
     assert!(believed.acquires() <= 2, "asked {} times in vain", believed.acquires());
     until("each grant is given back to its owner", async || owner.releases() == 10).await;
 }
+
+/// Guards against a dead owner that is waited for: one that answered quickly and falls silent loses its
+/// pool after 1 s, and its requests run at the next owner.
+#[actix_rt::test]
+async fn a_silent_owners_pool_is_taken_over() {
+    let control = Control::start().await;
+    let peer = Peer::start(&names(1)[0], Mode::NotOwner(None)).await;
+    let relay = Relay::start(peer.address()).unwrap();
+    let mut first = peer.entry();
+    first.peer_address = relay.address().to_string();
+    let entry = holder(&control, vec![first]).await;
+    let engine = engine("m1", &[&entry]);
+    peer.set(Mode::Grant(engine.address()));
+    let caller = entry.caller();
+    until("the first owner is asked", async || {
+        assert!(caller.chat("stock", 1).await.is_done());
+        0 < peer.acquires()
+    })
+    .await;
+    relay.cut_both();
+    let cut = Instant::now();
+    assert!(caller.chat("stock", 1).await.is_done());
+    let took = cut.elapsed();
+    println!("taken over after {took:?}");
+    assert!(took < Duration::from_secs(1) + SETTLED_IN, "taken over after {took:?}");
+}
+
+/// Guards against a first owner that has restarted and gets the requests of all entries at its first
+/// answer, while it does not know yet what is in force and the successor has given the pool up.
+#[actix_rt::test]
+async fn a_restarted_owner_gets_its_pool_back_once_it_is_ready() {
+    let control = Control::start().await;
+    let peer = Peer::start(&names(1)[0], Mode::NotOwner(None)).await;
+    let entry = holder(&control, vec![peer.entry()]).await;
+    let engine = engine("m1", &[&entry]);
+    peer.set(Mode::Grant(engine.address()));
+    assert!(entry.caller().chat("stock", 1).await.is_done());
+    until("the first owner is asked", async || 0 < peer.acquires()).await;
+    // What its next process answers before a leader told it what is in force.
+    peer.set(Mode::NotOwner(None));
+    peer.set_ready(Millis::ZERO);
+    let caller = entry.caller();
+    until("the next owner serves", async || {
+        let before = peer.acquires();
+        caller.chat("stock", 1).await.is_done() && peer.acquires() == before
+    })
+    .await;
+    let before = peer.acquires();
+    for ready_for in [0, 0, 100, 600, 1_100] {
+        peer.set_ready(Millis(ready_for));
+        let started = Instant::now();
+        while started.elapsed() < Duration::from_millis(700) {
+            let asked = Instant::now();
+            assert!(caller.chat("stock", 1).await.is_done());
+            assert!(asked.elapsed() < SETTLED_IN, "a gap of {:?}", asked.elapsed());
+        }
+        assert_eq!(peer.acquires(), before, "asked when ready for {ready_for} ms");
+    }
+    peer.set(Mode::Grant(engine.address()));
+    peer.set_ready(Millis(2_000));
+    until("the first owner is asked again", async || {
+        assert!(caller.chat("stock", 1).await.is_done());
+        before < peer.acquires()
+    })
+    .await;
+}
--- a/crates/wasabi-entry/tests/peers.rs
+++ b/crates/wasabi-entry/tests/peers.rs
@@ -98,6 +98,32 @@
     drop(engine);
 }
 
+/// Guards against requests that wait while the first owner of their pool, which was killed, starts again
+/// and takes the pool back.
+#[actix_rt::test]
+async fn a_restarted_owner_makes_no_gap() {
+    let control = Control::start().await;
+    let mut entries = entries(&control, 3).await;
+    let _engine = engine("m1", &entries.iter().collect::<Vec<_>>());
+    for entry in &entries {
+        entry.caller().until_served().await;
+    }
+    let first = owner(&control, "coal");
+    let name = format!("e{}", first + 1);
+    entries.remove(first).daemon.kill();
+    let caller = entries[0].caller();
+    until("the next owner serves", async || caller.chat("stock", 1).await.is_done()).await;
+    let _again = Entry::controlled(&name, &control.address(), "");
+    let started = std::time::Instant::now();
+    while started.elapsed() < Duration::from_secs(6) {
+        let asked = std::time::Instant::now();
+        let answer = caller.chat("stock", 1).await;
+        assert!(answer.is_done(), "{}", answer.body);
+        let took = asked.elapsed();
+        assert!(took < Duration::from_secs(1), "a request took {took:?}");
+    }
+}
+
 /// Guards against an isolated entry that goes on with what may be an old configuration.
 #[actix_rt::test]
 async fn an_isolated_entry_refuses_and_rejoins() {
--- a/crates/wasabi-entry/tests/support/peer.rs
+++ b/crates/wasabi-entry/tests/support/peer.rs
@@ -71,6 +71,8 @@
     acquires: AtomicU64,
     releases: AtomicU64,
     reports: AtomicU64,
+    /// For how long it says that it has been ready, in milliseconds; zero when not confirmed.
+    ready_for: AtomicU64,
 }
 
 /// A running peer.
@@ -89,6 +91,7 @@
             acquires: AtomicU64::new(0),
             releases: AtomicU64::new(0),
             reports: AtomicU64::new(0),
+            ready_for: AtomicU64::new(3_600_000),
         });
         let server = Server::builder().build("127.0.0.1:0").await.unwrap();
         let address = server.local_addr().unwrap();
@@ -120,6 +123,11 @@
         *self.state.mode.lock().unwrap() = mode;
     }
 
+    /// Changes for how long it says that it has been ready; zero when it is not confirmed.
+    pub fn set_ready(&self, time: Millis) {
+        self.state.ready_for.store(time.0, Ordering::SeqCst);
+    }
+
     /// Returns how many calls for grants came.
     pub fn acquires(&self) -> u64 {
         self.state.acquires.load(Ordering::SeqCst)
@@ -148,11 +156,13 @@
     });
     added.unwrap();
     let added = module.register_method(method::PEER_HEARTBEAT, |_, state, _| {
+        let ready_for = Millis(state.ready_for.load(Ordering::SeqCst));
         Ok::<_, ErrorObjectOwned>(Heartbeat {
             from: state.name.as_str().into(),
             view: id::View::default(),
             revision: id::Revision::default(),
-            is_confirmed: true,
+            is_confirmed: ready_for != Millis::ZERO,
+            ready_for,
             suspects: Vec::new(),
             lent: Vec::new(),
         })
--- a/crates/wasabi-protocol/src/rpc/entry.rs
+++ b/crates/wasabi-protocol/src/rpc/entry.rs
@@ -40,6 +40,10 @@
     /// configuration may be older than one that was acknowledged before it started.
     #[serde(default)]
     pub is_confirmed: bool,
+    /// Time for which the sender's process has been confirmed and has not paused; zero when it is not
+    /// confirmed.
+    #[serde(default)]
+    pub ready_for: Millis,
     /// Some of the suspects and quarantined requests that the sender knows of; later heartbeats tell
     /// the others.
     #[serde(default)]
