scheduler: endpoints that fall silent together are not taken for crashed

Callers of a large pool would be refused with NoEndpoint, and their requests be suspected for minutes: an owner whose link is full for 2.5 s hears no endpoint, takes all of them out and suspects what runs on them; suspects run alone, one at a time in a pool, and fill the heartbeats.

Cause: only a pause of the owner's own process excused silence.

Ruled out: the same rule for small pools. Three endpoints may well crash together, as from one request that is tried again, and two existing tests expect that their requests are suspected.

Now endpoints of which at least 8 and more than half of the pool fell silent within 1 s are kept for 5 s in place of 2.5 s, and nothing on them is suspected when that is over. Connections that fail still mark each of them unreachable and make suspects. An endpoint that leaves is taken out as before (DRAIN).

Before / after: on the code before, endpoints_that_fall_silent_together_are_kept_and_nothing_is_suspected failed with suspects 2.0 s into the silence, and endpoints_that_stay_silent_are_gone_in_the_end had suspects; both pass now. 23 of 90 that crash are found after 2.5 s, and a pool of three that falls silent is suspected, with both codes.

Conclusion: the common silence of most endpoints says more about the owner's link than about them. Open: in a large pool of which more than half is lost silently (no connection breaks), grants go to lost endpoints for 2.5 s longer, and a request that would crash it that way is suspected only by connections that break.

--- a/crates/wasabi-scheduler/src/pool/announce.rs
+++ b/crates/wasabi-scheduler/src/pool/announce.rs
@@ -45,11 +45,11 @@
     }
 
     /// Takes out the endpoints that fell silent; what ran on them is suspected, unless the silence
-    /// may come from a pause of this process.
+    /// may come from a pause of this process or from its link.
     pub(super) fn expire_endpoints(&mut self, now: Millis) {
         for slot in self.endpoints.expire(now) {
             self.board.leave(slot.name());
-            if !self.excuses_silence(now) {
+            if !slot.excused && !self.excuses_silence(now) {
                 self.crashed(now, &slot, None);
             }
         }
--- a/crates/wasabi-scheduler/src/pool/endpoint.rs
+++ b/crates/wasabi-scheduler/src/pool/endpoint.rs
@@ -28,6 +28,17 @@
 /// every second, so anything later than this was sent by a new process.
 const LEFT_KEPT: Millis = Millis::from_secs(60);
 
+/// Silence after which an endpoint is taken out that fell silent together with most others: the cause
+/// may be the owner's own link.
+const EXCUSED_AFTER: Millis = Millis(2 * SILENT_AFTER.0);
+
+/// Time within which endpoints fall silent together: each announces itself every second.
+const TOGETHER: Millis = Millis::from_secs(1);
+
+/// Fewest endpoints whose common silence is put down to the owner's link. A few may well crash
+/// together, as from one request that is tried again.
+const TOGETHER_MIN: usize = 8;
+
 /// Most remembered names of endpoints that left.
 const LEFT_MAX: usize = 1_024;
 
@@ -64,6 +75,8 @@
     pub(super) urgent: u32,
     /// A connection to it failed since its last announcement.
     pub(super) unreachable: bool,
+    /// It fell silent together with most others, so its silence is no sign of a crash.
+    pub(super) excused: bool,
     /// When its last batch was counted as crashed.
     pub(super) crashed: Option<Millis>,
     /// When it should have read all prompts that it was given.
@@ -92,6 +105,7 @@
             running: Vec::new(),
             urgent: 0,
             unreachable: false,
+            excused: false,
             crashed: None,
             prefilled_at: now,
             offer: Offer::Never,
@@ -107,6 +121,12 @@
         &self.announcement.name
     }
 
+    /// Returns whether it was silent for so long that it counts as gone.
+    fn is_gone(&self, now: Millis) -> bool {
+        let after = if self.excused { EXCUSED_AFTER } else { SILENT_AFTER };
+        after <= now.since(self.heard)
+    }
+
     pub(super) fn in_flight(&self) -> u32 {
         self.running.len() as u32
     }
@@ -235,6 +255,7 @@
         slot.bound.announce(announcement.concurrency);
         slot.announcement = announcement;
         slot.unreachable = false;
+        slot.excused = false;
         Announced::Renewed
     }
 
@@ -251,8 +272,8 @@
     /// Takes the endpoints that were silent for too long out of the table.
     pub(super) fn expire(&mut self, now: Millis) -> Vec<Slot> {
         self.left.retain(|_, left| now.since(left.at) < LEFT_KEPT);
-        let gone: Vec<_> =
-            self.slots.extract_if(.., |slot| SILENT_AFTER <= now.since(slot.heard)).collect();
+        self.excuse_silence(now);
+        let gone: Vec<_> = self.slots.extract_if(.., |slot| slot.is_gone(now)).collect();
         for slot in &gone {
             // The same process may come back; an announcement of an earlier one is a stray.
             let earlier = slot.announcement.incarnation.saturating_sub(1);
@@ -265,6 +286,18 @@
         gone
     }
 
+    /// Excuses the endpoints that fell silent within a second, if they are more than half of the pool.
+    fn excuse_silence(&mut self, now: Millis) {
+        let is_silent = |slot: &Slot| SILENT_AFTER <= now.since(slot.heard) + TOGETHER;
+        let silent = self.slots.iter().filter(|slot| is_silent(slot)).count();
+        if silent < TOGETHER_MIN || silent * 2 <= self.slots.len() {
+            return;
+        }
+        for slot in self.slots.iter_mut().filter(|slot| is_silent(slot)) {
+            slot.excused = true;
+        }
+    }
+
     /// Returns how many requests all endpoints may run at one time.
     pub(super) fn capacity(&self) -> u32 {
         self.slots.iter().map(|slot| slot.limit(false)).sum()
--- a/crates/wasabi-scheduler/tests/suspects.rs
+++ b/crates/wasabi-scheduler/tests/suspects.rs
@@ -169,3 +169,84 @@
     let refused = refusals(&pool.step(Millis(1_300), again(100, 0, &["a"])));
     assert_eq!(refused, [(100, Kind::NoEndpoint)]);
 }
+
+/// Returns a pool of so many endpoints that each run three requests, and the number of these.
+fn large(endpoints: usize) -> (Pool, usize) {
+    let mut pool = ready(endpoints, 4);
+    let tickets = 0..3 * endpoints as u64;
+    let held: Vec<_> =
+        tickets.flat_map(|ticket| grants(&acquire(&mut pool, 1_000, ticket, 2))).collect();
+    (pool, held.len())
+}
+
+/// Lets time pass in ticks, while the endpoints from number `from` on announce themselves each
+/// second, one after another.
+fn pass(pool: &mut Pool, time: std::ops::Range<u64>, endpoints: std::ops::Range<usize>) {
+    for now in time.step_by(50) {
+        for index in endpoints.clone().filter(|index| (index * 50) as u64 % 1_000 == now % 1_000) {
+            pool.step(Millis(now), Event::Announce(announcement(&kit::name(index), 4)));
+        }
+        pool.step(Millis(now), Event::Tick);
+    }
+}
+
+/// Guards against an owner behind a full link that takes all endpoints for crashed: their requests
+/// would be suspected and run alone, one at a time, and new ones would be refused.
+#[test]
+fn endpoints_that_fall_silent_together_are_kept_and_nothing_is_suspected() {
+    let (mut pool, held) = large(20);
+    assert_eq!(held, 60);
+    pass(&mut pool, 1_000..10_000, 0..20);
+    for (number, now) in (10_000..13_500).step_by(500).enumerate() {
+        pass(&mut pool, now..now + 500, 0..0);
+        let ticket = 1_000 + number as u64;
+        let granted = grants(&acquire(&mut pool, now + 499, ticket, 2));
+        assert_eq!(granted.len(), 1, "after {} ms", now + 499 - 10_000);
+        assert!(pool.suspects(Millis(now + 499)).is_empty(), "{} ms", now + 499 - 10_000);
+        assert_eq!(pool.endpoints().count(), 20, "after {} ms", now + 499 - 10_000);
+    }
+    pass(&mut pool, 13_500..20_000, 0..20);
+    assert!(pool.suspects(Millis(20_000)).is_empty());
+    assert_eq!(pool.endpoints().count(), 20);
+}
+
+/// Guards against endpoints that all went away and are kept for good, with requests that wait for
+/// them until their deadlines.
+#[test]
+fn endpoints_that_stay_silent_are_gone_in_the_end() {
+    let (mut pool, _) = large(20);
+    pass(&mut pool, 1_000..10_000, 0..20);
+    pass(&mut pool, 10_000..15_100, 0..0);
+    assert_eq!(pool.endpoints().count(), 0, "after twice the time of a single one");
+    assert!(pool.suspects(Millis(15_100)).is_empty());
+    acquire(&mut pool, 15_100, 1_000, 2);
+    let refused = (15_100..18_200).step_by(50).find(|now| {
+        let refused = refusals(&pool.step(Millis(*now), Event::Tick));
+        refused.contains(&(1_000, Kind::NoEndpoint))
+    });
+    assert!(refused.is_some(), "it is refused");
+}
+
+/// Guards against a loss of a part of a pool that is found later than it was: 23 of 90 endpoints crash
+/// without breaking their connections.
+#[test]
+fn a_part_of_a_large_pool_that_crashes_is_found_in_time() {
+    let (mut pool, held) = large(90);
+    assert_eq!(held, 270);
+    pass(&mut pool, 1_000..10_000, 0..90);
+    // Each announced itself within the last second.
+    pass(&mut pool, 10_000..12_500, 23..90);
+    assert_eq!(pool.endpoints().count(), 67);
+    assert_eq!(pool.suspects(Millis(12_500)).len(), 69);
+}
+
+/// Guards against a request that crashes a small pool and runs on since nobody suspects it: three
+/// endpoints that fall silent together are taken for crashed.
+#[test]
+fn a_small_pool_that_falls_silent_is_taken_for_crashed() {
+    let (mut pool, held) = large(3);
+    pass(&mut pool, 1_000..10_000, 0..3);
+    pass(&mut pool, 10_000..12_550, 0..0);
+    assert_eq!(pool.endpoints().count(), 0);
+    assert_eq!(pool.suspects(Millis(12_550)).len(), held);
+}
