--- a/crates/wasabi-entry/src/peers/link.rs
+++ b/crates/wasabi-entry/src/peers/link.rs
@@ -6,11 +6,11 @@
     core::{client::ClientT as _, params::ArrayParams},
     ws_client::WsClient,
 };
-use wasabi_protocol::id;
+use wasabi_protocol::{clock::Millis, id};
 
-use crate::{control::link, shell::Shell};
+use crate::{control::link, peers::table::Where, shell::Shell};
 
-/// Longest time for a connection to a peer.
+/// Longest time for a connection to a peer that work waits for.
 const CONNECT_TIME: Duration = Duration::from_millis(300);
 
 /// Longest time for a message to a peer that has no answer to wait for.
@@ -31,15 +31,19 @@
         if open.is_some() || has_failed {
             return open;
         }
-        self.open_link(name).await
+        self.open_link(name, CONNECT_TIME).await
     }
 
     /// Opens a new connection to a peer. It becomes the link when there is none.
     ///
     /// [`Self::keep_link`] puts it in the place of one that is silent.
-    pub(crate) async fn open_link(&self, name: &id::Entry) -> Option<Arc<WsClient>> {
+    pub(crate) async fn open_link(
+        &self,
+        name: &id::Entry,
+        time: Duration,
+    ) -> Option<Arc<WsClient>> {
         let address = self.peers.borrow().address(name)?;
-        let opened = link::open(&address, CONNECT_TIME).await;
+        let opened = link::open(&address, time).await;
         let now = self.now();
         let mut peers = self.peers.borrow_mut();
         match opened {
@@ -62,6 +66,14 @@
         self.peers.borrow_mut().set_link(name, client);
     }
 
+    /// Notes whether the control leader answered, which proves that the link of this host works.
+    pub(crate) fn note_control(&self, now: Millis) {
+        let leader = self.control.leader();
+        let own = &self.shared.entry.peer_address;
+        let leader = leader.map_or(Where::Elsewhere, |leader| Where::of(own, &leader));
+        self.peers.borrow_mut().control_heard(now, self.control_heard.get(), leader);
+    }
+
     /// Notes an answer of a peer: however late it is, its process runs.
     pub(crate) fn answered(&self, name: &id::Entry) {
         let now = self.now();
--- a/crates/wasabi-entry/tests/owners.rs
+++ b/crates/wasabi-entry/tests/owners.rs
@@ -9,23 +9,21 @@
 use awc::http::StatusCode;
 use jsonrpsee::{core::client::ClientT as _, rpc_params, ws_client::WsClientBuilder};
 use rstest::rstest;
-use serde_json::Value;
 use support::{
     Entry,
     control::Control,
     engine,
-    peer::{Mode, Peer},
+    peer::{Mode, Peer, holder, names},
     standin, until,
 };
 use wasabi_protocol::{
     clock::Millis,
-    command::Command,
     contract::Tier,
     endpoint, fingerprint, id,
     request::Request,
     rpc::{Acquire, Acquired, Holdings, method},
 };
-use wasabi_routing::rendezvous;
+use wasabi_testkit::relay::Relay;
 
 /// Requests that wait at the holder.
 const WAITING: usize = 60;
@@ -40,34 +38,6 @@
 /// between two calls, and time to run them.
 const SETTLED_IN: Duration = Duration::from_secs(1);
 
-/// Returns names of peers that come before the entry `e1` in the order of the pool's owners.
-fn names(count: usize) -> Vec<String> {
-    let score = |name: &str| rendezvous::score("coal/north/0", name);
-    let mut names: Vec<_> = (0..100).map(|number| format!("f{number}")).collect();
-    names.retain(|name| score("e1") < score(name));
-    names.truncate(count);
-    names.sort_by_key(|name| std::cmp::Reverse(score(name)));
-    names
-}
-
-/// Starts an entry that takes the peers, in this order, for the owners of the pool.
-async fn holder(control: &Control, peers: &[&Peer]) -> Entry {
-    let entry = Entry::controlled("e1", &control.address(), "");
-    until("the entry is in the view", async || control.config().view.entries.len() == 1).await;
-    let view = control.config().view;
-    let mut entries = view.entries.clone();
-    entries.extend(peers.iter().map(|peer| peer.entry()));
-    control.apply(&Command::SetView { base: view.number, entries });
-    let caller = entry.caller();
-    until("the entry holds the newest view", async || {
-        let answer = caller.send(caller.request("GET", "/v1/entries"), "").await;
-        let list: Value = serde_json::from_str(&answer.body).unwrap_or_default();
-        list["revision"] == control.config().revision.0
-    })
-    .await;
-    entry
-}
-
 /// Sends requests at the same time and returns their answers in the background.
 fn send(entry: &Entry, count: usize) -> Vec<actix_rt::task::JoinHandle<support::Answer>> {
     let address = entry.address();
@@ -86,7 +56,7 @@
 async fn an_unsettled_owner_is_not_asked_for_each_waiting_request(#[case] unsettled: Mode) {
     let control = Control::start().await;
     let peer = Peer::start(&names(1)[0], Mode::NotOwner(None)).await;
-    let entry = holder(&control, &[&peer]).await;
+    let entry = holder(&control, vec![peer.entry()]).await;
     let engine = engine("m1", &[]);
     let mut answers = send(&entry, 1);
     until("the first request was not granted", async || 0 < peer.acquires()).await;
@@ -115,7 +85,7 @@
     let engine = engine("m1", &[]);
     let believed = Peer::start(&names[0], Mode::NotOwner(Some(names[1].clone()))).await;
     let owner = Peer::start(&names[1], Mode::Grant(engine.address())).await;
-    let entry = holder(&control, &[&believed, &owner]).await;
+    let entry = holder(&control, vec![believed.entry(), owner.entry()]).await;
     let started = Instant::now();
     for _ in 0..10 {
         let [answer]: [_; 1] = send(&entry, 1).try_into().unwrap();
@@ -169,7 +139,7 @@
     let engine = engine("m1", &[]);
     let owner = Peer::start(&names[0], Mode::Silent).await;
     let next = Peer::start(&names[1], Mode::Grant(engine.address())).await;
-    let entry = holder(&control, &[&owner, &next]).await;
+    let entry = holder(&control, vec![owner.entry(), next.entry()]).await;
     let [answer]: [_; 1] = send(&entry, 1).try_into().unwrap();
     until("the owner was not asked", async || 0 < owner.acquires()).await;
     owner.set(Mode::Frozen);
@@ -194,7 +164,7 @@
     });
     let giver = Peer::start(&names[0], Mode::Grant(engine.address())).await;
     let next = Peer::start(&names[1], Mode::Grant(engine.address())).await;
-    let entry = holder(&control, &[&giver, &next]).await;
+    let entry = holder(&control, vec![giver.entry(), next.entry()]).await;
     let [answer]: [_; 1] = send(&entry, 1).try_into().unwrap();
     until("the request does not run", async || 0 < engine.counts().requests).await;
     giver.set(Mode::Frozen);
@@ -281,3 +251,69 @@
         avoid: Vec::new(),
     }
 }
+
+/// Guards against a dead owner that is waited for: one that answered quickly and falls silent loses its
+/// pool after 1 s, and its requests run at the next owner.
+#[actix_rt::test]
+async fn a_silent_owners_pool_is_taken_over() {
+    let control = Control::start().await;
+    let peer = Peer::start(&names(1)[0], Mode::NotOwner(None)).await;
+    let relay = Relay::start(peer.address()).unwrap();
+    let mut first = peer.entry();
+    first.peer_address = relay.address().to_string();
+    let entry = holder(&control, vec![first]).await;
+    let engine = engine("m1", &[&entry]);
+    peer.set(Mode::Grant(engine.address()));
+    let caller = entry.caller();
+    until("the first owner is asked", async || {
+        assert!(caller.chat("stock", 1).await.is_done());
+        0 < peer.acquires()
+    })
+    .await;
+    relay.cut_both();
+    let cut = Instant::now();
+    assert!(caller.chat("stock", 1).await.is_done());
+    let took = cut.elapsed();
+    println!("taken over after {took:?}");
+    assert!(took < Duration::from_secs(1) + SETTLED_IN, "taken over after {took:?}");
+}
+
+/// Guards against a first owner that has restarted and gets the requests of all entries at its first
+/// answer, while it does not know yet what is in force and the successor has given the pool up.
+#[actix_rt::test]
+async fn a_restarted_owner_gets_its_pool_back_once_it_is_ready() {
+    let control = Control::start().await;
+    let peer = Peer::start(&names(1)[0], Mode::NotOwner(None)).await;
+    let entry = holder(&control, vec![peer.entry()]).await;
+    let engine = engine("m1", &[&entry]);
+    peer.set(Mode::Grant(engine.address()));
+    assert!(entry.caller().chat("stock", 1).await.is_done());
+    until("the first owner is asked", async || 0 < peer.acquires()).await;
+    // What its next process answers before a leader told it what is in force.
+    peer.set(Mode::NotOwner(None));
+    peer.set_ready(Millis::ZERO);
+    let caller = entry.caller();
+    until("the next owner serves", async || {
+        let before = peer.acquires();
+        caller.chat("stock", 1).await.is_done() && peer.acquires() == before
+    })
+    .await;
+    let before = peer.acquires();
+    for ready_for in [0, 0, 100, 600, 1_100] {
+        peer.set_ready(Millis(ready_for));
+        let started = Instant::now();
+        while started.elapsed() < Duration::from_millis(700) {
+            let asked = Instant::now();
+            assert!(caller.chat("stock", 1).await.is_done());
+            assert!(asked.elapsed() < SETTLED_IN, "a gap of {:?}", asked.elapsed());
+        }
+        assert_eq!(peer.acquires(), before, "asked when ready for {ready_for} ms");
+    }
+    peer.set(Mode::Grant(engine.address()));
+    peer.set_ready(Millis(2_000));
+    until("the first owner is asked again", async || {
+        assert!(caller.chat("stock", 1).await.is_done());
+        before < peer.acquires()
+    })
+    .await;
+}
--- a/crates/wasabi-entry/tests/support/peer.rs
+++ b/crates/wasabi-entry/tests/support/peer.rs
@@ -17,10 +17,13 @@
 use serde_json::{Value, json};
 use wasabi_protocol::{
     clock::Millis,
-    command::{Duty, Entry},
+    command::{Command, Duty, Entry},
     id,
     rpc::{Acquire, Heartbeat, Release, method},
 };
+use wasabi_routing::rendezvous;
+
+use super::{control::Control, until};
 
 /// What the peer answers to a call for a grant.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -35,6 +38,34 @@
     Grant(SocketAddr),
 }
 
+/// Returns names of peers that come before the entry `e1` in the order of the pool's owners.
+pub fn names(count: usize) -> Vec<String> {
+    let score = |name: &str| rendezvous::score("coal/north/0", name);
+    let mut names: Vec<_> = (0..100).map(|number| format!("f{number}")).collect();
+    names.retain(|name| score("e1") < score(name));
+    names.truncate(count);
+    names.sort_by_key(|name| std::cmp::Reverse(score(name)));
+    names
+}
+
+/// Starts an entry that takes the peers, in this order, for the owners of the pool.
+pub async fn holder(control: &Control, peers: Vec<Entry>) -> super::Entry {
+    let entry = super::Entry::controlled("e1", &control.address(), "");
+    until("the entry is in the view", async || control.config().view.entries.len() == 1).await;
+    let view = control.config().view;
+    let mut entries = view.entries.clone();
+    entries.extend(peers);
+    control.apply(&Command::SetView { base: view.number, entries });
+    let caller = entry.caller();
+    until("the entry holds the newest view", async || {
+        let answer = caller.send(caller.request("GET", "/v1/entries"), "").await;
+        let list: Value = serde_json::from_str(&answer.body).unwrap_or_default();
+        list["revision"] == control.config().revision.0
+    })
+    .await;
+    entry
+}
+
 /// What the handlers of the peer share.
 struct State {
     name: String,
@@ -43,6 +74,8 @@
     releases: AtomicU64,
     released: Mutex<Vec<Release>>,
     reports: AtomicU64,
+    /// For how long it says that it has been ready, in milliseconds; zero when not confirmed.
+    ready_for: AtomicU64,
 }
 
 /// A running peer.
@@ -62,6 +95,7 @@
             releases: AtomicU64::new(0),
             released: Mutex::default(),
             reports: AtomicU64::new(0),
+            ready_for: AtomicU64::new(3_600_000),
         });
         let server = Server::builder().build("127.0.0.1:0").await.unwrap();
         let address = server.local_addr().unwrap();
@@ -69,6 +103,11 @@
         Self { address, state, _server: server }
     }
 
+    /// Returns its address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Returns it as an entry of a view.
     pub fn entry(&self) -> Entry {
         Entry {
@@ -88,6 +127,11 @@
         *self.state.mode.lock().unwrap() = mode;
     }
 
+    /// Changes for how long it says that it has been ready; zero when it is not confirmed.
+    pub fn set_ready(&self, time: Millis) {
+        self.state.ready_for.store(time.0, Ordering::SeqCst);
+    }
+
     /// Returns how many calls for grants came.
     pub fn acquires(&self) -> u64 {
         self.state.acquires.load(Ordering::SeqCst)
@@ -126,11 +170,13 @@
             while *state.mode.lock().unwrap() == Mode::Frozen {
                 tokio::time::sleep(Duration::from_millis(5)).await;
             }
+            let ready_for = Millis(state.ready_for.load(Ordering::SeqCst));
             Ok::<_, ErrorObjectOwned>(Heartbeat {
                 from: state.name.as_str().into(),
                 view: id::View::default(),
                 revision: id::Revision::default(),
-                is_confirmed: true,
+                is_confirmed: ready_for != Millis::ZERO,
+                ready_for,
                 suspects: Vec::new(),
                 lent: Vec::new(),
             })
