control: slow members and links move nothing; small messages do not wait behind bulk

Operators saw: valid changes without an acknowledgement, and a control group short of members or of a leader, on hosts that were busy and on links that were slow.

Cause: one connection to each member, which ended whenever one answer or one handshake took more than 300 ms. All that was on it was lost and sent again. A member that answers after 350 to 900 ms was cut off for good, and removed after 1.5 s; heartbeats waited behind up to 128 KiB of bulk.

Change: - Two connections to each member. Bulk goes in parts of 16 KiB (64 KiB before) through a window that grows while answers take 100 ms and shrinks to one part when they take 250 ms. - Another connection is tried beside a silent one and takes its place only when it answers first. What has no answer goes again on it, at most a window of bulk. - A member is removed only when it answered nothing, on any connection, for the bound; time in which the judge did not run is not counted. A process that answers and takes no part leaves after 30 s. - Each removal logs its evidence and the leader's last pause. Metrics: replaced connections by cause, bytes under way and the age of the oldest request to each member.

Weighed and not taken: a longer bound alone. Connections that went silent for good would then cost a member, which `a_silent_member_leaves_and_silent_connections_are_replaced` forbids.

The tests of the window, of the answers and of what is under way were not run with their rules removed.

--- a/crates/wasabi-control/src/group.rs
+++ b/crates/wasabi-control/src/group.rs
@@ -136,6 +136,11 @@
         self.node.members(now)
     }
 
+    /// Returns the highest index that a member is known to hold, or 0 when this one does not lead.
+    pub(crate) fn matched(&self, member: &id::Member) -> u64 {
+        self.node.matched(member)
+    }
+
     /// Returns whether no change of members is under way and a quorum holds everything committed.
     pub(crate) fn is_settled(&self) -> bool {
         self.node.settled()
--- a/crates/wasabi-control/src/join.rs
+++ b/crates/wasabi-control/src/join.rs
@@ -12,6 +12,7 @@
 use jsonrpsee::{core::client::ClientT as _, rpc_params, ws_client::WsClientBuilder};
 use tokio::sync::oneshot;
 use tracing::{debug, info, warn};
+use wasabi_consensus::{Change, Status};
 use wasabi_protocol::{
     clock::Millis,
     id,
@@ -166,15 +167,36 @@
             size: self.duties.size.unwrap_or(self.group.membership().voters.len()),
         };
         self.duties.size = Some(situation.size.max(situation.answering()));
-        let change = situation.next_change().filter(|_| self.options.self_repair);
+        let silences = self.peers.answers.silences();
+        let change = situation.next_change_with(&silences).filter(|_| self.options.self_repair);
         let shortage = situation.shortage();
         self.show_shortage(now, shortage);
         match change {
-            Some(change) => self.change(change),
+            Some(change) => {
+                if let Change::Remove(member) = &change {
+                    self.say_removal(member, &members, silences.get(member).copied());
+                }
+                self.change(change);
+            }
             None => self.add_asked(),
         }
     }
 
+    /// Logs what the removal of a member rests on.
+    fn say_removal(&self, member: &id::Member, members: &[Status], answered: Option<Millis>) {
+        let status = members.iter().find(|status| status.member == *member);
+        let pause = self.peers.answers.pause();
+        info!(
+            %member,
+            unanswered_ms = status.map(|status| status.unanswered().0),
+            answered_before_ms = answered.map(|answered| answered.0),
+            matched = status.and_then(|status| status.matched),
+            own_pause_ms = pause.map(|(_, time)| time.0),
+            own_pause_before_ms = pause.map(|(ended, _)| ended.0),
+            "a member that does not answer leaves"
+        );
+    }
+
     /// Takes the next step towards the members that asked to be in the group lately. The vote of one
     /// that is added already is decided by the repair.
     fn add_asked(&mut self) {
--- a/crates/wasabi-control/src/lib.rs
+++ b/crates/wasabi-control/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`Running::start`].
 
 mod access;
+pub mod answers;
 mod founding;
 mod group;
 mod guide;
@@ -12,6 +13,7 @@
 mod input;
 mod introductions;
 mod join;
+mod lane;
 mod lead;
 mod link;
 mod liveness;
@@ -24,12 +26,14 @@
 mod observer;
 mod options;
 pub mod parts;
+mod peers;
 mod record;
 mod relay;
 pub mod repair;
 pub mod search;
 mod serve;
 mod server;
+pub mod window;
 
 pub use access::Access;
 pub use introductions::Introductions;
--- a/crates/wasabi-control/src/link.rs
+++ b/crates/wasabi-control/src/link.rs
@@ -1,112 +1,200 @@
 //! Links to the other members.
 //!
-//! Each link has a bound on progress: a request that is not answered within [`ANSWER_BOUND`] ends
-//! its connection, and a new one is opened before the consensus node's own timeouts judge the
-//! peer. Messages of an ended connection are lost; the node sends again by itself.
+//! Each link has two connections: one for small messages, such as heartbeats, votes and answers, and
+//! one for entries and snapshots. So what proves that a member lives never waits behind bulk, and
+//! little of the latter is on its way at a time ([`crate::window`]).
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    cell::Cell,
+    collections::BTreeMap,
+    rc::Rc,
     sync::{Mutex, PoisonError},
     time::{Duration, Instant},
 };
 
 use base64::{Engine as _, engine::general_purpose::STANDARD};
-use futures_util::{StreamExt as _, stream::FuturesUnordered};
-use jsonrpsee::{
-    core::client::{ClientT as _, Error},
-    rpc_params,
-    ws_client::{WsClient, WsClientBuilder},
-};
+use bytes::Bytes;
 use tokio::sync::mpsc;
-use tracing::{debug, info};
+use tracing::debug;
 use wasabi_consensus::Message;
 use wasabi_protocol::{
+    clock::{Clock, Millis},
     id,
-    rpc::{Part, Step, method},
+    rpc::Step,
 };
 
-use crate::parts::{self, Assembly};
-
-/// Longest time until a request is answered or a connection is open.
-///
-/// With a heartbeat every 100 ms a silent connection is replaced within half of the shortest
-/// election timeout (600 ms). The answer comes from the peer's network thread and does not wait
-/// for its disk.
-const ANSWER_BOUND: Duration = Duration::from_millis(300);
-
-/// Pause after a connection could not be opened.
-const PAUSE: Duration = Duration::from_millis(100);
+use crate::{
+    answers::Answers,
+    lane::{self, Head, Lane, Piece, UnderWay},
+    metrics::{Kind, Metrics},
+    parts::{self, Assembly},
+};
 
 /// Time without messages after which a link is closed.
 const UNUSED_AFTER: Duration = Duration::from_secs(30);
 
-/// Most requests without an answer on one link.
-const OPEN_MAX: usize = 64;
+/// Most batches that wait for a lane; later ones are dropped.
+const QUEUE_MAX: usize = 256;
 
-/// Bytes without an answer from which on a link sends no more: twice a part, so that one is on its way
-/// while the other is answered.
-const OPEN_BYTES_MAX: usize = 2 * parts::PART_BYTES;
+/// Time between two looks at whether this thread runs, in milliseconds.
+const LOOK_EVERY: Millis = Millis(50);
 
-/// Most batches that wait for a link; later ones are dropped.
-const QUEUE_MAX: usize = 256;
+/// Lateness of this thread from which on it counts, in milliseconds: three heartbeats.
+const LATE: Millis = Millis(300);
 
 /// Messages for one member.
 #[derive(Debug)]
 pub(crate) struct Parcel {
     pub(crate) to: id::Member,
     pub(crate) address: String,
+    /// The highest index that the member is known to hold, when the sender leads.
+    pub(crate) matched: u64,
     pub(crate) messages: Vec<Message>,
 }
 
+/// What all links of a member share.
+#[derive(Debug)]
+pub(crate) struct Links {
+    pub(crate) name: id::Member,
+    pub(crate) own_address: String,
+    pub(crate) proofs: Vec<String>,
+    pub(crate) answers: Answers,
+    pub(crate) metrics: Metrics,
+}
+
 /// Sends parcels until the control thread has ended.
-pub(crate) async fn run(
-    name: id::Member,
-    own_address: String,
-    proofs: Vec<String>,
-    mut parcels: mpsc::UnboundedReceiver<Parcel>,
-) {
-    let mut links: BTreeMap<(id::Member, String), Link> = BTreeMap::new();
+pub(crate) async fn run(links: Links, mut parcels: mpsc::UnboundedReceiver<Parcel>) {
+    let clock = Clock::start();
+    let watch = actix_rt::spawn(watch_pauses(clock, links.answers.clone()));
+    let mut open: BTreeMap<(id::Member, String), Link> = BTreeMap::new();
     while let Some(parcel) = parcels.recv().await {
-        let step = |(part, piece): (Option<Part>, &[u8])| Step {
-            from: name.clone(),
-            address: own_address.clone(),
-            proofs: proofs.clone(),
-            to: parcel.to.clone(),
-            part,
-            messages: STANDARD.encode(piece),
-        };
-        let mut batch = Vec::new();
-        for bytes in encode(&parcel.messages) {
-            batch.extend(parts::cut(&bytes, fastrand::u64(..)).into_iter().map(step));
-        }
         // Heartbeats go to every member, so that a link without messages is one to a former member.
-        links.retain(|_, link| link.used.elapsed() < UNUSED_AFTER);
-        let link =
-            links.entry((parcel.to.clone(), parcel.address)).or_insert_with_key(|(to, address)| {
-                let (steps, receiver) = mpsc::channel(QUEUE_MAX);
-                actix_rt::spawn(serve(to.clone(), address.clone(), receiver));
-                Link { steps, used: Instant::now() }
-            });
-        link.used = Instant::now();
-        if link.steps.try_send(batch).is_err() {
-            debug!("a link is full; its messages are dropped");
+        open.retain(|_, link| link.used.elapsed() < UNUSED_AFTER);
+        let link = open
+            .entry((parcel.to, parcel.address))
+            .or_insert_with_key(|(to, address)| Link::open(&links, clock, to, address));
+        link.send(clock.now(), parcel.matched, parcel.messages);
+    }
+    watch.abort();
+}
+
+/// Notes when this thread did not run: answers that came meanwhile were not taken.
+async fn watch_pauses(clock: Clock, answers: Answers) {
+    loop {
+        let before = clock.now();
+        actix_rt::time::sleep(LOOK_EVERY.duration()).await;
+        let late = clock.now().since(before + LOOK_EVERY);
+        if LATE <= late {
+            answers.paused(late);
         }
     }
 }
 
-/// The way to one member; its task ends when this is dropped.
+/// The way to one member; its tasks end when this is dropped.
 struct Link {
-    steps: mpsc::Sender<Vec<Step>>,
+    small: mpsc::Sender<Vec<Piece>>,
+    bulk: mpsc::Sender<Vec<Piece>>,
+    /// The entries that are on their way as bulk.
+    under_way: UnderWay,
+    /// The highest term in which this member led.
+    term: Rc<Cell<u64>>,
     used: Instant,
 }
 
-/// Returns the messages as they are sent: together when they fit one request, or else each by
-/// itself, so that one that is lost takes no other with it.
-fn encode(messages: &[Message]) -> Vec<Vec<u8>> {
+impl Link {
+    fn open(links: &Links, clock: Clock, to: &id::Member, address: &str) -> Self {
+        let term = Rc::new(Cell::new(0));
+        let head = Rc::new(Head {
+            from: links.name.clone(),
+            address: links.own_address.clone(),
+            proofs: links.proofs.clone(),
+            to: to.clone(),
+        });
+        let lane = |kind| {
+            let (sender, batches) = mpsc::channel(QUEUE_MAX);
+            let lane = Lane {
+                kind,
+                head: Rc::clone(&head),
+                address: address.to_owned(),
+                clock,
+                answers: links.answers.clone(),
+                metrics: links.metrics.clone(),
+                term: Rc::clone(&term),
+            };
+            actix_rt::spawn(lane::serve(lane, batches));
+            sender
+        };
+        let (small, bulk) = (lane(Kind::Small), lane(Kind::Bulk));
+        Self { small, bulk, under_way: UnderWay::default(), term, used: Instant::now() }
+    }
+
+    /// Hands messages to the lanes.
+    fn send(&mut self, now: Millis, matched: u64, messages: Vec<Message>) {
+        self.used = Instant::now();
+        let mut small = Vec::new();
+        for message in messages {
+            if let Message::Append { term, .. } | Message::Install { term, .. } = &message {
+                self.term.set(self.term.get().max(*term));
+            }
+            match kind(&message, matched, self.under_way.lowest()) {
+                Kind::Small => small.push(message),
+                Kind::Bulk => self.send_bulk(now, &message),
+            }
+        }
+        let term = self.term.get();
+        let batch: Vec<_> = encode(&small)
+            .into_iter()
+            .map(|bytes| Piece { part: None, bytes, queued: now, term, _place: None })
+            .collect();
+        if !batch.is_empty() && self.small.try_send(batch).is_err() {
+            debug!("a link is full; its messages are dropped");
+        }
+    }
+
+    fn send_bulk(&self, now: Millis, message: &Message) {
+        let first = match message {
+            Message::Append { entries, .. } => entries.first().map(|entry| entry.index),
+            _ => None,
+        };
+        let Ok(bytes) = postcard::to_stdvec(&[message][..]).map(Bytes::from) else { return };
+        let pieces = parts::cut(&bytes, fastrand::u64(..)).into_iter();
+        let batch = pieces.map(|(part, piece)| Piece {
+            part,
+            bytes: bytes.slice_ref(piece),
+            queued: now,
+            term: message.term(),
+            _place: first.map(|first| self.under_way.add(first)),
+        });
+        if self.bulk.try_send(batch.collect()).is_err() {
+            debug!("a link is full; a message is dropped");
+        }
+    }
+}
+
+/// Returns what carries a message. One that rests on entries under way, and not only on what its
+/// receiver is known to hold, goes behind them: before them, it would show them as lost.
+fn kind(message: &Message, matched: u64, under_way: Option<u64>) -> Kind {
+    match message {
+        Message::Install { .. } => Kind::Bulk,
+        Message::Append { prev, entries, .. } => {
+            let rests = matched < prev.index && under_way.is_some_and(|first| first <= prev.index);
+            if rests || !entries.is_empty() { Kind::Bulk } else { Kind::Small }
+        }
+        _ => Kind::Small,
+    }
+}
+
+/// Returns small messages as they are sent: together when they fit one request, or else each by
+/// itself.
+fn encode(messages: &[Message]) -> Vec<Bytes> {
+    if messages.is_empty() {
+        return Vec::new();
+    }
     match postcard::to_stdvec(messages) {
-        Ok(bytes) if bytes.len() <= parts::PART_BYTES || messages.len() <= 1 => vec![bytes],
+        Ok(bytes) if bytes.len() <= parts::PART_BYTES => vec![bytes.into()],
         _ => {
-            messages.iter().filter_map(|message| postcard::to_stdvec(&[message][..]).ok()).collect()
+            let alone = |message| postcard::to_stdvec(&[message][..]).ok().map(Bytes::from);
+            messages.iter().filter_map(alone).collect()
         }
     }
 }
@@ -134,67 +222,3 @@
 /// The messages of a step cannot be read.
 #[derive(Debug)]
 pub(crate) struct Unreadable;
-
-/// Serves one link: opens connections and replaces silent ones.
-async fn serve(to: id::Member, address: String, mut steps: mpsc::Receiver<Vec<Step>>) {
-    let url = format!("ws://{address}");
-    let mut last = String::new();
-    while !steps.is_closed() || !steps.is_empty() {
-        let client = WsClientBuilder::default()
-            .connection_timeout(ANSWER_BOUND)
-            .request_timeout(ANSWER_BOUND)
-            .max_concurrent_requests(OPEN_MAX)
-            .build(&url)
-            .await;
-        let error = match client {
-            Ok(client) => match use_connection(&client, &mut steps).await {
-                Some(error) => error.to_string(),
-                None => return,
-            },
-            Err(error) => {
-                // What waited is out of date by the time a connection opens.
-                while steps.try_recv().is_ok() {}
-                actix_rt::time::sleep(PAUSE).await;
-                error.to_string()
-            }
-        };
-        // A member that is gone fails in the same way until it is removed.
-        if error == last {
-            debug!(%to, address, %error, "replacing a connection that is silent or broken");
-            continue;
-        }
-        info!(%to, address, %error, "replacing a connection that is silent or broken");
-        last = error;
-    }
-}
-
-/// Sends steps over one connection until it makes no progress. Returns why, or none when no more
-/// come.
-async fn use_connection(client: &WsClient, steps: &mut mpsc::Receiver<Vec<Step>>) -> Option<Error> {
-    let mut waiting = VecDeque::new();
-    let mut open = FuturesUnordered::new();
-    let mut open_bytes = 0;
-    loop {
-        while open.len() < OPEN_MAX
-            && open_bytes < OPEN_BYTES_MAX
-            && let Some(step) = waiting.pop_front()
-        {
-            let step: Step = step;
-            let bytes = step.messages.len();
-            open_bytes += bytes;
-            open.push(async move {
-                let answer = client.request::<(), _>(method::CONSENSUS, rpc_params![step]).await;
-                (bytes, answer)
-            });
-        }
-        tokio::select! {
-            batch = steps.recv(), if waiting.is_empty() => waiting.extend(batch?),
-            Some((bytes, answer)) = open.next() => {
-                open_bytes -= bytes;
-                if let Err(error) = answer {
-                    return Some(error);
-                }
-            }
-        }
-    }
-}
--- a/crates/wasabi-control/src/member.rs
+++ b/crates/wasabi-control/src/member.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::{BTreeMap, VecDeque},
     sync::{
-        Arc, Mutex, PoisonError,
+        PoisonError,
         mpsc::{Receiver, RecvTimeoutError},
     },
 };
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use prometheus_client::metrics::gauge::Gauge;
 use snafu::{ResultExt as _, Snafu};
-use tokio::sync::{mpsc::UnboundedSender, oneshot::Sender};
+use tokio::sync::oneshot::Sender;
 use tracing::{debug, error, info, warn};
 use wasabi_consensus::{Event, Message, Payload};
 use wasabi_protocol::{
@@ -25,12 +25,12 @@
 use crate::{
     founding::Start,
     group::{Effect, Group},
-    heard::Heard,
     input::Input,
     lead::Duties,
     link::Parcel,
     liveness::Liveness,
     options::{Batching, Options},
+    peers::{Peers, is_answer},
     record::{self, Addresses, Item, Record},
 };
 
@@ -93,8 +93,7 @@
     snapshot_index: u64,
     /// The last index that the state machine has taken into account.
     applied: u64,
-    heard: Arc<Mutex<Heard>>,
-    parcels: UnboundedSender<Parcel>,
+    pub(crate) peers: Peers,
     /// Inputs held back while a proposal is under way, without batching.
     held: VecDeque<Input>,
     stopping: Option<Millis>,
@@ -123,12 +122,7 @@
 }
 
 impl Member {
-    pub(crate) fn new(
-        options: Options,
-        start: Start,
-        heard: Arc<Mutex<Heard>>,
-        parcels: UnboundedSender<Parcel>,
-    ) -> Self {
+    pub(crate) fn new(options: Options, start: Start, peers: Peers) -> Self {
         let clock = Clock::start();
         let now = clock.now();
         let snapshot_index = start.restored.snapshot.last.index;
@@ -149,8 +143,7 @@
             next_request: 0,
             snapshot_index,
             applied: 0,
-            heard,
-            parcels,
+            peers,
             held: VecDeque::new(),
             stopping: None,
             options,
@@ -170,6 +163,8 @@
             if PAUSE < now.since(last_turn) {
                 warn!(pause = %now.since(last_turn), "this process did not run for a while");
                 self.liveness.resume(now);
+                // Nobody was sent a heartbeat for that time.
+                self.peers.answers.paused(now.since(last_turn));
             }
             last_turn = now;
             if last_tick + TICK <= now {
@@ -242,13 +237,16 @@
 
     /// Takes messages of another member, once it is durable that this member was heard.
     fn receive(&mut self, step: crate::input::Step) {
-        let mut heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut heard = self.peers.heard.lock().unwrap_or_else(PoisonError::into_inner);
         if let Err(error) = heard.add(&step.from) {
             error!(%error, from = %step.from, "cannot remember a member; its messages are dropped");
             return;
         }
         drop(heard);
         self.learned.insert(step.from.clone(), step.address);
+        if step.messages.iter().any(is_answer) {
+            self.peers.answers.answered(&step.from);
+        }
         for message in step.messages {
             self.group.step(self.clock.now(), Event::Receive(step.from.clone(), message));
         }
@@ -312,7 +310,8 @@
         for (to, messages) in parcels {
             let address = self.addresses.get(&to).or_else(|| self.learned.get(&to)).cloned();
             let Some(address) = address else { continue };
-            let _ = self.parcels.send(Parcel { to, address, messages });
+            let matched = self.group.matched(&to);
+            let _ = self.peers.parcels.send(Parcel { to, address, matched, messages });
         }
         Ok(())
     }
--- a/crates/wasabi-control/src/metrics.rs
+++ b/crates/wasabi-control/src/metrics.rs
@@ -7,6 +7,7 @@
     metrics::{counter::Counter, family::Family, gauge::Gauge},
     registry::Registry,
 };
+use wasabi_protocol::{clock::Millis, id};
 
 /// What a member shows of itself. Clones share their values.
 #[derive(Debug, Clone, Default)]
@@ -22,6 +23,45 @@
     pub(crate) short_seconds: Gauge<f64, AtomicU64>,
     pub(crate) commits: Counter,
     forwarded: Family<Forwarded, Counter>,
+    replaced: Family<Replaced, Counter>,
+    under_way_bytes: Family<Lane, Gauge>,
+    unanswered_seconds: Family<Lane, Gauge<f64, AtomicU64>>,
+}
+
+/// What a connection to another member carries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelValue)]
+pub(crate) enum Kind {
+    /// Heartbeats, votes and answers.
+    Small,
+    /// Entries and snapshots.
+    Bulk,
+}
+
+/// Why a connection to another member was replaced.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelValue)]
+pub(crate) enum Cause {
+    /// It answered nothing, and a second one answered first.
+    Silent,
+    /// It ended.
+    Broken,
+}
+
+/// Connections that were replaced for one cause.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct Replaced {
+    kind: Kind,
+    cause: Cause,
+}
+
+/// A connection to one member.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct Lane {
+    member: String,
+    kind: Kind,
 }
 
 /// A kind of calls that this host made at the leader for its own callers.
@@ -68,6 +108,21 @@
             "Operators' calls that this host made at the leader, by their end",
             self.forwarded.clone(),
         );
+        registry.register(
+            "replaced_connections",
+            "Connections to other members that were replaced, by cause",
+            self.replaced.clone(),
+        );
+        registry.register(
+            "under_way_bytes",
+            "Bytes of messages for a member that wait or have no answer",
+            self.under_way_bytes.clone(),
+        );
+        registry.register(
+            "unanswered_seconds",
+            "Age of the oldest request to a member without an answer, in seconds",
+            self.unanswered_seconds.clone(),
+        );
         registry.register("commits", "Committed log entries", self.commits.clone());
         Arc::new(registry)
     }
@@ -75,4 +130,22 @@
     pub(crate) fn count_forwarded(&self, call: &'static str, end: End) {
         self.forwarded.get_or_create(&Forwarded { call, end }).inc();
     }
+
+    pub(crate) fn count_replaced(&self, kind: Kind, cause: Cause) {
+        self.replaced.get_or_create(&Replaced { kind, cause }).inc();
+    }
+
+    pub(crate) fn show_lane(&self, member: &id::Member, kind: Kind, bytes: usize, oldest: Millis) {
+        let lane = Lane { member: member.as_str().to_owned(), kind };
+        let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
+        self.under_way_bytes.get_or_create(&lane).set(bytes);
+        self.unanswered_seconds.get_or_create(&lane).set(oldest.seconds());
+    }
+
+    /// Removes the values of a connection to a former member.
+    pub(crate) fn forget_lane(&self, member: &id::Member, kind: Kind) {
+        let lane = Lane { member: member.as_str().to_owned(), kind };
+        self.under_way_bytes.remove(&lane);
+        self.unanswered_seconds.remove(&lane);
+    }
 }
--- a/crates/wasabi-control/src/parts.rs
+++ b/crates/wasabi-control/src/parts.rs
@@ -7,12 +7,12 @@
 
 use wasabi_protocol::{id, rpc::Part};
 
-/// Most bytes of messages in one request: 70 ms on a link of 10 Mbit/s, with the overhead of the
-/// encoding.
-pub const PART_BYTES: usize = 64 * 1024;
+/// Most bytes of messages in one request: 110 ms on a link that passes 200 KB/s, with the overhead of
+/// the encoding. A heartbeat waits behind one part at least.
+pub const PART_BYTES: usize = 16 * 1024;
 
 /// Most parts that are put together: 64 MiB.
-const PARTS_MAX: u32 = 1_024;
+const PARTS_MAX: u32 = 4_096;
 
 /// Most senders whose parts are kept at one time.
 const SENDERS_MAX: usize = 16;
@@ -32,6 +32,8 @@
 #[derive(Debug, Default)]
 pub struct Assembly {
     by_sender: BTreeMap<id::Member, Open>,
+    /// The messages of each sender that were whole last. A part whose answer was lost comes again.
+    done: BTreeMap<id::Member, u64>,
 }
 
 /// Messages of which some parts are missing.
@@ -53,6 +55,12 @@
             // Members that are gone leave parts behind. What is dropped here is sent again.
             self.by_sender.clear();
         }
+        if SENDERS_MAX <= self.done.len() && !self.done.contains_key(from) {
+            self.done.clear();
+        }
+        if self.done.get(from) == Some(&part.number) {
+            return None;
+        }
         let count = part.count as usize;
         let open =
             self.by_sender.entry(from.clone()).or_insert_with(|| Open::new(part.number, count));
@@ -67,6 +75,7 @@
             return None;
         }
         let whole = self.by_sender.remove(from)?;
+        self.done.insert(from.clone(), part.number);
         Some(whole.pieces.into_iter().flatten().flatten().collect())
     }
 }
--- a/crates/wasabi-control/src/repair.rs
+++ b/crates/wasabi-control/src/repair.rs
@@ -3,7 +3,7 @@
 //! A voter whose address another member has taken has lost its disk and leaves first. One that is
 //! only silent may still hold what others are about to lose: its substitute gets a vote first.
 
-use std::fmt;
+use std::{collections::BTreeMap, fmt};
 
 use wasabi_consensus::{Change, Part, Status};
 use wasabi_protocol::{clock::Millis, id};
@@ -86,8 +86,17 @@
     /// Returns the next change of the members: the removal of one that is gone, or else a vote for
     /// a learner that has caught up.
     pub fn next_change(&self) -> Option<Change> {
-        let gone = self.members.iter().find(|status| self.is_gone(status) && self.can_lose(status));
-        if let Some(gone) = gone {
+        self.next_change_with(&BTreeMap::new())
+    }
+
+    /// Returns the same, where members may have answered in other ways than by their place in the
+    /// log. `silences` holds the time since any answer of a member, without the time in which the
+    /// leader did not run, in milliseconds.
+    pub fn next_change_with(&self, silences: &BTreeMap<id::Member, Millis>) -> Option<Change> {
+        let is_leaving = |status: &&Status| {
+            self.is_gone(status, silence(status, silences)) && self.can_lose(status)
+        };
+        if let Some(gone) = self.members.iter().find(is_leaving) {
             return Some(Change::Remove(gone.member.clone()));
         }
         let ready = self.learners().find(|status| status.has_caught_up)?;
@@ -125,8 +134,7 @@
         }
     }
 
-    fn is_gone(&self, status: &Status) -> bool {
-        let silent = status.unanswered();
+    fn is_gone(&self, status: &Status, silent: Millis) -> bool {
         if status.member == *self.own {
             return false;
         }
@@ -178,6 +186,16 @@
     }
 }
 
+/// Returns the silence that a removal counts: since the last answer of any kind. A process that answers
+/// and takes no part for long, such as one whose disk stands still, is silent all the same.
+fn silence(status: &Status, silences: &BTreeMap<id::Member, Millis>) -> Millis {
+    let unanswered = status.unanswered();
+    if VOTER_LOST_AFTER <= unanswered {
+        return unanswered;
+    }
+    silences.get(&status.member).map_or(unanswered, |silent| unanswered.min(*silent))
+}
+
 /// Returns whether the member answered a moment ago.
 fn answers(status: &Status) -> bool {
     status.silent.is_some_and(|silent| silent < SILENT_AFTER)
--- a/crates/wasabi-control/src/server.rs
+++ b/crates/wasabi-control/src/server.rs
@@ -12,22 +12,24 @@
 
 use jsonrpsee::server::{PingConfig, RegisterMethodError, Server, ServerConfig, ServerHandle};
 use snafu::{ResultExt as _, Snafu};
-use tokio::sync::{mpsc::UnboundedSender, oneshot, watch};
+use tokio::sync::{oneshot, watch};
 use tracing::{error, warn};
 use wasabi_protocol::rpc::MESSAGE_BYTES_MAX;
 
 use crate::{
     access::Access,
+    answers::Answers,
     founding,
     guide::Guide,
     heard::Heard,
     input::Input,
     join, link,
-    link::Parcel,
+    link::Links,
     local::Local,
     member::{self, Member},
     methods::{Shared, methods},
     options::{Contacts, Options},
+    peers::Peers,
 };
 
 /// Most connections at one time: entries, members and operators.
@@ -145,7 +147,15 @@
         let (parcels, outgoing) = tokio::sync::mpsc::unbounded_channel();
         let own = options.members.iter().find(|(name, _)| *name == start.name);
         let own = own.map_or_else(|| address.to_string(), |(_, address)| address.clone());
-        actix_rt::spawn(link::run(start.name.clone(), own.clone(), options.proofs(), outgoing));
+        let answers = Answers::start();
+        let links = Links {
+            name: start.name.clone(),
+            own_address: own.clone(),
+            proofs: options.proofs(),
+            answers: answers.clone(),
+            metrics: options.metrics.clone(),
+        };
+        actix_rt::spawn(link::run(links, outgoing));
         if !options.contacts.get().is_empty() {
             actix_rt::spawn(join::run(
                 (start.name.clone(), own),
@@ -160,7 +170,8 @@
         thread::Builder::new()
             .name("control".to_owned())
             .spawn(move || {
-                let _ = end.send(run(&options, start, &heard, &parcels, &receiver));
+                let peers = Peers { heard, parcels, answers };
+                let _ = end.send(run(&options, start, &peers, &receiver));
             })
             .context(ThreadSnafu)?;
         Ok(Self { address, server, inputs, access, stopping: None, ended })
@@ -221,12 +232,11 @@
 fn run(
     options: &Options,
     mut start: founding::Start,
-    heard: &Arc<Mutex<Heard>>,
-    parcels: &UnboundedSender<Parcel>,
+    peers: &Peers,
     inputs: &mpsc::Receiver<Input>,
 ) -> Result<(), member::Error> {
     loop {
-        let member = Member::new(options.clone(), start, Arc::clone(heard), parcels.clone());
+        let member = Member::new(options.clone(), start, peers.clone());
         match member.run(inputs) {
             Err(error @ member::Error::Disk { is_stopping: false, .. }) if options.self_repair => {
                 error!(%error, "the member starts anew from its disk");
--- a/crates/wasabi-control/tests/repair.rs
+++ b/crates/wasabi-control/tests/repair.rs
@@ -179,3 +179,42 @@
     let small = look(&[voter("a", 0), voter("b", 100)]).1.unwrap();
     assert_eq!((small.silent.len(), small.wait), (0, Wait::Host));
 }
+
+/// Guards against the removal of a member that is slow: its place in the log is old, and its process
+/// answers.
+#[test]
+fn a_slow_member_that_answers_is_not_removed() {
+    let members = [voter("a", 0), voter("b", 100), voter("c", 100), voter("d", 2_000)];
+    let addresses = Addresses::new();
+    let situation = Situation {
+        own: &"a".into(),
+        members: &members,
+        addresses: &addresses,
+        size_min: 3,
+        size: 4,
+    };
+    let answered = |silent| [("d".into(), Millis(silent))].into();
+    assert_eq!(situation.next_change(), remove("d"));
+    assert_eq!(situation.next_change_with(&answered(1_400)), None);
+    assert_eq!(situation.next_change_with(&answered(1_500)), remove("d"));
+}
+
+/// Guards against a voter that keeps its place for good because its process answers, while its disk
+/// stands still.
+#[test]
+fn a_member_that_answers_and_takes_no_part_leaves_in_the_end() {
+    let at = |silent| {
+        let members = [voter("a", 0), voter("b", 100), voter("c", 100), voter("d", silent)];
+        let addresses = Addresses::new();
+        let situation = Situation {
+            own: &"a".into(),
+            members: &members,
+            addresses: &addresses,
+            size_min: 3,
+            size: 4,
+        };
+        situation.next_change_with(&[("d".into(), Millis(10))].into())
+    };
+    assert_eq!(at(29_900), None);
+    assert_eq!(at(30_000), remove("d"));
+}
