cli: a command ends within its bound whatever a member sends

Cause: the bound of a call was a timer on the thread that reads the answer. The HTTP client reads up to 128 times, some hundred kilobytes each, before it yields, and looks at every byte of endless heads and chunk sizes; the timer fires only in between. A call now runs on a thread of its own, and the command waits for it with its own timer. A call that is given up ends at its own bound or with the process.

Ruled out: the runtime does come to its timers after each poll of the reading task (a task that has used up its budget is deferred until the driver has run), so the time passes within single polls.

--- a/crates/wasabi-cli/src/client.rs
+++ b/crates/wasabi-cli/src/client.rs
@@ -2,15 +2,20 @@
 
 use std::{
     collections::VecDeque,
+    thread,
     time::{Duration, Instant},
 };
 
 use jsonrpsee::{
-    core::client::{ClientT as _, Error},
+    core::{
+        client::{ClientT as _, Error},
+        params::ArrayParams,
+    },
     http_client::{HttpClient, HttpClientBuilder},
     rpc_params,
 };
 use serde::{Serialize, de::DeserializeOwned};
+use tokio::{sync::oneshot, time::timeout};
 use wasabi_protocol::{
     clock::Millis,
     command::{Command, Order, Outcome},
@@ -68,7 +73,7 @@
     /// # Errors
     ///
     /// Returns a failure when the answer is one, or when no member answered in time.
-    pub(crate) async fn call<A: DeserializeOwned, B>(
+    pub(crate) async fn call<A: DeserializeOwned + Send + 'static, B>(
         &self,
         name: &str,
         question: &impl Serialize,
@@ -239,15 +244,44 @@
     pub(crate) failure: Failure,
 }
 
-async fn ask<A: DeserializeOwned>(
+/// Asks a member.
+///
+/// The call has a thread of its own: bytes without end keep the thread that reads them from its
+/// timers. A call that is given up ends there at its own bound, or with the process.
+async fn ask<A: DeserializeOwned + Send + 'static>(
     address: &str,
     name: &str,
     question: &impl Serialize,
+) -> Result<A, Error> {
+    let (reply, answer) = oneshot::channel();
+    let (address, name, question) = (address.to_owned(), name.to_owned(), rpc_params![question]);
+    let run = move || {
+        let answer = actix_rt::Runtime::new()
+            .map_err(|error| Error::Custom(format!("no runtime for the call: {error}")))
+            .and_then(|runtime| runtime.block_on(call(&address, &name, question)));
+        // The command may have given the call up.
+        let _ = reply.send(answer);
+    };
+    thread::Builder::new()
+        .name("call".to_owned())
+        .spawn(run)
+        .map_err(|error| Error::Custom(format!("no thread for the call: {error}")))?;
+    match timeout(ANSWER_BOUND, answer).await {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(_)) => Err(Error::Custom("the call ended without an answer".to_owned())),
+        Err(_) => Err(Error::RequestTimeout),
+    }
+}
+
+async fn call<A: DeserializeOwned>(
+    address: &str,
+    name: &str,
+    question: ArrayParams,
 ) -> Result<A, Error> {
     let client: HttpClient = HttpClientBuilder::default()
         .request_timeout(ANSWER_BOUND)
         .build(format!("http://{address}"))?;
-    client.request(name, rpc_params![question]).await
+    client.request(name, question).await
 }
 
 /// Returns whether the connection was refused, so that nothing was sent.
--- a/crates/wasabi-cli/tests/endless.rs
+++ b/crates/wasabi-cli/tests/endless.rs
@@ -25,6 +25,8 @@
 #[case::header_line("HTTP/1.1 200 OK\r\nx-long: ", "x")]
 #[case::header_lines("HTTP/1.1 200 OK\r\n", "x-a: b\r\n")]
 #[case::no_http("", "\0\u{1}no answer")]
+#[case::interim("", "HTTP/1.1 100 Continue\r\n\r\n")]
+#[case::chunk_size(CHUNKED, "0")]
 #[case::chunk_extension(&format!("{CHUNKED}5;a="), "a")]
 #[case::trailers(&format!("{CHUNKED}2\r\n{{}}\r\n0\r\n"), "x-a: b\r\n")]
 #[case::chunks(CHUNKED, &format!("400\r\n{}\r\n", "x".repeat(1024)))]
