testkit, entry: a test freezes a process before it goes on

Seen: beside load, `a_thawed_process_does_not_serve_an_old_contract` got "ran", or a connection that was reset, and `a_process_frozen_past_its_window_sends_nothing` an answer of the endpoint.

Cause, all three in the tests: * SIGSTOP is handed to one thread, which stops the others once it runs; `kill` has returned by then. After 9 of 12 freezes some threads were not stopped yet when `kill -STOP` had returned (states R and S); in the run that failed these were all eight, so that the request that followed was served before the freeze. `Daemon::signal` now waits until every thread of the process is stopped. * The order's record was answered 600 ms after its proposal and the freeze was due 300 ms after the order, by the test's own timers. The answer is now held until the process stands still. * The request went out on a connection kept since the last answer, which the entry closes after 5 s without a request, unread bytes or not: a trial with a freeze of 6 s gives the reset. The request now has a connection of its own, so that a late thaw does not matter.

Ruled out for these tests: an entry that serves old content after its thaw. Serving time and dispatch window are checked after the grant and before the first byte, and no run showed a request that was sent after a thaw.

The checks are the same, and a freeze takes more now.

--- a/crates/wasabi-entry/tests/process.rs
+++ b/crates/wasabi-entry/tests/process.rs
@@ -24,6 +24,9 @@
 use wasabi_standin::Standin;
 use wasabi_testkit::process::{Daemon, Signal, binary, free_address};
 
+/// Time for which a process is frozen, longer than its dispatch window and its serving time of 2 s.
+const FREEZE: Duration = Duration::from_millis(2_300);
+
 /// A daemon with its folder and address.
 struct Process {
     daemon: Daemon,
@@ -106,17 +109,19 @@
     until("an order runs", async || caller.order("warm", "up").await.status == StatusCode::OK)
         .await;
     // The record is committed before the freeze, and its answer arrives during it.
-    control.delay(Duration::from_millis(600));
+    control.hold(true);
+    let records = control.records();
     let freeze = async {
-        tokio::time::sleep(Duration::from_millis(300)).await;
+        until("the record is committed", async || records < control.records()).await;
         entry.daemon.signal(Signal::Stop);
-        tokio::time::sleep(Duration::from_millis(2_500)).await;
+        control.hold(false);
+        tokio::time::sleep(FREEZE).await;
         entry.daemon.signal(Signal::Continue);
     };
     let (answer, ()) = futures_util::future::join(caller.order("k1", "one lorry"), freeze).await;
-    assert_eq!(answer.ran, "not_run", "{}", answer.body);
-    assert_eq!(runs(&service.counts(), "k1"), 0);
-    control.delay(Duration::ZERO);
+    let log = entry.daemon.output();
+    assert_eq!(answer.ran, "not_run", "{}\n{log}", answer.body);
+    assert_eq!(runs(&service.counts(), "k1"), 0, "{log}");
     until("the key runs", async || caller.order("k1", "one lorry").await.status == StatusCode::OK)
         .await;
     assert_eq!(runs(&service.counts(), "k1"), 1);
@@ -135,13 +140,15 @@
     let organisation = "hospital".into();
     control.apply(&Command::RemoveContract { order: order(&control, "end"), organisation });
     let thaw = async {
-        tokio::time::sleep(Duration::from_millis(2_300)).await;
+        tokio::time::sleep(FREEZE).await;
         entry.daemon.signal(Signal::Continue);
     };
     let before = service.counts().requests;
+    // A connection that was idle for 5 s is closed, however late the thaw comes.
+    let caller = entry.caller();
     let request = caller.request("POST", "/services/desk/repeatable");
     let (answer, ()) = futures_util::future::join(caller.send(request, "x"), thaw).await;
-    assert_eq!(answer.ran, "not_run", "{}", answer.body);
+    assert_eq!(answer.ran, "not_run", "{}\n{}", answer.body, entry.daemon.output());
     assert!(["entry_isolated", "unauthorized"].contains(&answer.kind().as_str()));
     assert_eq!(service.counts().requests, before);
     drop(entry.folder);
--- a/crates/wasabi-entry/tests/support/control.rs
+++ b/crates/wasabi-entry/tests/support/control.rs
@@ -23,11 +23,18 @@
 };
 use wasabi_state::Machine;
 
+/// Time between two looks at whether an answer is still held back.
+const LOOK_EVERY: Duration = Duration::from_millis(5);
+
 /// What the answers of control are like.
 #[derive(Debug, Default)]
 struct Faults {
     /// Delays the answers to proposals, in milliseconds.
     delay: AtomicU64,
+    /// Holds the answers to proposals back.
+    held: AtomicBool,
+    /// Attempts recorded.
+    records: AtomicU64,
     /// Answers nothing, like a group without a quorum.
     lost: AtomicBool,
     /// Commits proposals and answers that their outcome is unknown.
@@ -88,6 +95,16 @@
         self.faults.delay.store(u64::try_from(delay.as_millis()).unwrap(), Ordering::SeqCst);
     }
 
+    /// Commits proposals and holds their answers back, or sends those that were held.
+    pub fn hold(&self, is_held: bool) {
+        self.faults.held.store(is_held, Ordering::SeqCst);
+    }
+
+    /// Returns how many attempts were recorded.
+    pub fn records(&self) -> u64 {
+        self.faults.records.load(Ordering::SeqCst)
+    }
+
     /// Loses the quorum or finds it again.
     pub fn lose(&self, is_lost: bool) {
         self.faults.lost.store(is_lost, Ordering::SeqCst);
@@ -124,9 +141,16 @@
             if shared.1.lost.load(Ordering::SeqCst) {
                 return Ok(Proposed::NotLeader { leader: None });
             }
-            let outcome = shared.0.lock().unwrap().apply(&propose?.command);
+            let command = propose?.command;
+            let outcome = shared.0.lock().unwrap().apply(&command);
+            if matches!(command, Command::RecordDispatch { .. }) {
+                shared.1.records.fetch_add(1, Ordering::SeqCst);
+            }
             let delay = shared.1.delay.load(Ordering::SeqCst);
             tokio::time::sleep(Duration::from_millis(delay)).await;
+            while shared.1.held.load(Ordering::SeqCst) {
+                tokio::time::sleep(LOOK_EVERY).await;
+            }
             if shared.1.unknown.load(Ordering::SeqCst) {
                 return Ok(Proposed::Unknown);
             }
--- a/crates/wasabi-testkit/src/process.rs
+++ b/crates/wasabi-testkit/src/process.rs
@@ -21,6 +21,9 @@
 /// Longest time that a process may take to end after a signal.
 const END_BOUND: Duration = Duration::from_secs(30);
 
+/// Longest time that the threads of a process may take to stand still after a signal.
+const STOP_BOUND: Duration = Duration::from_secs(30);
+
 /// A signal that a test sends to a process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Signal {
@@ -89,14 +92,20 @@
         fs::read_to_string(&self.log).unwrap_or_default()
     }
 
-    /// Sends a signal.
+    /// Sends a signal. After [`Signal::Stop`] all threads of the process stand still: the system
+    /// tells one of them, which may have to wait for a core while the others run on.
     ///
     /// # Panics
     ///
-    /// Panics when the signal cannot be sent.
+    /// Panics when the signal cannot be sent, or when a thread still runs 30 s after a stop.
     pub fn signal(&self, signal: Signal) {
         let status = Command::new("kill").args([signal.name(), &self.id().to_string()]).status();
         assert!(status.is_ok_and(|status| status.success()), "{signal:?} could not be sent");
+        if signal == Signal::Stop {
+            wait::until("the process stands still", STOP_BOUND, || {
+                is_still(self.id()).then_some(())
+            });
+        }
     }
 
     /// Returns the exit status when the process has ended.
@@ -140,6 +149,17 @@
     }
 }
 
+/// Returns whether no thread of a process runs.
+fn is_still(process: u32) -> bool {
+    let Ok(threads) = fs::read_dir(format!("/proc/{process}/task")) else { return true };
+    threads.flatten().all(|thread| {
+        let stat = fs::read_to_string(thread.path().join("stat")).unwrap_or_default();
+        // The state follows the name of the program, which may hold any character.
+        let state = stat.rsplit_once(") ").and_then(|(_, rest)| rest.chars().next());
+        matches!(state, None | Some('T' | 'Z' | 'X'))
+    })
+}
+
 /// Returns the path of a binary of this workspace, built in the same profile as the test.
 ///
 /// # Panics
