--- a/crates/wasabi-entry/tests/links.rs
+++ b/crates/wasabi-entry/tests/links.rs
@@ -10,6 +10,7 @@
 use rstest::rstest;
 use support::Entry;
 use wasabi_protocol::{
+    clock::Millis,
     id,
     rpc::{Heartbeat, method},
 };
@@ -44,6 +45,7 @@
         view: id::View::default(),
         revision: id::Revision::default(),
         is_confirmed: false,
+        ready_for: Millis::ZERO,
         suspects: Vec::new(),
         lent: Vec::new(),
     };
