--- a/crates/wasabi-entry/src/fetch/run.rs
+++ b/crates/wasabi-entry/src/fetch/run.rs
@@ -19,7 +19,7 @@
     ws_client::{WsClient, WsClientBuilder},
 };
 use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
+    io::{AsyncRead, ReadBuf},
     net::TcpStream,
 };
 use wasabi_protocol::{
@@ -31,6 +31,7 @@
 
 use crate::{
     fetch::plan::{End, Place, Plan, Source, Turn, WATCH_EVERY},
+    pass::pass_writes,
     shell::Shell,
 };
 
@@ -206,7 +207,7 @@
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     let received = Arc::<AtomicU64>::default();
-    let counted = Counted { stream, received: Arc::clone(&received) };
+    let counted = Counted { io: stream, received: Arc::clone(&received) };
     let client = WsClientBuilder::default()
         .max_response_size(MESSAGE_BYTES_MAX)
         // A fetch ends when no bytes come, and not by its age.
@@ -220,7 +221,7 @@
 /// A connection that counts the bytes received.
 #[derive(Debug)]
 struct Counted {
-    stream: TcpStream,
+    io: TcpStream,
     received: Arc<AtomicU64>,
 }
 
@@ -231,26 +232,10 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
-        let poll = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let poll = Pin::new(&mut self.io).poll_read(context, buffer);
         self.received.fetch_add((buffer.filled().len() - before) as u64, Ordering::Relaxed);
         poll
     }
 }
 
-impl AsyncWrite for Counted {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
-    }
-}
+pass_writes!(Counted);
--- a/crates/wasabi-entry/src/forward/watch.rs
+++ b/crates/wasabi-entry/src/forward/watch.rs
@@ -6,7 +6,9 @@
     task::{Context, Poll},
 };
 
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, ReadBuf};
+
+use crate::pass::pass_writes;
 
 /// A connection whose end of input counts as an error.
 ///
@@ -45,20 +47,4 @@
     }
 }
 
-impl<T: AsyncWrite + Unpin> AsyncWrite for Watched<T> {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write(cx, bytes)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_shutdown(cx)
-    }
-}
+pass_writes!(Watched<T>, T);
--- a/crates/wasabi-entry/src/inbound.rs
+++ b/crates/wasabi-entry/src/inbound.rs
@@ -13,7 +13,9 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt as _;
 use snafu::Snafu;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, ReadBuf};
+
+use crate::pass::pass_writes;
 
 /// Most bytes of one request that are not a part of its body while the body is read: its head, the
 /// framing of the body, and what the HTTP library reads ahead.
@@ -104,23 +106,7 @@
     }
 }
 
-impl<T: AsyncWrite + Unpin> AsyncWrite for Metered<T> {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write(cx, bytes)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_shutdown(cx)
-    }
-}
+pass_writes!(Metered<T>, T);
 
 /// Why a body was not read.
 #[derive(Debug)]
--- a/crates/wasabi-entry/src/lib.rs
+++ b/crates/wasabi-entry/src/lib.rs
@@ -18,6 +18,7 @@
 mod message;
 mod metrics;
 mod opened;
+mod pass;
 mod peers;
 mod pools;
 mod shared;
