entry: whoever hears announcements from now on is told which endpoints left

An owner that waits until it is ready hears announcements meanwhile, and took over with the late ones of that endpoint; it was told of the leave only once it owned the pool.

Now an entry is told when it is first among those that hear announcements, leaves go to all of these, and who knows that a process left passes its announcements on to nobody.

--- a/crates/wasabi-entry/src/pools/follow.rs
+++ b/crates/wasabi-entry/src/pools/follow.rs
@@ -47,6 +47,9 @@
     }
 
     pub(crate) fn announce_to_owners(self: &Rc<Self>, announcement: &Announcement) {
+        if self.standby.borrow().has_left(self.now(), announcement) {
+            return;
+        }
         for pool in self.pools_of(&announcement.backend) {
             // The next owner hears it too, so that it can take over at once.
             let owners = self.registries_of(&pool);
@@ -126,9 +129,13 @@
         let owners = pools.keys().filter_map(|pool| self.owner_of(pool));
         let mut owners: HashSet<_> = owners.map(|entry| entry.name).collect();
         let in_force = self.shared.in_force();
-        for entry in rendezvous::coordinators(&in_force.config.view) {
-            if entry.name != *own && !owners.contains(&entry.name) {
-                self.tell(entry.name.clone(), method::LEAVE, rpc_params![&endpoint]);
+        let coordinators = rendezvous::coordinators(&in_force.config.view);
+        let mut others: HashSet<_> =
+            coordinators.into_iter().map(|entry| entry.name.clone()).collect();
+        others.extend(pools.keys().flat_map(|pool| self.registries_of(pool)).map(|one| one.name));
+        for entry in others {
+            if entry != *own && !owners.contains(&entry) {
+                self.tell(entry, method::LEAVE, rpc_params![&endpoint]);
             }
         }
         owners.remove(own);
@@ -157,6 +164,12 @@
         self.standby.borrow_mut().leave(now, endpoint);
         let event = || Event::Leave { endpoint: endpoint.clone() };
         let effects = self.pools.borrow_mut().step_all(now, event);
+        // The owned pools know which process left.
+        let pools = self.pools.borrow();
+        for pool in pools.names() {
+            self.standby.borrow_mut().learn(now, &pools.departed_of(now, &pool));
+        }
+        drop(pools);
         self.perform(effects);
     }
 
@@ -203,7 +216,7 @@
             self.standby.borrow_mut().learn(now, &left);
             self.pools.borrow_mut().disown(&pool, in_force.config.view.number, &owner.name);
         }
-        let mut new_owners = HashSet::new();
+        let mut news = self.new_registries(wanted.keys());
         for (pool, backend) in wanted {
             let Some(owner) = self.owner_of(&pool) else { continue };
             let before = self.owners.borrow_mut().insert(pool.clone(), owner.name.clone());
@@ -223,13 +236,23 @@
                 self.perform(effects);
             } else {
                 self.tell(owner.name.clone(), method::REPORT, rpc_params![holdings]);
-                new_owners.insert(owner.name);
+                news.insert(owner.name);
             }
         }
-        // It may be new itself, and late announcements still come.
+        // They may not have heard of a leave, and late announcements still come.
         let left = self.standby.borrow().departed(self.now());
-        for owner in new_owners.into_iter().filter(|_| !left.is_empty()) {
-            self.tell(owner, method::LEFT, rpc_params![&left]);
+        for entry in news.into_iter().filter(|_| !left.is_empty()) {
+            self.tell(entry, method::LEFT, rpc_params![&left]);
         }
     }
+
+    /// Returns the entries that hear the announcements of endpoints since now.
+    fn new_registries<'a>(&self, pools: impl Iterator<Item = &'a id::Pool>) -> HashSet<id::Entry> {
+        let own = &self.shared.entry.name;
+        let all = pools.flat_map(|pool| self.registries_of(pool));
+        let others = all.filter(|entry| entry.name != *own);
+        let registries: HashSet<_> = others.map(|entry| (entry.name, entry.started)).collect();
+        let before = self.registries.replace(registries.clone());
+        registries.difference(&before).map(|(name, _)| name.clone()).collect()
+    }
 }
--- a/crates/wasabi-entry/src/pools/standby.rs
+++ b/crates/wasabi-entry/src/pools/standby.rs
@@ -65,6 +65,12 @@
         endpoints.insert(announcement.name.clone(), known);
     }
 
+    /// Returns whether the process that announces itself is known to have left.
+    pub(crate) fn has_left(&self, now: Millis, announcement: &Announcement) -> bool {
+        let left = self.left.get(&announcement.name).filter(|left| now < left.until);
+        left.is_some_and(|left| Some(announcement.incarnation) <= left.incarnation)
+    }
+
     /// Notes that an endpoint leaves.
     pub(crate) fn leave(&mut self, now: Millis, endpoint: &id::Endpoint) {
         let gone = self.pools.values_mut().filter_map(|endpoints| endpoints.remove(endpoint));
--- a/crates/wasabi-entry/src/shell.rs
+++ b/crates/wasabi-entry/src/shell.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     rc::Rc,
     sync::Arc,
     time::Duration,
@@ -67,6 +67,8 @@
     pub(crate) unsent: RefCell<Vec<Evidence>>,
     /// The owner of each pool as last seen, so that a change is noticed.
     pub(crate) owners: RefCell<HashMap<id::Pool, id::Entry>>,
+    /// The processes that hear the announcements of endpoints, with their start.
+    pub(crate) registries: RefCell<HashSet<(id::Entry, Millis)>>,
     /// Pools of other entries, as this entry's waiting requests approach them.
     pub(crate) approaches: RefCell<approach::Table>,
     drain: RefCell<Option<drain::Start>>,
@@ -93,6 +95,7 @@
             ready: Ready::new(now),
             unsent: RefCell::default(),
             owners: RefCell::default(),
+            registries: RefCell::default(),
             approaches: RefCell::default(),
             drain: RefCell::new(Some(drain)),
         })
