--- a/crates/wasabi-control/src/lib.rs
+++ b/crates/wasabi-control/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`Running::start`].
 
 mod access;
+pub mod answers;
 mod founding;
 mod group;
 mod guide;
@@ -12,6 +13,7 @@
 mod input;
 mod introductions;
 mod join;
+mod lane;
 mod lead;
 mod link;
 mod liveness;
@@ -23,13 +25,16 @@
 mod moves;
 mod observer;
 mod options;
+mod pace;
 pub mod parts;
+mod peers;
 mod record;
 mod relay;
 pub mod repair;
 pub mod search;
 mod serve;
 mod server;
+pub mod window;
 
 pub use access::Access;
 pub use introductions::Introductions;
@@ -38,6 +43,7 @@
 pub use metrics::Metrics;
 pub use observer::Observer;
 pub use options::{Batching, Contacts, Options};
+pub use pace::Views;
 pub use record::Addresses;
 pub use relay::Relay;
 pub use server::{Error, Running};
--- a/crates/wasabi-entry/src/fetch/run.rs
+++ b/crates/wasabi-entry/src/fetch/run.rs
@@ -19,16 +19,19 @@
     ws_client::{WsClient, WsClientBuilder},
 };
 use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
+    io::{AsyncRead, ReadBuf},
     net::TcpStream,
 };
 use wasabi_protocol::{
+    clock::Millis,
+    command::Config,
     id,
-    rpc::{Held, MESSAGE_BYTES_MAX, Update, method},
+    rpc::{Extent, Held, MESSAGE_BYTES_MAX, Update, method},
 };
 
 use crate::{
-    fetch::plan::{End, Plan, Source, WATCH_EVERY},
+    fetch::plan::{End, Place, Plan, Source, Turn, WATCH_EVERY},
+    pass::pass_writes,
     shell::Shell,
 };
 
@@ -53,12 +56,13 @@
 
 /// Takes into account that a source has a revision in force, and fetches that if it is newer.
 pub(crate) fn named(shell: &Rc<Shell>, source: Source, revision: id::Revision) {
-    let held = shell.shared.in_force().config.revision;
+    let now = shell.now();
+    hold(shell, now);
+    let place = place(shell, &source);
     let next = {
         let mut plan = shell.fetcher.plan.borrow_mut();
-        plan.hold(held);
-        plan.name(source, revision);
-        plan.start(shell.now())
+        plan.name(now, source, place, revision);
+        plan.start(now)
     };
     if let Some(source) = next {
         actix_rt::spawn(run(Rc::clone(shell), source));
@@ -70,45 +74,90 @@
     let mut next = Some(first);
     while let Some(source) = next {
         let end = fetch(&shell, &source).await;
+        let now = shell.now();
+        let behind = hold(&shell, now).unwrap_or_default();
         let held = shell.shared.in_force().config.revision;
         let mut plan = shell.fetcher.plan.borrow_mut();
-        let now = shell.now();
-        let age = plan.age(now).unwrap_or_default();
-        shell.shared.metrics.fetched(end);
-        tracing::debug!(?source, ?end, revision = %held, age = age.0, "fetch ended");
-        plan.hold(held);
+        let took = plan.age(now).unwrap_or_default();
+        shell.shared.metrics.fetched(&source, end);
+        tracing::info!(
+            ?source,
+            ?end,
+            revision = %held,
+            took_ms = took.0,
+            behind_ms = behind.0,
+            "fetch ended"
+        );
         plan.end(now, end);
         next = plan.start(now);
     }
 }
 
+/// Takes into account what is in force. Returns the time since it was first named, if it is newer
+/// than at the last call.
+fn hold(shell: &Shell, now: Millis) -> Option<Millis> {
+    let in_force = shell.shared.in_force();
+    let has_peers = !in_force.config.view.entries.is_empty();
+    let has_others_first = has_peers && !shell.peers.borrow().is_coordinating();
+    let turn = if has_others_first { Turn::AfterPeers } else { Turn::First };
+    let behind = shell.fetcher.plan.borrow_mut().hold(now, in_force.config.revision, turn)?;
+    shell.shared.metrics.behind(behind);
+    Some(behind)
+}
+
+/// Returns where a source is, by the view.
+fn place(shell: &Shell, source: &Source) -> Place {
+    let Source::Peer(name) = source else { return Place::Elsewhere };
+    let in_force = shell.shared.in_force();
+    let mut entries = in_force.config.view.entries.iter();
+    let is_here = entries
+        .any(|entry| entry.name == *name && entry.data_centre == shell.shared.entry.data_centre);
+    if is_here { Place::Here } else { Place::Elsewhere }
+}
+
 async fn fetch(shell: &Rc<Shell>, source: &Source) -> End {
     let Some(address) = address(shell, source) else { return End::Gone };
     let Some(line) = shell.fetcher.line(&address).await else { return End::Failed };
     // What the answer leaves out is what is in force now, whatever is by then.
     let before = shell.shared.in_force();
-    let received_before = line.received.load(Ordering::Relaxed);
-    let answer = answer(shell, &line, Held::of(&before.config)).await;
-    let received = line.received.load(Ordering::Relaxed).saturating_sub(received_before);
-    let is_whole = answer.as_ref().is_ok_and(Update::is_whole);
-    shell.shared.metrics.fetched_bytes(is_whole, received);
-    match answer {
-        Ok(update) => {
-            let config = update.onto(&before.config);
-            let held = shell.shared.in_force().config.revision;
-            shell.apply(&config);
-            if held < config.revision { End::Taken } else { End::Failed }
-        }
-        Err(reason) => {
-            tracing::warn!(?source, %reason, "configuration not fetched");
-            shell.fetcher.line.replace(None);
-            End::Failed
+    let held = shell.answers.borrow().held();
+    // An asker that holds nothing is sent everything.
+    let nothing = Config::default();
+    for (held, before) in [(held, &before.config), (Held::default(), &nothing)] {
+        let update = match answer(shell, &line, held).await {
+            Ok(update) => update,
+            Err(reason) => {
+                tracing::warn!(?source, %reason, "configuration not fetched");
+                shell.fetcher.line.replace(None);
+                return End::Failed;
+            }
+        };
+        match update.onto(before) {
+            Ok(config) => {
+                let held = shell.shared.in_force().config.revision;
+                shell.apply(&config);
+                return if held < config.revision { End::Taken } else { End::Failed };
+            }
+            Err(error) => {
+                shell.shared.metrics.unfit.inc();
+                tracing::error!(?source, %error, "an update is not taken; fetching the whole");
+            }
         }
     }
+    End::Failed
 }
 
 /// Returns the answer to a fetch, however long it takes, unless no bytes of it come.
 async fn answer(shell: &Shell, line: &Line, held: Held) -> Result<Update, String> {
+    let before = line.received.load(Ordering::Relaxed);
+    let answer = call(shell, line, held).await;
+    let received = line.received.load(Ordering::Relaxed).saturating_sub(before);
+    let extent = answer.as_ref().map_or(Extent::Nothing, Update::extent);
+    shell.shared.metrics.fetched_bytes(extent, received);
+    answer
+}
+
+async fn call(shell: &Shell, line: &Line, held: Held) -> Result<Update, String> {
     let mut call = pin!(line.client.request::<Update, _>(method::CONFIG, rpc_params![held]));
     let mut looks = tokio::time::interval(WATCH_EVERY.duration());
     looks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -129,7 +178,7 @@
 /// Returns the address of a source, if it still has one.
 fn address(shell: &Shell, source: &Source) -> Option<String> {
     match source {
-        Source::Control => shell.control.leader(),
+        Source::Member(address) => Some(address.clone()),
         Source::Peer(name) => {
             let in_force = shell.shared.in_force();
             let mut entries = in_force.config.view.entries.iter();
@@ -158,7 +207,7 @@
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     let received = Arc::<AtomicU64>::default();
-    let counted = Counted { stream, received: Arc::clone(&received) };
+    let counted = Counted { io: stream, received: Arc::clone(&received) };
     let client = WsClientBuilder::default()
         .max_response_size(MESSAGE_BYTES_MAX)
         // A fetch ends when no bytes come, and not by its age.
@@ -172,7 +221,7 @@
 /// A connection that counts the bytes received.
 #[derive(Debug)]
 struct Counted {
-    stream: TcpStream,
+    io: TcpStream,
     received: Arc<AtomicU64>,
 }
 
@@ -183,26 +232,10 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
-        let poll = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let poll = Pin::new(&mut self.io).poll_read(context, buffer);
         self.received.fetch_add((buffer.filled().len() - before) as u64, Ordering::Relaxed);
         poll
     }
 }
 
-impl AsyncWrite for Counted {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
-    }
-}
+pass_writes!(Counted);
--- a/crates/wasabi-entry/src/lib.rs
+++ b/crates/wasabi-entry/src/lib.rs
@@ -4,7 +4,7 @@
 //! way of a request is in `dispatch::way`, which calls the stages in order.
 
 mod callers;
-mod control;
+pub mod control;
 pub mod daemon;
 pub mod dispatch;
 mod drain;
@@ -18,6 +18,7 @@
 mod message;
 mod metrics;
 mod opened;
+mod pass;
 mod peers;
 mod pools;
 mod shared;
--- a/crates/wasabi-entry/src/message.rs
+++ b/crates/wasabi-entry/src/message.rs
@@ -8,8 +8,8 @@
     id,
     request::Request,
     rpc::{
-        Acquire, Acquired, Grant, Heartbeat, Held, Holdings, Lend, Preempt, Proposed, Release,
-        Slice, Update,
+        Acquire, Acquired, Answer, Grant, Heartbeat, Held, Holdings, Left, Lend, Preempt, Proposed,
+        Release, Slice,
     },
 };
 
@@ -68,6 +68,8 @@
     Announce(Box<Announcement>),
     /// A relayed leave.
     Leave(id::Endpoint),
+    /// Endpoints that left before this entry owned their pools.
+    Left(Vec<Left>),
     /// An announcement of which the peer does not reach the owner.
     AnnounceThrough(Box<Announcement>),
     /// A leave of which the peer does not reach the owner.
@@ -77,7 +79,7 @@
     /// A heartbeat, answered with the own one.
     Heartbeat(Box<Heartbeat>, oneshot::Sender<Heartbeat>),
     /// The configuration in force here, without what the peer holds.
-    Config(Option<Held>, oneshot::Sender<Update>),
+    Config(Option<Held>, oneshot::Sender<Answer>),
     /// A slice of an organisation's budget.
     Lend(Lend, oneshot::Sender<Slice>),
 }
--- a/crates/wasabi-entry/src/peers/table.rs
+++ b/crates/wasabi-entry/src/peers/table.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{HashMap, HashSet},
+    net::SocketAddr,
     rc::Rc,
     sync::Arc,
 };
@@ -11,7 +12,7 @@
 use wasabi_protocol::{clock::Millis, command::View, id, rpc::Heartbeat};
 use wasabi_routing::{
     liveness::{self, Evidence},
-    rendezvous,
+    readiness, rendezvous,
 };
 
 use crate::control::link::Unreached;
@@ -19,6 +20,17 @@
 /// Pause before a connection is opened again after that failed.
 const OPENED_AGAIN_AFTER: Millis = Millis(100);
 
+/// Heartbeats to a peer that wait for their answers at one time, of those sent within [`BEAT_TIME`].
+const BEATS_MAX: usize = 3;
+
+/// Time after which a heartbeat without an answer does not hold up further ones, so that a peer that
+/// comes back is found soon.
+const BEAT_TIME: Millis = Millis::from_secs(2);
+
+/// Time between two connections that are tried beside a link. One that is late for each heartbeat
+/// would otherwise have all its traffic doubled.
+const SECOND_EVERY: Millis = Millis::from_secs(2);
+
 /// Silence after which a peer does not count for this entry's own serving.
 const HEARD_FOR: Millis = Millis::from_secs(2);
 
@@ -42,8 +54,14 @@
     revision: id::Revision,
     /// Whether a leader told its process what is in force.
     is_confirmed: bool,
+    /// What it told last of how long it has been ready, and when; none of a process that is gone or
+    /// told nothing yet.
+    ready: Option<(Millis, Millis)>,
     lost: Rc<Notify>,
-    is_beating: bool,
+    /// When the heartbeats started that wait for their answers.
+    beats: Vec<Millis>,
+    /// When a connection was tried beside the link last.
+    second: Option<Millis>,
     /// Whether it counts when this entry serves on without control.
     is_coordinator: bool,
     /// Whether heartbeats are exchanged with it; of the others only the view tells.
@@ -52,11 +70,44 @@
     was_live: bool,
 }
 
+impl Peer {
+    /// Returns for how long it has been ready.
+    fn ready_for(&self, now: Millis) -> Millis {
+        match self.ready {
+            Some((told, time)) if time != Millis::ZERO => time + now.since(told),
+            _ => Millis::ZERO,
+        }
+    }
+}
+
+/// Where a process runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Where {
+    /// On this host.
+    Here,
+    /// On another host, or it is not known where.
+    Elsewhere,
+}
+
+impl Where {
+    /// Returns where a process with the address `other` runs, seen from one with the address `own`.
+    /// Processes that share a loopback address share no link that could be at fault.
+    pub(crate) fn of(own: &str, other: &str) -> Self {
+        let host = |address: &str| address.parse::<SocketAddr>().ok().map(|address| address.ip());
+        match (host(own), host(other)) {
+            (Some(own), Some(other)) if own == other && !own.is_loopback() => Self::Here,
+            _ => Self::Elsewhere,
+        }
+    }
+}
+
 /// The other entries of the view.
 #[derive(Debug, Default)]
 pub(crate) struct Table {
     peers: HashMap<id::Entry, Peer>,
     liveness: liveness::Table,
+    /// When the check-in was sent that the control leader answered last.
+    control_heard: Option<Millis>,
     /// Whether this entry is a coordinator.
     is_coordinator: bool,
 }
@@ -102,8 +153,10 @@
                 heard: None,
                 revision: id::Revision::default(),
                 is_confirmed: false,
+                ready: None,
                 lost: Rc::default(),
-                is_beating: false,
+                beats: Vec::new(),
+                second: None,
                 is_coordinator: false,
                 is_tracked: false,
                 was_live: true,
@@ -129,9 +182,49 @@
         self.peers.contains_key(name) && self.liveness.is_live(now, name)
     }
 
-    /// Returns whether a peer is a coordinator of the view.
-    pub(crate) fn is_coordinator(&self, name: &id::Entry) -> bool {
-        self.peers.get(name).is_some_and(|peer| peer.is_coordinator)
+    /// Returns whether an entry may own pools and budgets; `own` is this entry's name and for how long
+    /// it has been ready.
+    ///
+    /// Of peers that no heartbeats are exchanged with only the view tells.
+    pub(crate) fn may_own(&self, now: Millis, name: &id::Entry, own: (&id::Entry, Millis)) -> bool {
+        let ready_for = if name == own.0 {
+            own.1
+        } else {
+            if !self.is_live(now, name) {
+                return false;
+            }
+            match self.peers.get(name) {
+                Some(peer) if peer.is_tracked => peer.ready_for(now),
+                _ => return true,
+            }
+        };
+        readiness::may_own(ready_for, self.longest_ready(now).max(own.1))
+    }
+
+    /// Returns the longest time for which a live peer has been ready.
+    fn longest_ready(&self, now: Millis) -> Millis {
+        let live = self
+            .peers
+            .iter()
+            .filter(|(name, peer)| peer.is_tracked && self.liveness.is_live(now, name));
+        live.map(|(_, peer)| peer.ready_for(now)).max().unwrap_or_default()
+    }
+
+    /// Notes for how long a peer has been ready, as it tells.
+    pub(crate) fn told(&mut self, now: Millis, heartbeat: &Heartbeat) {
+        if let Some(peer) = self.peers.get_mut(&heartbeat.from) {
+            peer.ready = Some((now, heartbeat.ready_for));
+        }
+    }
+
+    /// Returns whether a peer is a coordinator of the view, or one of the first owners of a pool.
+    pub(crate) fn is_tracked(&self, name: &id::Entry) -> bool {
+        self.peers.get(name).is_some_and(|peer| peer.is_tracked)
+    }
+
+    /// Returns whether this entry is a coordinator of the view.
+    pub(crate) const fn is_coordinating(&self) -> bool {
+        self.is_coordinator
     }
 
     /// Notes an answer of a peer, to whatever question.
@@ -139,6 +232,35 @@
         self.liveness.answered(now, name);
     }
 
+    /// Notes when the check-in was sent that the control leader answered last. An answer of a leader
+    /// on this host is none that came over its link.
+    pub(crate) fn control_heard(&mut self, now: Millis, heard: Option<Millis>, leader: Where) {
+        if self.control_heard != heard && leader == Where::Elsewhere {
+            self.liveness.control_answered(now);
+        }
+        self.control_heard = heard;
+    }
+
+    /// Returns whether a connection may be tried beside the link on which a heartbeat was sent at
+    /// `sent`, and marks that as done.
+    ///
+    /// The link may have gone silent only when nothing was answered since, and a process that refused
+    /// a connection is not there.
+    pub(crate) fn start_second(&mut self, now: Millis, name: &id::Entry, sent: Millis) -> bool {
+        let evidence = self.liveness.evidence(now, name);
+        if evidence.is_some_and(|evidence| evidence.is_refused)
+            || self.liveness.has_answered(name, sent)
+        {
+            return false;
+        }
+        let Some(peer) = self.peers.get_mut(name) else { return false };
+        if peer.second.is_some_and(|second| now.since(second) < SECOND_EVERY) {
+            return false;
+        }
+        peer.second = Some(now);
+        true
+    }
+
     /// Notes that a connection to a peer could not be opened.
     pub(crate) fn failed(&mut self, now: Millis, name: &id::Entry, unreached: Unreached) {
         if unreached == Unreached::Refused {
@@ -146,6 +268,9 @@
         }
         if let Some(peer) = self.peers.get_mut(name) {
             peer.failed = Some(now);
+            if unreached == Unreached::Refused {
+                peer.ready = None;
+            }
         }
     }
 
@@ -192,22 +317,41 @@
     }
 
     /// Returns the peers that are due for a heartbeat, and marks them as being asked.
-    pub(crate) fn start_beats(&mut self) -> Vec<id::Entry> {
-        let peers = self.peers.iter_mut();
-        let due = peers.filter(|(_, peer)| peer.is_tracked && !peer.is_beating);
+    pub(crate) fn start_beats(&mut self, now: Millis) -> Vec<id::Entry> {
+        let is_due = |peer: &Peer| {
+            let waiting = peer.beats.iter().filter(|started| now.since(**started) < BEAT_TIME);
+            peer.is_tracked && waiting.count() < BEATS_MAX
+        };
+        let due = self.peers.iter_mut().filter(|(_, peer)| is_due(peer));
         due.map(|(name, peer)| {
-            peer.is_beating = true;
+            peer.beats.push(now);
             name.clone()
         })
         .collect()
     }
 
-    /// Notes that a heartbeat to a peer ended; with the time of sending and the answer, if any.
-    pub(crate) fn end_beat(&mut self, name: &id::Entry, answer: Option<(Millis, &Heartbeat)>) {
+    /// Notes that the heartbeat to a peer that started at this time ended.
+    pub(crate) fn end_beat(&mut self, name: &id::Entry, started: Millis) {
+        let Some(peer) = self.peers.get_mut(name) else { return };
+        if let Some(position) = peer.beats.iter().position(|beat| *beat == started) {
+            peer.beats.swap_remove(position);
+        }
+    }
+
+    /// Takes over the answer to a heartbeat that was sent at `sent`. Answers to later heartbeats may
+    /// have come before it, on another connection.
+    pub(crate) fn heard(
+        &mut self,
+        now: Millis,
+        name: &id::Entry,
+        sent: Millis,
+        answer: &Heartbeat,
+    ) {
+        self.liveness.answered(now, name);
+        self.liveness.delayed(name, now.since(sent));
         let Some(peer) = self.peers.get_mut(name) else { return };
-        peer.is_beating = false;
-        if let Some((sent, answer)) = answer {
-            peer.heard = peer.heard.max(Some(sent));
+        if peer.heard <= Some(sent) {
+            peer.heard = Some(sent);
             peer.revision = answer.revision;
             peer.is_confirmed = answer.is_confirmed;
         }
--- a/crates/wasabi-entry/src/pools/follow.rs
+++ b/crates/wasabi-entry/src/pools/follow.rs
@@ -7,7 +7,12 @@
 };
 
 use jsonrpsee::rpc_params;
-use wasabi_protocol::{endpoint::Announcement, id, rpc::method};
+use wasabi_protocol::{
+    command::Entry,
+    endpoint::Announcement,
+    id,
+    rpc::{Left, method},
+};
 use wasabi_routing::rendezvous;
 use wasabi_scheduler::pool::Event;
 
@@ -42,9 +47,12 @@
     }
 
     pub(crate) fn announce_to_owners(self: &Rc<Self>, announcement: &Announcement) {
+        if self.standby.borrow().has_left(self.now(), announcement) {
+            return;
+        }
         for pool in self.pools_of(&announcement.backend) {
             // The next owner hears it too, so that it can take over at once.
-            let owners = self.owners_of(&pool, REGISTRIES);
+            let owners = self.registries_of(&pool);
             if owners.is_empty() {
                 // Before the first view names an entry, this one keeps it for whoever takes over.
                 self.standby.borrow_mut().announce(self.now(), &pool, announcement);
@@ -59,6 +67,24 @@
         }
     }
 
+    /// Returns the owner of a pool and the one after it, and the entries that will be these when they
+    /// have been ready for a while.
+    fn registries_of(&self, pool: &id::Pool) -> Vec<Entry> {
+        let mut entries = self.owners_of(pool, REGISTRIES);
+        let in_force = self.shared.in_force();
+        let (now, peers, own) = (self.now(), self.peers.borrow(), &self.shared.entry.name);
+        let owners = rendezvous::owners(pool, &in_force.config.view);
+        let live = owners
+            .into_iter()
+            .filter(|entry| entry.name == *own || peers.is_live(now, &entry.name));
+        for entry in live.take(REGISTRIES) {
+            if entries.iter().all(|known| known.name != entry.name) {
+                entries.push(entry.clone());
+            }
+        }
+        entries
+    }
+
     pub(crate) fn announce_here(self: &Rc<Self>, announcement: Announcement) {
         let now = self.now();
         for pool in self.pools_of(&announcement.backend) {
@@ -103,9 +129,13 @@
         let owners = pools.keys().filter_map(|pool| self.owner_of(pool));
         let mut owners: HashSet<_> = owners.map(|entry| entry.name).collect();
         let in_force = self.shared.in_force();
-        for entry in rendezvous::coordinators(&in_force.config.view) {
-            if entry.name != *own && !owners.contains(&entry.name) {
-                self.tell(entry.name.clone(), method::LEAVE, rpc_params![&endpoint]);
+        let coordinators = rendezvous::coordinators(&in_force.config.view);
+        let mut others: HashSet<_> =
+            coordinators.into_iter().map(|entry| entry.name.clone()).collect();
+        others.extend(pools.keys().flat_map(|pool| self.registries_of(pool)).map(|one| one.name));
+        for entry in others {
+            if entry != *own && !owners.contains(&entry) {
+                self.tell(entry, method::LEAVE, rpc_params![&endpoint]);
             }
         }
         owners.remove(own);
@@ -134,6 +164,20 @@
         self.standby.borrow_mut().leave(now, endpoint);
         let event = || Event::Leave { endpoint: endpoint.clone() };
         let effects = self.pools.borrow_mut().step_all(now, event);
+        // The owned pools know which process left.
+        let pools = self.pools.borrow();
+        for pool in pools.names() {
+            self.standby.borrow_mut().learn(now, &pools.departed_of(now, &pool));
+        }
+        drop(pools);
+        self.perform(effects);
+    }
+
+    /// Takes over which endpoints left before this entry owned their pools.
+    pub(crate) fn left_before(self: &Rc<Self>, left: &[Left]) {
+        let now = self.now();
+        self.standby.borrow_mut().learn(now, left);
+        let effects = self.pools.borrow_mut().step_all(now, || Event::Left(left));
         self.perform(effects);
     }
 
@@ -167,8 +211,12 @@
                 self.tell(owner.name.clone(), method::ANNOUNCE, rpc_params![announcement]);
                 self.standby.borrow_mut().announce(self.now(), &pool, announcement);
             }
+            let now = self.now();
+            let left = self.pools.borrow().departed_of(now, &pool);
+            self.standby.borrow_mut().learn(now, &left);
             self.pools.borrow_mut().disown(&pool, in_force.config.view.number, &owner.name);
         }
+        let mut news = self.new_registries(wanted.keys());
         for (pool, backend) in wanted {
             let Some(owner) = self.owner_of(&pool) else { continue };
             let before = self.owners.borrow_mut().insert(pool.clone(), owner.name.clone());
@@ -187,8 +235,24 @@
                 let effects = self.pools.borrow_mut().step(now, &pool, event);
                 self.perform(effects);
             } else {
-                self.tell(owner.name, method::REPORT, rpc_params![holdings]);
+                self.tell(owner.name.clone(), method::REPORT, rpc_params![holdings]);
+                news.insert(owner.name);
             }
         }
+        // They may not have heard of a leave, and late announcements still come.
+        let left = self.standby.borrow().departed(self.now());
+        for entry in news.into_iter().filter(|_| !left.is_empty()) {
+            self.tell(entry, method::LEFT, rpc_params![&left]);
+        }
+    }
+
+    /// Returns the entries that hear the announcements of endpoints since now.
+    fn new_registries<'a>(&self, pools: impl Iterator<Item = &'a id::Pool>) -> HashSet<id::Entry> {
+        let own = &self.shared.entry.name;
+        let all = pools.flat_map(|pool| self.registries_of(pool));
+        let others = all.filter(|entry| entry.name != *own);
+        let registries: HashSet<_> = others.map(|entry| (entry.name, entry.started)).collect();
+        let before = self.registries.replace(registries.clone());
+        registries.difference(&before).map(|(name, _)| name.clone()).collect()
     }
 }
--- a/crates/wasabi-entry/src/shell.rs
+++ b/crates/wasabi-entry/src/shell.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     rc::Rc,
     sync::Arc,
     time::Duration,
@@ -15,17 +15,17 @@
     clock::Millis,
     command::{Config, Duty, Entry},
     id,
-    rpc::{Acquired, Evidence, Heartbeat, Lend, Preempt, Release, Update, method},
+    rpc::{Acquired, Answers, Evidence, Heartbeat, Lend, Preempt, method},
 };
 use wasabi_routing::{liveness, rendezvous};
 use wasabi_scheduler::pool::Event;
 
 use crate::{
-    control::link::Link,
+    control::{checkin, confirmation::Confirmation, link::Link},
     drain,
     fetch::run::Fetcher,
     message::{Message, Peer},
-    peers::{heartbeat, suspects, table},
+    peers::{heartbeat, ready::Ready, suspects, table},
     pools::{
         acquire, approach,
         holder::Holder,
@@ -35,9 +35,6 @@
     shared::{Mode, Shared},
 };
 
-/// Times that a message to a pool owner is sent. The owner may change in between.
-const TELL_TRIES: u32 = 3;
-
 /// Time between two ticks of the pools.
 const TICK: Duration = Duration::from_millis(50);
 
@@ -58,14 +55,20 @@
     pub(crate) lender: RefCell<Lender>,
     pub(crate) control: Link,
     pub(crate) fetcher: Fetcher,
+    /// Answers with the configuration in force.
+    pub(crate) answers: RefCell<Answers>,
     /// When the control leader was last heard.
     pub(crate) control_heard: Cell<Option<Millis>>,
-    /// Whether a leader told this process what is in force.
-    pub(crate) is_confirmed: Cell<bool>,
+    /// What the leader's answers prove about what is in force.
+    pub(crate) confirmation: RefCell<Confirmation>,
+    /// For how long this process has been ready to own pools.
+    pub(crate) ready: Ready,
     /// Evidence that control has not taken yet.
     pub(crate) unsent: RefCell<Vec<Evidence>>,
     /// The owner of each pool as last seen, so that a change is noticed.
     pub(crate) owners: RefCell<HashMap<id::Pool, id::Entry>>,
+    /// The processes that hear the announcements of endpoints, with their start.
+    pub(crate) registries: RefCell<HashSet<(id::Entry, Millis)>>,
     /// Pools of other entries, as this entry's waiting requests approach them.
     pub(crate) approaches: RefCell<approach::Table>,
     drain: RefCell<Option<drain::Start>>,
@@ -74,7 +77,8 @@
 impl Shell {
     /// Returns the state of a control thread.
     pub(crate) fn new(shared: Arc<Shared>, control: Link, drain: drain::Start) -> Rc<Self> {
-        let lender = Lender::restarted(shared.clock.now());
+        let now = shared.clock.now();
+        let lender = Lender::restarted(now);
         Rc::new(Self {
             shared,
             pools: RefCell::default(),
@@ -85,10 +89,13 @@
             lender: RefCell::new(lender),
             control,
             fetcher: Fetcher::default(),
+            answers: RefCell::default(),
             control_heard: Cell::new(None),
-            is_confirmed: Cell::new(false),
+            confirmation: RefCell::default(),
+            ready: Ready::new(now),
             unsent: RefCell::default(),
             owners: RefCell::default(),
+            registries: RefCell::default(),
             approaches: RefCell::default(),
             drain: RefCell::new(Some(drain)),
         })
@@ -98,7 +105,6 @@
     pub(crate) async fn run(self: Rc<Self>, mut messages: mpsc::UnboundedReceiver<Message>) {
         let mut ticks = tokio::time::interval(TICK);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        let mut last = self.now();
         loop {
             tokio::select! {
                 message = messages.recv() => match message {
@@ -107,8 +113,7 @@
                 },
                 _ = ticks.tick() => {
                     let now = self.now();
-                    self.note_pause(now, now.since(last));
-                    last = now;
+                    self.note_pause(now, self.note_ready(now));
                     self.tick();
                 }
             }
@@ -119,7 +124,7 @@
     /// hold the answers that peers would be judged by.
     fn note_pause(&self, now: Millis, since: Millis) {
         if PAUSED_AFTER <= since {
-            self.peers.borrow_mut().paused(now, since);
+            self.peers.borrow_mut().paused(now, since - Millis::from(TICK));
             tracing::info!(paused_ms = since.0, "this thread did not run for a while");
         }
     }
@@ -127,10 +132,15 @@
     /// Logs each peer that is lost or back, with what that rests on.
     fn note_verdicts(&self, now: Millis) {
         for (peer, evidence) in self.peers.borrow_mut().verdicts(now) {
-            let liveness::Evidence { is_live, silent, is_refused, watched, answering } = evidence;
-            let silent_ms = silent.0;
-            let message = if is_live { "a peer is back" } else { "a peer is lost" };
-            tracing::info!(%peer, silent_ms, is_refused, answering, watched, message);
+            let liveness::Evidence { silent, live_for, is_refused, watched, answering, .. } =
+                evidence;
+            let (silent_ms, live_for_ms) = (silent.0, live_for.0);
+            let is_control_heard = evidence.is_control_heard;
+            let message = if evidence.is_live { "a peer is back" } else { "a peer is lost" };
+            tracing::info!(
+                %peer, silent_ms, live_for_ms, is_refused, answering, watched, is_control_heard,
+                message
+            );
         }
     }
 
@@ -139,21 +149,19 @@
         self.shared.clock.now()
     }
 
-    /// Returns the entry that owns a pool: the first live one in rendezvous order.
+    /// Returns the entry that owns a pool: the first one in rendezvous order that may.
     pub(crate) fn owner_of(&self, pool: &id::Pool) -> Option<Entry> {
         self.owners_of(pool, 1).pop()
     }
 
-    /// Returns the owner of a pool and the live entries after it in rendezvous order.
+    /// Returns the owner of a pool and the entries after it in rendezvous order that may own it.
     pub(crate) fn owners_of(&self, pool: &id::Pool, count: usize) -> Vec<Entry> {
         let in_force = self.shared.in_force();
-        let (now, peers) = (self.now(), self.peers.borrow());
         let view = &in_force.config.view;
         let own = &self.shared.entry.name;
-        let live = rendezvous::owners(pool, view)
-            .into_iter()
-            .filter(|entry| entry.name == *own || peers.is_live(now, &entry.name));
-        let mut owners: Vec<_> = live.take(count).cloned().collect();
+        let able =
+            rendezvous::owners(pool, view).into_iter().filter(|entry| self.may_own(&entry.name));
+        let mut owners: Vec<_> = able.take(count).cloned().collect();
         if owners.is_empty() {
             // An entry that drains as the last one still finishes what it has.
             owners.extend(view.entries.iter().find(|entry| entry.name == *own).cloned());
@@ -180,15 +188,12 @@
         let effects = self.pools.borrow_mut().step(now, pool, event);
         self.perform(effects);
         let known = self.standby.borrow_mut().take(now, pool);
-        tracing::info!(%pool, endpoints = known.len(), "taking over with what is known");
-        for known in known {
-            let endpoint = known.announcement.name.clone();
-            let event = Event::Announce(known.announcement);
-            let mut effects = self.pools.borrow_mut().step(now, pool, event);
-            if known.has_left {
-                let event = Event::Leave { endpoint };
-                effects.extend(self.pools.borrow_mut().step(now, pool, event));
-            }
+        let left = self.standby.borrow().departed(now);
+        tracing::info!(%pool, endpoints = known.len(), left = left.len(), "taking over with what is known");
+        let effects = self.pools.borrow_mut().step(now, pool, Event::Left(&left));
+        self.perform(effects);
+        for announcement in known {
+            let effects = self.pools.borrow_mut().step(now, pool, Event::Announce(announcement));
             self.perform(effects);
         }
     }
@@ -212,37 +217,14 @@
         }
     }
 
-    /// Gives a grant back to the pool's owner.
-    pub(crate) fn release(self: &Rc<Self>, release: Release) {
-        self.holder.borrow_mut().release(release.attempt);
-        let shell = Rc::clone(self);
-        if self.is_owner(&release.pool) {
-            self.release_here(release);
-            return;
-        }
-        actix_rt::spawn(async move {
-            for _ in 0..TELL_TRIES {
-                if shell.is_owner(&release.pool) {
-                    shell.release_here(release);
-                    return;
-                }
-                if let Some(owner) = shell.asked_of(&release.pool)
-                    && shell.call(&owner, method::RELEASE, rpc_params![&release]).await
-                {
-                    return;
-                }
-                tokio::time::sleep(TICK).await;
-            }
-            tracing::warn!(pool = %release.pool, attempt = %release.attempt, "release is lost");
-        });
-    }
-
     /// Puts a configuration in force unless a newer one is.
     pub(crate) fn apply(self: &Rc<Self>, config: &Config) {
         if !self.shared.put_in_force(config) {
             return;
         }
         tracing::info!(revision = %config.revision, view = %config.view.number, "in force");
+        self.answers.borrow_mut().hold(config);
+        checkin::hold(self, config.revision);
         let now = self.now();
         let own = &self.shared.entry.name;
         let pools = self.wanted_pools();
@@ -264,19 +246,20 @@
         self.settle_owners();
     }
 
-    /// Returns what this entry tells a peer. Only coordinators may own pools and lend, so that all
-    /// others are told no more than what proves that this entry runs.
+    /// Returns what this entry tells a peer. Only those that may own pools or lend are told more than
+    /// what proves that this entry runs.
     pub(crate) fn heartbeat(&self, to: &id::Entry) -> Heartbeat {
         let in_force = self.shared.in_force();
         let mut heartbeat = Heartbeat {
             from: self.shared.entry.name.clone(),
             view: in_force.config.view.number,
             revision: in_force.config.revision,
-            is_confirmed: self.is_confirmed.get(),
+            is_confirmed: self.confirmation.borrow().is_confirmed(),
+            ready_for: self.ready_for(),
             suspects: Vec::new(),
             lent: Vec::new(),
         };
-        if self.peers.borrow().is_coordinator(to) {
+        if self.peers.borrow().is_tracked(to) {
             heartbeat.suspects = self.suspects.borrow().part().to_vec();
             heartbeat.lent = self.lender.borrow_mut().lent(self.now());
         }
@@ -288,7 +271,7 @@
     ///
     /// Entries that only agree may all hold what a member had in its last snapshot.
     pub(crate) fn extend_by_majority(&self) {
-        if !self.is_confirmed.get() {
+        if !self.confirmation.borrow().is_confirmed() {
             return;
         }
         let in_force = self.shared.in_force();
@@ -321,12 +304,6 @@
         self.owner_of(pool).is_some_and(|entry| entry.name == self.shared.entry.name)
     }
 
-    pub(crate) fn release_here(self: &Rc<Self>, release: Release) {
-        let (now, pool) = (self.now(), release.pool.clone());
-        let effects = self.pools.borrow_mut().step(now, &pool, Event::Release(release));
-        self.perform(effects);
-    }
-
     fn handle(self: &Rc<Self>, message: Message) {
         match message {
             Message::Acquire { request, reply } => {
@@ -353,9 +330,11 @@
         let now = self.now();
         match peer {
             Peer::Acquire(asked, reply) => {
-                if !self.is_owner(&asked.pool) {
+                let is_owner = self.is_owner(&asked.pool);
+                if !is_owner || !self.knows_what_is_in_force() {
                     let view = self.shared.in_force().config.view.number;
-                    let owner = self.owner_of(&asked.pool).map(|entry| entry.name);
+                    let owner = self.owner_of(&asked.pool).filter(|_| !is_owner);
+                    let owner = owner.map(|entry| entry.name);
                     tracing::debug!(pool = %asked.pool, holder = %asked.holder, ?owner, "not owned here");
                     drop(reply.send(Acquired::NotOwner { view, owner }));
                     return;
@@ -379,6 +358,7 @@
             Peer::Preempt(preempt) => self.holder.borrow_mut().preempt(preempt.attempt),
             Peer::Announce(announcement) => self.announce_here(*announcement),
             Peer::Leave(endpoint) => self.leave_here(&endpoint),
+            Peer::Left(left) => self.left_before(&left),
             Peer::AnnounceThrough(announcement) => self.announce_to_owners(&announcement),
             Peer::LeaveThrough(endpoint) => {
                 drop(actix_rt::spawn(self.leave_to_owners(endpoint)));
@@ -394,8 +374,13 @@
                 drop(reply.send(self.heartbeat(&beat.from)));
             }
             Peer::Config(held, reply) => {
-                let config = self.shared.in_force().config.clone();
-                drop(reply.send(Update::new(config, held.as_ref())));
+                let in_force = self.shared.in_force();
+                let config = || in_force.config.clone();
+                let mut answers = self.answers.borrow_mut();
+                match answers.answer(in_force.config.revision, held, config) {
+                    Ok(answer) => drop(reply.send(answer)),
+                    Err(error) => tracing::error!(%error, "the configuration cannot be encoded"),
+                }
             }
             Peer::Lend(lend, reply) => {
                 if let Some(slice) = self.lend(&lend) {
@@ -409,6 +394,7 @@
         let now = self.now();
         let effects = self.pools.borrow_mut().step_all(now, || Event::Tick);
         self.perform(effects);
+        self.note_control(now);
         self.note_verdicts(now);
         self.peers.borrow().wake_lost(now);
         self.note_live();
--- a/crates/wasabi-entry/tests/owners.rs
+++ b/crates/wasabi-entry/tests/owners.rs
@@ -6,17 +6,24 @@
 
 use std::time::{Duration, Instant};
 
+use awc::http::StatusCode;
+use jsonrpsee::{core::client::ClientT as _, rpc_params, ws_client::WsClientBuilder};
 use rstest::rstest;
-use serde_json::Value;
 use support::{
     Entry,
     control::Control,
     engine,
-    peer::{Mode, Peer},
-    until,
+    peer::{Mode, Peer, holder, names},
+    standin, until,
 };
-use wasabi_protocol::command::Command;
-use wasabi_routing::rendezvous;
+use wasabi_protocol::{
+    clock::Millis,
+    contract::Tier,
+    endpoint, fingerprint, id,
+    request::Request,
+    rpc::{Acquire, Acquired, Holdings, method},
+};
+use wasabi_testkit::relay::Relay;
 
 /// Requests that wait at the holder.
 const WAITING: usize = 60;
@@ -31,34 +38,6 @@
 /// between two calls, and time to run them.
 const SETTLED_IN: Duration = Duration::from_secs(1);
 
-/// Returns names of peers that come before the entry `e1` in the order of the pool's owners.
-fn names(count: usize) -> Vec<String> {
-    let score = |name: &str| rendezvous::score("coal/north/0", name);
-    let mut names: Vec<_> = (0..100).map(|number| format!("f{number}")).collect();
-    names.retain(|name| score("e1") < score(name));
-    names.truncate(count);
-    names.sort_by_key(|name| std::cmp::Reverse(score(name)));
-    names
-}
-
-/// Starts an entry that takes the peers, in this order, for the owners of the pool.
-async fn holder(control: &Control, peers: &[&Peer]) -> Entry {
-    let entry = Entry::controlled("e1", &control.address(), "");
-    until("the entry is in the view", async || control.config().view.entries.len() == 1).await;
-    let view = control.config().view;
-    let mut entries = view.entries.clone();
-    entries.extend(peers.iter().map(|peer| peer.entry()));
-    control.apply(&Command::SetView { base: view.number, entries });
-    let caller = entry.caller();
-    until("the entry holds the newest view", async || {
-        let answer = caller.send(caller.request("GET", "/v1/entries"), "").await;
-        let list: Value = serde_json::from_str(&answer.body).unwrap_or_default();
-        list["revision"] == control.config().revision.0
-    })
-    .await;
-    entry
-}
-
 /// Sends requests at the same time and returns their answers in the background.
 fn send(entry: &Entry, count: usize) -> Vec<actix_rt::task::JoinHandle<support::Answer>> {
     let address = entry.address();
@@ -77,7 +56,7 @@
 async fn an_unsettled_owner_is_not_asked_for_each_waiting_request(#[case] unsettled: Mode) {
     let control = Control::start().await;
     let peer = Peer::start(&names(1)[0], Mode::NotOwner(None)).await;
-    let entry = holder(&control, &[&peer]).await;
+    let entry = holder(&control, vec![peer.entry()]).await;
     let engine = engine("m1", &[]);
     let mut answers = send(&entry, 1);
     until("the first request was not granted", async || 0 < peer.acquires()).await;
@@ -106,7 +85,7 @@
     let engine = engine("m1", &[]);
     let believed = Peer::start(&names[0], Mode::NotOwner(Some(names[1].clone()))).await;
     let owner = Peer::start(&names[1], Mode::Grant(engine.address())).await;
-    let entry = holder(&control, &[&believed, &owner]).await;
+    let entry = holder(&control, vec![believed.entry(), owner.entry()]).await;
     let started = Instant::now();
     for _ in 0..10 {
         let [answer]: [_; 1] = send(&entry, 1).try_into().unwrap();
@@ -118,3 +97,223 @@
     assert!(believed.acquires() <= 2, "asked {} times in vain", believed.acquires());
     until("each grant is given back to its owner", async || owner.releases() == 10).await;
 }
+
+/// Guards against an endpoint that left and gets work again, because the next owner of its pool joined
+/// after the leave and hears a late announcement.
+#[actix_rt::test]
+async fn a_new_owner_knows_which_endpoints_left() {
+    let control = Control::start().await;
+    let first = Entry::controlled("e1", &control.address(), "");
+    // Both announce themselves for as long as the test runs.
+    let leaving = engine("m1", &[&first]);
+    let _staying = engine("m2", &[&first]);
+    let caller = first.caller();
+    until("both endpoints serve", async || {
+        caller.until_served().await;
+        0 < leaving.counts().requests
+    })
+    .await;
+    let left = caller.send(caller.request("DELETE", "/v1/endpoints/m1"), "").await;
+    assert_eq!(left.status, StatusCode::NO_CONTENT);
+    let second = Entry::controlled(&names(1)[0], &control.address(), "");
+    until("the second entry is in the view", async || control.config().view.entries.len() == 2)
+        .await;
+    let caller = second.caller();
+    caller.until_served().await;
+    let before = leaving.counts().requests;
+    let started = Instant::now();
+    // Each endpoint announces itself twice in this time.
+    while started.elapsed() < Duration::from_millis(2_500) {
+        assert_eq!(caller.chat("stock", 2).await.status, StatusCode::OK);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(leaving.counts().requests, before, "an endpoint that left got work");
+}
+
+/// Guards against grants of an owner that was taken for lost, to calls that nobody waits for any more:
+/// it counted them until after the deadlines of their requests, and its endpoints looked full.
+#[actix_rt::test]
+async fn a_call_that_is_dropped_is_taken_back_at_its_owner() {
+    let control = Control::start().await;
+    let names = names(2);
+    let engine = engine("m1", &[]);
+    let owner = Peer::start(&names[0], Mode::Silent).await;
+    let next = Peer::start(&names[1], Mode::Grant(engine.address())).await;
+    let entry = holder(&control, vec![owner.entry(), next.entry()]).await;
+    let [answer]: [_; 1] = send(&entry, 1).try_into().unwrap();
+    until("the owner was not asked", async || 0 < owner.acquires()).await;
+    owner.set(Mode::Frozen);
+    let answer = tokio::time::timeout(Duration::from_secs(10), answer).await;
+    let answer = answer.expect("the next owner is not asked").unwrap();
+    assert!(answer.is_done(), "{} {}", answer.status, answer.body);
+    until("the dropped call is not taken back", async || 0 < owner.releases()).await;
+    until("the grant is not given back", async || 0 < next.releases()).await;
+    let (dropped, granted) = (owner.released().remove(0), next.released().remove(0));
+    assert_eq!(dropped.attempt, granted.attempt);
+    assert_eq!(dropped.owner.as_str(), names[0]);
+}
+
+/// Guards against a grant that ends while another entry is taken for the owner of its pool: the entry
+/// that gave it counted it until after the request's deadline.
+#[actix_rt::test]
+async fn a_grant_is_given_back_to_the_owner_that_gave_it() {
+    let control = Control::start().await;
+    let names = names(2);
+    let engine = standin("m1", endpoint::Kind::Model, "coal", &[], |settings| {
+        settings.first_token_ms = Millis(4_000);
+    });
+    let giver = Peer::start(&names[0], Mode::Grant(engine.address())).await;
+    let next = Peer::start(&names[1], Mode::Grant(engine.address())).await;
+    let entry = holder(&control, vec![giver.entry(), next.entry()]).await;
+    let [answer]: [_; 1] = send(&entry, 1).try_into().unwrap();
+    until("the request does not run", async || 0 < engine.counts().requests).await;
+    giver.set(Mode::Frozen);
+    until("the next owner is not told what runs", async || 0 < next.reports()).await;
+    assert_eq!(giver.releases(), 0);
+    let answer = tokio::time::timeout(Duration::from_secs(10), answer).await;
+    let answer = answer.expect("the request does not end").unwrap();
+    assert!(answer.is_done(), "{} {}", answer.status, answer.body);
+    until("the giver is not told", async || 0 < giver.releases()).await;
+    until("the next owner is not told", async || 0 < next.releases()).await;
+    assert_eq!(giver.released()[0].grant, id::Grant(1));
+}
+
+/// Guards against an owner that refuses an attempt because it gave it a grant, which was lost with its
+/// call: the caller got 500 for a request that had not run.
+#[actix_rt::test]
+async fn a_holder_that_lost_a_grant_gets_it_again() {
+    let entry = Entry::stand_alone("");
+    let _engine = engine("m1", &[&entry]);
+    entry.caller().until_served().await;
+    let client = || WsClientBuilder::default().build(format!("ws://{}", entry.daemon.peers()));
+    let asked = Acquire { pool: "coal/north/0".into(), holder: "h1".into(), request: request(7) };
+    let mut grants = Vec::new();
+    for _ in 0..2 {
+        let client = client().await.unwrap();
+        let call = client.request::<Acquired, _>(method::ACQUIRE, rpc_params![&asked]);
+        match call.await.unwrap() {
+            Acquired::Granted(grant) => grants.push(grant),
+            other => panic!("not granted: {other:?}"),
+        }
+    }
+    assert_eq!(grants[0], grants[1]);
+}
+
+/// Guards against grants that an owner counts until after their deadline since their release was lost,
+/// as on full links, though their holder has told it since what it runs.
+#[actix_rt::test]
+async fn a_grant_that_its_holder_does_not_report_is_freed() {
+    let entry = Entry::stand_alone("");
+    let change = |settings: &mut wasabi_standin::Settings| settings.concurrency = 1;
+    let _engine = standin("m1", endpoint::Kind::Model, "coal", &[&entry], change);
+    entry.caller().until_served().await;
+    let address = format!("ws://{}", entry.daemon.peers());
+    let client = WsClientBuilder::default().build(address).await.unwrap();
+    let pool: id::Pool = "coal/north/0".into();
+    let asked =
+        |number| Acquire { pool: pool.clone(), holder: "h1".into(), request: request(number) };
+    let first =
+        client.request::<Acquired, _>(method::ACQUIRE, rpc_params![asked(7)]).await.unwrap();
+    assert!(matches!(first, Acquired::Granted(_)), "{first:?}");
+    let report = async {
+        // Reports of a holder may cross a grant within the first second.
+        tokio::time::sleep(Duration::from_millis(1_200)).await;
+        let asking = Some(vec![id::Attempt(8)]);
+        let pool = pool.clone();
+        let holdings = Holdings { pool, holder: "h1".into(), running: Vec::new(), asking };
+        client.request::<(), _>(method::REPORT, rpc_params![holdings]).await.unwrap();
+    };
+    let second = client.request::<Acquired, _>(method::ACQUIRE, rpc_params![asked(8)]);
+    let second = tokio::time::timeout(Duration::from_secs(5), second);
+    let (second, ()) = futures_util::future::join(second, report).await;
+    let second = second.expect("the second request waits for the first grant").unwrap();
+    assert!(matches!(second, Acquired::Granted(_)), "{second:?}");
+}
+
+fn request(number: u128) -> Request {
+    Request {
+        attempt: id::Attempt(number),
+        organisation: "hospital".into(),
+        route: "query".into(),
+        backend: "coal".into(),
+        tier: Tier::TOP,
+        share: 10,
+        idempotent: true,
+        prompt_tokens: 10,
+        output_tokens: 10,
+        prefix: Vec::new(),
+        fingerprint: fingerprint::Body(7),
+        waited: Millis::ZERO,
+        remaining: Millis(20_000),
+        first_token: Millis(2_000),
+        between_tokens: Millis(500),
+        leaves_after: Millis::ZERO,
+        avoid: Vec::new(),
+    }
+}
+
+/// Guards against a dead owner that is waited for: one that answered quickly and falls silent loses its
+/// pool after 1 s, and its requests run at the next owner.
+#[actix_rt::test]
+async fn a_silent_owners_pool_is_taken_over() {
+    let control = Control::start().await;
+    let peer = Peer::start(&names(1)[0], Mode::NotOwner(None)).await;
+    let relay = Relay::start(peer.address()).unwrap();
+    let mut first = peer.entry();
+    first.peer_address = relay.address().to_string();
+    let entry = holder(&control, vec![first]).await;
+    let engine = engine("m1", &[&entry]);
+    peer.set(Mode::Grant(engine.address()));
+    let caller = entry.caller();
+    until("the first owner is asked", async || {
+        assert!(caller.chat("stock", 1).await.is_done());
+        0 < peer.acquires()
+    })
+    .await;
+    relay.cut_both();
+    let cut = Instant::now();
+    assert!(caller.chat("stock", 1).await.is_done());
+    let took = cut.elapsed();
+    println!("taken over after {took:?}");
+    assert!(took < Duration::from_secs(1) + SETTLED_IN, "taken over after {took:?}");
+}
+
+/// Guards against a first owner that has restarted and gets the requests of all entries at its first
+/// answer, while it does not know yet what is in force and the successor has given the pool up.
+#[actix_rt::test]
+async fn a_restarted_owner_gets_its_pool_back_once_it_is_ready() {
+    let control = Control::start().await;
+    let peer = Peer::start(&names(1)[0], Mode::NotOwner(None)).await;
+    let entry = holder(&control, vec![peer.entry()]).await;
+    let engine = engine("m1", &[&entry]);
+    peer.set(Mode::Grant(engine.address()));
+    assert!(entry.caller().chat("stock", 1).await.is_done());
+    until("the first owner is asked", async || 0 < peer.acquires()).await;
+    // What its next process answers before a leader told it what is in force.
+    peer.set(Mode::NotOwner(None));
+    peer.set_ready(Millis::ZERO);
+    let caller = entry.caller();
+    until("the next owner serves", async || {
+        let before = peer.acquires();
+        caller.chat("stock", 1).await.is_done() && peer.acquires() == before
+    })
+    .await;
+    let before = peer.acquires();
+    for ready_for in [0, 0, 100, 600, 1_100] {
+        peer.set_ready(Millis(ready_for));
+        let started = Instant::now();
+        while started.elapsed() < Duration::from_millis(700) {
+            let asked = Instant::now();
+            assert!(caller.chat("stock", 1).await.is_done());
+            assert!(asked.elapsed() < SETTLED_IN, "a gap of {:?}", asked.elapsed());
+        }
+        assert_eq!(peer.acquires(), before, "asked when ready for {ready_for} ms");
+    }
+    peer.set(Mode::Grant(engine.address()));
+    peer.set_ready(Millis(2_000));
+    until("the first owner is asked again", async || {
+        assert!(caller.chat("stock", 1).await.is_done());
+        before < peer.acquires()
+    })
+    .await;
+}
--- a/crates/wasabi-protocol/src/rpc/entry.rs
+++ b/crates/wasabi-protocol/src/rpc/entry.rs
@@ -40,6 +40,10 @@
     /// configuration may be older than one that was acknowledged before it started.
     #[serde(default)]
     pub is_confirmed: bool,
+    /// Time for which the sender's process has been confirmed and has not paused; zero when it is not
+    /// confirmed.
+    #[serde(default)]
+    pub ready_for: Millis,
     /// Some of the suspects and quarantined requests that the sender knows of; later heartbeats tell
     /// the others.
     #[serde(default)]
@@ -70,6 +74,10 @@
     pub suspects: Vec<Suspect>,
     /// Parts that are degraded, in words for the operator.
     pub degraded: Vec<String>,
+    /// Whether the entry fetches the revision that the answer names. Entries of earlier versions do
+    /// not say so, and are answered with the configuration itself.
+    #[serde(default)]
+    pub fetches: bool,
 }
 
 /// The control leader's answer to [`Checkin`].
@@ -80,7 +88,8 @@
     Heard {
         /// The revision in force.
         revision: id::Revision,
-        /// The configuration, when the entry's is older; without the site when the entry has it.
+        /// The configuration, when that of an entry that does not fetch is older; without the site
+        /// when the entry has it.
         config: Option<Box<Config>>,
         /// The addresses of the control members.
         members: Vec<String>,
--- a/crates/wasabi-routing/tests/liveness.rs
+++ b/crates/wasabi-routing/tests/liveness.rs
@@ -1,7 +1,7 @@
 //! Tests of verdicts on peers.
 
 use wasabi_protocol::{clock::Millis, id};
-use wasabi_routing::liveness::{LIVE_FOR, Table};
+use wasabi_routing::liveness::{HEARTBEAT_EVERY, LIVE_FOR, LIVE_FOR_MAX, Table};
 
 fn names(count: usize) -> Vec<id::Entry> {
     (0..count).map(|number| format!("e{number}").as_str().into()).collect()
@@ -109,3 +109,108 @@
     let table = watching(&names);
     assert!(!table.is_live(LIVE_FOR, &names[0]));
 }
+
+/// Returns when a peer was lost and back, with heartbeats whose answers take the times of `delays` in
+/// turn, and two quick peers beside it.
+fn verdicts(delays: &[u64], until: u64) -> Vec<u64> {
+    let names = names(3);
+    let mut table = watching(&names);
+    let sent = (0..).map(|number| number * HEARTBEAT_EVERY.0);
+    let answers: Vec<_> =
+        sent.zip(delays.iter().cycle()).take((until / HEARTBEAT_EVERY.0) as usize).collect();
+    let (mut changes, mut is_live) = (Vec::new(), true);
+    for now in (0..until).step_by(10) {
+        for (sent, _) in answers.iter().filter(|(sent, delay)| sent + **delay == now) {
+            table.answered(Millis(now), &names[0]);
+            table.delayed(&names[0], Millis(now - sent));
+        }
+        table.answered(Millis(now), &names[1]);
+        table.answered(Millis(now), &names[2]);
+        if is_live != table.is_live(Millis(now), &names[0]) {
+            is_live = !is_live;
+            changes.push(now);
+        }
+    }
+    changes
+}
+
+/// Guards against a peer behind a slow link that is lost and back at each of its answers.
+#[test]
+fn a_peer_whose_answers_are_always_late_stays_live() {
+    assert_eq!(verdicts(&[550, 800, 600, 700], 60_000), Vec::<u64>::new());
+    assert_eq!(verdicts(&[300, 500, 700, 900], 60_000), Vec::<u64>::new());
+    // The first answers come when a quick peer would be lost already.
+    assert!(verdicts(&[1_000, 1_200, 1_100], 60_000).len() <= 2);
+    assert!(verdicts(&[1_250, 1_300], 60_000).len() <= 2);
+}
+
+/// Guards against a dead peer that is waited for as long as its answers once were late, and against
+/// a bound that grows without end.
+#[test]
+fn a_peer_that_is_quick_again_is_lost_as_soon_as_any() {
+    let names = names(3);
+    let mut table = watching(&names);
+    let live_for = |table: &Table, now| table.evidence(now, &names[0]).unwrap().live_for;
+    for _ in 0..20 {
+        table.delayed(&names[0], Millis::from_secs(30));
+    }
+    assert_eq!(live_for(&table, Millis(0)), LIVE_FOR_MAX);
+    for _ in 0..40 {
+        table.delayed(&names[0], Millis(5));
+    }
+    assert_eq!(live_for(&table, Millis(0)), LIVE_FOR);
+    let quick = watching(&names);
+    assert_eq!(live_for(&quick, Millis(0)), LIVE_FOR);
+}
+
+/// Guards against a frozen owner whose requests wait to their deadlines: most peers of the judge are
+/// silent, but the control leader answers it, so that its own link is not at fault.
+#[test]
+fn a_judge_that_control_answers_is_not_cut_off() {
+    let names = names(12);
+    let mut table = watching(&names);
+    for now in (100..=1_000).step_by(100) {
+        for name in &names[7..] {
+            table.answered(Millis(now), name);
+        }
+    }
+    assert!(table.is_live(Millis(1_000), &names[0]), "5 of 12 answer, and nobody else");
+    table.control_answered(Millis(1_000));
+    assert!(!table.is_live(Millis(1_000), &names[0]));
+    assert!(table.is_live(Millis(1_000), &names[7]));
+}
+
+/// Guards against a judge that is cut off from everybody at one moment, and takes all others for dead
+/// since the control leader was the last one that it heard.
+#[test]
+fn an_answer_of_control_before_a_peers_time_had_passed_proves_nothing() {
+    let names = names(12);
+    let mut table = watching(&names);
+    for name in &names {
+        table.answered(Millis(5_000), name);
+    }
+    table.control_answered(Millis(5_400));
+    for now in (5_000..9_000).step_by(50) {
+        assert!(names.iter().all(|name| table.is_live(Millis(now), name)), "at {now}");
+    }
+}
+
+/// Guards against a judge that is slow all the time, forgives itself each of its pauses and never finds
+/// a frozen peer.
+#[test]
+fn a_judge_that_is_always_slow_finds_a_frozen_peer() {
+    let names = names(4);
+    for tick in [300, 500, 1_500] {
+        let mut table = watching(&names);
+        let lost = (tick..10_000).step_by(tick as usize).find(|now| {
+            table.paused(Millis(*now), Millis(tick - 50));
+            for name in &names[1..] {
+                table.answered(Millis(*now), name);
+            }
+            !table.is_live(Millis(*now), &names[0])
+        });
+        // Its silence, the first pause, the second that is forgiven at most, and a tick.
+        let bound = LIVE_FOR.0 + 1_000 + 2 * tick;
+        assert!(lost.is_some_and(|lost| lost <= bound), "lost at {lost:?} with {tick} ms");
+    }
+}
--- a/crates/wasabi-scheduler/src/pool/endpoint.rs
+++ b/crates/wasabi-scheduler/src/pool/endpoint.rs
@@ -10,6 +10,7 @@
     fingerprint::PREFIX_BLOCK_BYTES,
     id,
     request::Request,
+    rpc,
 };
 use wasabi_routing::{
     affinity::Cache,
@@ -28,6 +29,17 @@
 /// every second, so anything later than this was sent by a new process.
 const LEFT_KEPT: Millis = Millis::from_secs(60);
 
+/// Silence after which an endpoint is taken out that fell silent together with most others: the cause
+/// may be the owner's own link.
+const EXCUSED_AFTER: Millis = Millis(2 * SILENT_AFTER.0);
+
+/// Time within which endpoints fall silent together: each announces itself every second.
+const TOGETHER: Millis = Millis::from_secs(1);
+
+/// Fewest endpoints whose common silence is put down to the owner's link. A few may well crash
+/// together, as from one request that is tried again.
+const TOGETHER_MIN: usize = 8;
+
 /// Most remembered names of endpoints that left.
 const LEFT_MAX: usize = 1_024;
 
@@ -64,6 +76,8 @@
     pub(super) urgent: u32,
     /// A connection to it failed since its last announcement.
     pub(super) unreachable: bool,
+    /// It fell silent together with most others, so its silence is no sign of a crash.
+    pub(super) excused: bool,
     /// When its last batch was counted as crashed.
     pub(super) crashed: Option<Millis>,
     /// When it should have read all prompts that it was given.
@@ -92,6 +106,7 @@
             running: Vec::new(),
             urgent: 0,
             unreachable: false,
+            excused: false,
             crashed: None,
             prefilled_at: now,
             offer: Offer::Never,
@@ -107,6 +122,12 @@
         &self.announcement.name
     }
 
+    /// Returns whether it was silent for so long that it counts as gone.
+    fn is_gone(&self, now: Millis) -> bool {
+        let after = if self.excused { EXCUSED_AFTER } else { SILENT_AFTER };
+        after <= now.since(self.heard)
+    }
+
     pub(super) fn in_flight(&self) -> u32 {
         self.running.len() as u32
     }
@@ -186,7 +207,8 @@
 struct Left {
     /// Processes up to this start number left; `None` when the leave came first.
     incarnation: Option<u64>,
-    at: Millis,
+    /// Time up to which it is remembered.
+    until: Millis,
 }
 
 /// What an announcement meant.
@@ -213,7 +235,7 @@
     pub(super) fn announce(&mut self, now: Millis, announcement: Announcement) -> Announced {
         if let Some(left) = self.left.get(&announcement.name) {
             let is_old = left.incarnation.is_none_or(|last| announcement.incarnation <= last);
-            if is_old && now.since(left.at) < LEFT_KEPT {
+            if is_old && now < left.until {
                 return Announced::Ignored;
             }
         }
@@ -235,6 +257,7 @@
         slot.bound.announce(announcement.concurrency);
         slot.announcement = announcement;
         slot.unreachable = false;
+        slot.excused = false;
         Announced::Renewed
     }
 
@@ -243,28 +266,79 @@
         let index = self.find(name);
         let slot = index.map(|index| self.slots.swap_remove(index));
         let incarnation = slot.map(|slot| slot.announcement.incarnation);
-        if self.left.len() < LEFT_MAX {
-            self.left.insert(name.clone(), Left { incarnation, at: now });
+        self.remember(name, Left { incarnation, until: now + LEFT_KEPT });
+    }
+
+    /// Takes an endpoint that left under an earlier owner out of the table. Returns whether it was
+    /// there; a later process than the one that left stays.
+    pub(super) fn left(&mut self, now: Millis, left: &rpc::Left) -> bool {
+        let until = now + (LEFT_KEPT - left.age);
+        if until <= now {
+            return false;
+        }
+        let index = self.find(&left.endpoint);
+        let held = index.map(|index| self.slots[index].announcement.incarnation);
+        if held.is_some_and(|held| left.incarnation.is_some_and(|last| last < held)) {
+            return false;
+        }
+        if let Some(index) = index {
+            self.slots.swap_remove(index);
+        }
+        let known = self.left.get(&left.endpoint);
+        let (earlier, kept) = known.map_or((None, until), |known| (known.incarnation, known.until));
+        let incarnation = held.max(left.incarnation).max(earlier);
+        self.remember(&left.endpoint, Left { incarnation, until: until.max(kept) });
+        index.is_some()
+    }
+
+    /// Returns the endpoints that left lately.
+    pub(super) fn departed(&self, now: Millis) -> Vec<rpc::Left> {
+        let left = self.left.iter().filter(|(_, left)| now < left.until);
+        left.map(|(endpoint, left)| rpc::Left {
+            endpoint: endpoint.clone(),
+            incarnation: left.incarnation,
+            age: LEFT_KEPT - left.until.since(now),
+        })
+        .collect()
+    }
+
+    fn remember(&mut self, name: &id::Endpoint, left: Left) {
+        if self.left.len() < LEFT_MAX || self.left.contains_key(name) {
+            self.left.insert(name.clone(), left);
         }
     }
 
     /// Takes the endpoints that were silent for too long out of the table.
     pub(super) fn expire(&mut self, now: Millis) -> Vec<Slot> {
-        self.left.retain(|_, left| now.since(left.at) < LEFT_KEPT);
-        let gone: Vec<_> =
-            self.slots.extract_if(.., |slot| SILENT_AFTER <= now.since(slot.heard)).collect();
+        self.left.retain(|_, left| now < left.until);
+        self.excuse_silence(now);
+        let gone: Vec<_> = self.slots.extract_if(.., |slot| slot.is_gone(now)).collect();
+        let mut departed = Vec::new();
         for slot in &gone {
             // The same process may come back; an announcement of an earlier one is a stray.
             let earlier = slot.announcement.incarnation.saturating_sub(1);
             let known = self.left.get(slot.name()).and_then(|left| left.incarnation);
             let incarnation = Some(known.map_or(earlier, |known| known.max(earlier)));
-            if self.left.len() < LEFT_MAX {
-                self.left.insert(slot.name().clone(), Left { incarnation, at: now });
-            }
+            departed.push((slot.name().clone(), incarnation));
+        }
+        for (name, incarnation) in departed {
+            self.remember(&name, Left { incarnation, until: now + LEFT_KEPT });
         }
         gone
     }
 
+    /// Excuses the endpoints that fell silent within a second, if they are more than half of the pool.
+    fn excuse_silence(&mut self, now: Millis) {
+        let is_silent = |slot: &Slot| SILENT_AFTER <= now.since(slot.heard) + TOGETHER;
+        let silent = self.slots.iter().filter(|slot| is_silent(slot)).count();
+        if silent < TOGETHER_MIN || silent * 2 <= self.slots.len() {
+            return;
+        }
+        for slot in self.slots.iter_mut().filter(|slot| is_silent(slot)) {
+            slot.excused = true;
+        }
+    }
+
     /// Returns how many requests all endpoints may run at one time.
     pub(super) fn capacity(&self) -> u32 {
         self.slots.iter().map(|slot| slot.limit(false)).sum()
--- a/crates/wasabi-scheduler/src/pool/event.rs
+++ b/crates/wasabi-scheduler/src/pool/event.rs
@@ -6,7 +6,7 @@
     fault::Fault,
     id,
     request::Request,
-    rpc::{Grant, Holdings, Release, Slice, Suspect, Usage},
+    rpc::{Grant, Holdings, Left, Release, Slice, Suspect, Usage},
 };
 
 /// What happened.
@@ -21,7 +21,11 @@
         /// The endpoint.
         endpoint: id::Endpoint,
     },
-    /// A request asks for a grant.
+    /// Endpoints that left before this entry owned the pool: they get no new work, whatever they
+    /// announce late.
+    Left(&'a [Left]),
+    /// A request asks for a grant. Where its attempt waits already, the earlier call has ended at the
+    /// holder; where it may hold a grant, [`Pool::given`](super::Pool::given) is to be asked first.
     Acquire {
         /// The number by which the shell knows the waiting call.
         ticket: u64,
@@ -38,6 +42,11 @@
     Release(Release),
     /// A holder tells a new owner what it still runs.
     Holdings(Holdings),
+    /// Attempts that their holder neither runs nor asks for: the grants or their releases were lost.
+    Unheld {
+        /// The attempts.
+        attempts: Vec<id::Attempt>,
+    },
     /// Suspects and quarantined requests known to other entries.
     Suspects(&'a [Suspect]),
     /// A slice of an organisation's budget arrived.
@@ -68,6 +77,11 @@
         /// Why.
         fault: Fault,
     },
+    /// Ends a waiting call without an answer: its attempt asks again or has ended.
+    Discard {
+        /// The number of the waiting call.
+        ticket: u64,
+    },
     /// Tells the holder of a grant to cancel its attempt and ask again, unless a token arrived.
     Preempt {
         /// The number of the grant.
