entry: obey notices of endpoints, and answer every request before a bounded drain ends

Cause: (1) nothing read what an endpoint says in its responses about further requests. One that leaves and whose heartbeats are late or missing got requests until they arrived; one that turns requests away and names a time got more at once. (2) A draining entry accepted a call on the duration of earlier ones; one that took longer, and one that was queued, had its connection closed at the end of the drain without a response, also when it must not be repeated. Change: (1) routing::notice keeps departures and rests by endpoint and incarnation, as a pure table whose result does not depend on the order of responses. An entry checks it between grant and sending, returns such a grant, and names resting endpoints with its requests; the owner skips them for this holder, lets a request wait for a short rest, and refuses it with the time of the first one to open when it would be late. A departure goes to the owner and its successors once, with its incarnation, which grants now carry. (2) Calls that must not be repeated are accepted on expected durations only in the first third of a bounded drain, later if their deadline is before its end; the check is repeated after the grant; 250 ms before the end each request without a response gets one: not run if nothing was sent, else may have run. Ruled out: rests kept at the owner (they hold for one entry only, and are lost with the owner); departures in the release (a lost release would lose them).

--- a/crates/wasabi-bench/src/traffic.rs
+++ b/crates/wasabi-bench/src/traffic.rs
@@ -156,6 +156,7 @@
         between_tokens: profile.between_tokens,
         leaves_after: Millis::ZERO,
         avoid: Vec::new(),
+        closed: Vec::new(),
     };
     Job { request, arrived, output, poison: false }
 }
--- a/crates/wasabi-entry/src/callers/call.rs
+++ b/crates/wasabi-entry/src/callers/call.rs
@@ -131,6 +131,7 @@
             between_tokens: self.route.between_tokens_ms,
             leaves_after: Millis::ZERO,
             avoid: avoid.to_vec(),
+            closed: Vec::new(),
         }
     }
 
--- a/crates/wasabi-entry/src/dispatch/grant.rs
+++ b/crates/wasabi-entry/src/dispatch/grant.rs
@@ -1,13 +1,72 @@
 //! The guard of a grant, which always reports to the owner how the attempt ended.
 
+use tokio::sync::oneshot;
 use wasabi_protocol::{
     clock::{Clock, Millis},
+    endpoint::Closed,
+    fault::{Fault, Kind},
     id,
     request::{End, Report, Request},
     rpc::{Grant, Release},
 };
+use wasabi_routing::notice::{self, Verdict};
 
-use crate::message::{Handle, Message};
+use crate::{
+    callers::server::Worker,
+    dispatch::notices,
+    message::{Handle, Message},
+    shared::new_attempt,
+};
+
+/// Most grants of one request that are returned because their endpoints accept no requests of this
+/// entry. The owner knows them from then on.
+const RETURNED_GRANTS_MAX: usize = 3;
+
+/// A grant that may be used now.
+pub(crate) struct Usable {
+    pub(crate) guard: GrantGuard,
+    /// Resolves when the owner revokes the grant before the first token.
+    pub(crate) preempted: oneshot::Receiver<()>,
+}
+
+/// Acquires a grant for an endpoint that accepts requests of this entry.
+///
+/// # Errors
+///
+/// Returns the refusal of the pool's owner, or why this entry must not send the request now.
+pub(crate) async fn acquire(worker: &Worker, mut request: Request) -> Result<Usable, Fault> {
+    let shared = &worker.shared;
+    let asked = shared.clock.now();
+    let mut left = Vec::new();
+    for _ in 0..=RETURNED_GRANTS_MAX {
+        request.closed = shared.notices().resting(shared.clock.now());
+        request.closed.extend_from_slice(&left);
+        let granted = worker.handle.acquire(request.clone()).await?;
+        let guard = GrantGuard::new(worker.handle.clone(), shared.clock, granted.grant, &request);
+        // The process may have been paused since the request was admitted.
+        shared.check_serving()?;
+        let (now, grant) = (shared.clock.now(), guard.grant());
+        let (endpoint, incarnation) = (&grant.endpoint, grant.incarnation);
+        let verdict = shared.notices().verdict(now, endpoint, incarnation);
+        match verdict {
+            Verdict::Open => return Ok(Usable { guard, preempted: granted.preempted }),
+            Verdict::Resting(_) => {}
+            Verdict::Leaving => {
+                notices::report_departure(worker, grant);
+                let endpoint = endpoint.clone();
+                left.push(Closed { endpoint, incarnation, left: notice::REST_MAX });
+            }
+        }
+        tracing::info!(%endpoint, ?verdict, "returning a grant: the endpoint accepts no requests");
+        drop(guard);
+        let age = now.since(asked);
+        request.attempt = new_attempt();
+        request.waited = request.waited + age;
+        request.remaining = request.remaining - age;
+    }
+    let message = "the endpoints accept no requests of this entry now; use another entry";
+    Err(Fault::new(Kind::EndpointUnreachable, message))
+}
 
 /// A grant in use. Dropping the guard releases the grant; unless [`GrantGuard::end`] was called,
 /// the attempt is reported as abandoned.
@@ -49,6 +108,11 @@
         &self.grant
     }
 
+    /// Returns the id of the attempt that the grant is for.
+    pub(crate) fn attempt(&self) -> id::Attempt {
+        self.attempt
+    }
+
     /// Records that the request is being sent now.
     pub(crate) fn mark_sent(&mut self) {
         self.sent_at = self.clock.now();
--- a/crates/wasabi-entry/src/dispatch/handler.rs
+++ b/crates/wasabi-entry/src/dispatch/handler.rs
@@ -19,12 +19,12 @@
     },
     dispatch::{
         complete::CompleteResponse,
-        grant::GrantGuard,
+        grant::{self, GrantGuard},
         open::{self, ResponseStart, Stream},
         relay::{Relay, StartedStream},
     },
     endpoint_response::Failure,
-    shared::{OpenRequest, new_attempt},
+    shared::{OpenRequest, Repeat, new_attempt},
 };
 
 /// Most attempts per request. The retry budget of the pool's owner usually stops retries earlier.
@@ -41,13 +41,16 @@
         Ok(call) => Rc::new(call),
         Err(fault) => return server::refuse(&shared, &fault),
     };
-    if let Err(fault) = shared.check_time_left(&call.route.name, call.deadline) {
+    let is_idempotent = call.route.repeat.is_idempotent();
+    let repeat = if is_idempotent { Repeat::Allowed } else { Repeat::Forbidden };
+    if let Err(fault) = shared.check_time_left(&call.route.name, call.deadline, repeat) {
         return server::refuse(&shared, &fault);
     }
     let request_id = call.id.to_string();
-    let mut response = if call.route.repeat.is_idempotent() {
-        run(worker, call, open).await
-    } else {
+    let running = async {
+        if is_idempotent {
+            return run(worker, call, open).await;
+        }
         // The call continues when its caller disconnects, so that its outcome is known when the
         // caller sends the request again.
         actix_rt::spawn(run(worker, call, open)).await.unwrap_or_else(|error| {
@@ -55,6 +58,15 @@
             response::from_fault(&fault)
         })
     };
+    let mut response = tokio::select! {
+        biased;
+        response = running => response,
+        () = shared.until_final_responses() => {
+            let kind = if is_idempotent { Kind::EndpointFailed } else { Kind::KeyPending };
+            let message = "this entry stopped before the request ended; send it to another entry";
+            server::refuse(&shared, &Fault::new(kind, message))
+        }
+    };
     server::set_request_id(&mut response, &request_id);
     response
 }
@@ -147,16 +159,12 @@
 ) -> Result<GrantedAttempt, Fault> {
     let shared = &worker.shared;
     let mut span = call.span.child("acquire");
-    let attempt = new_attempt();
-    let request = call.request(shared.clock.now(), attempt, &previous.avoid);
-    let granted = worker.handle.acquire(request.clone()).await?;
-    span.set_outcome(granted.grant.endpoint.as_str());
-    let guard = GrantGuard::new(worker.handle.clone(), shared.clock, granted.grant, &request);
+    let request = call.request(shared.clock.now(), new_attempt(), &previous.avoid);
+    let grant::Usable { guard, preempted } = grant::acquire(worker, request).await?;
+    span.set_outcome(guard.grant().endpoint.as_str());
     let waited = shared.clock.now().since(call.arrived);
     shared.metrics.queue_time.get_or_create(&call.route.tier.into()).observe(waited.seconds());
-    // The process may have been paused since the request was admitted.
-    shared.check_serving()?;
-    Ok(GrantedAttempt { attempt, guard, preempted: granted.preempted })
+    Ok(GrantedAttempt { attempt: guard.attempt(), guard, preempted })
 }
 
 /// Runs one attempt under its grant.
--- a/crates/wasabi-entry/src/dispatch/send.rs
+++ b/crates/wasabi-entry/src/dispatch/send.rs
@@ -10,7 +10,7 @@
     callers::{call::Call, response, server::Worker},
     dispatch::{
         client::{self, DispatchWindow},
-        exchange,
+        exchange, notices,
     },
     endpoint_response::{Deadline, EndpointResponse, Failure},
 };
@@ -88,6 +88,7 @@
         let message = "the endpoint's response names another attempt and was discarded";
         return Err(Failure::new(End::Failed, Kind::EndpointFailed, message));
     }
+    notices::record(worker, grant, notices::read(opened.status, &opened.headers));
     opened.require_length()?;
     Ok(opened)
 }
--- a/crates/wasabi-entry/src/forward/call.rs
+++ b/crates/wasabi-entry/src/forward/call.rs
@@ -168,6 +168,7 @@
             between_tokens,
             leaves_after: self.route.leaves_after,
             avoid: avoid.to_vec(),
+            closed: Vec::new(),
         }
     }
 }
--- a/crates/wasabi-entry/src/forward/dialect.rs
+++ b/crates/wasabi-entry/src/forward/dialect.rs
@@ -2,9 +2,14 @@
 
 use std::net::SocketAddr;
 
-use actix_http::header::{HeaderMap, HeaderName};
+use actix_http::{
+    StatusCode,
+    header::{HeaderMap, HeaderName},
+};
 use wasabi_protocol::{clock::Millis, id};
 
+pub use crate::dispatch::notices::{Notices, Rest};
+
 /// The addresses and the dialect of a gateway.
 #[derive(Debug, Clone)]
 pub struct Gateway {
@@ -37,6 +42,8 @@
     pub last_event: HeaderName,
     /// Response header that states that the endpoint did not run the request.
     pub not_run: HeaderName,
+    /// Reads what the head of an endpoint's response says about further requests.
+    pub notices: fn(StatusCode, &HeaderMap) -> Notices,
     /// Headers that only this system sets; they are removed from callers' requests.
     pub reserved: Vec<HeaderName>,
     /// Reads the size of a request from its headers, if it states one.
--- a/crates/wasabi-entry/src/forward/handler.rs
+++ b/crates/wasabi-entry/src/forward/handler.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     callers::server::Worker,
-    dispatch::grant::GrantGuard,
+    dispatch::grant::{self, GrantGuard},
     endpoint_response::{EndpointResponse, Failure},
     forward::{
         call::{Call, request_id},
@@ -25,7 +25,7 @@
         relay::{self, Relay},
         response, send,
     },
-    shared::new_attempt,
+    shared::{Repeat, Shared, new_attempt},
 };
 
 /// Most attempts per request that are repeated because they did not run. They do not count towards
@@ -49,11 +49,16 @@
             return refuse_unread(&worker, request_id(request.headers(), &dialect), &fault);
         }
     };
-    if let Err(fault) = shared.check_time_left(&call.route.name, call.deadline) {
+    if let Err(fault) = check_time_left(shared, &call) {
         return refuse(&worker, &call, &fault);
     }
     let mut attempts = Attempts::new(Rc::clone(&worker), dialect, call);
-    match attempts.run().await {
+    let outcome = tokio::select! {
+        biased;
+        outcome = attempts.run() => Some(outcome),
+        () = shared.until_final_responses() => None,
+    };
+    match outcome.unwrap_or_else(|| attempts.stop()) {
         Outcome::Stream(started) => {
             let (opened, guard) = *started;
             let (status, headers) = (opened.status, opened.headers.clone());
@@ -92,6 +97,8 @@
     /// The last failure after which the request may have run. A later refusal must then not report
     /// "not run".
     failure: Option<Fault>,
+    /// Whether an attempt was sent and has not failed yet.
+    is_sent: bool,
     /// An endpoint's own error response, returned when no other attempt gives a better one.
     error: Option<(StatusCode, actix_http::header::HeaderMap, Bytes)>,
 }
@@ -114,6 +121,7 @@
             ran_count: 0,
             not_run_count: 0,
             failure: None,
+            is_sent: false,
             error: None,
         }
     }
@@ -129,6 +137,7 @@
             match self.run_attempt(guard, preempted).await {
                 AttemptResult::Done(outcome) => return outcome,
                 AttemptResult::Preempted => {
+                    self.is_sent = false;
                     let message = "the grant was preempted by a more urgent request";
                     self.failure = Some(Fault::new(Kind::EndpointFailed, message));
                 }
@@ -202,25 +211,23 @@
             request.leaves_after = request.leaves_after + silent_since.since(call.arrived);
         }
         let left = call.deadline.since(now).duration();
-        let acquired = self.worker.handle.acquire(request.clone());
-        let Ok(granted) = tokio::time::timeout(left, acquired).await else {
+        let acquired = grant::acquire(&self.worker, request);
+        let Ok(usable) = tokio::time::timeout(left, acquired).await else {
             let message = "the deadline passed while the request was queued; it did not run";
             return Err(Fault::new(Kind::DeadlineInQueue, message));
         };
-        let granted = granted?;
-        let guard =
-            GrantGuard::new(self.worker.handle.clone(), shared.clock, granted.grant, &request);
+        let grant::Usable { guard, preempted } = usable?;
         let waited = shared.clock.now().since(now);
         shared.metrics.queue_time.get_or_create(&call.tier.into()).observe(waited.seconds());
         let grant = guard.grant();
+        // The drain of this entry may have started, or gone on, while the request was queued.
+        check_time_left(shared, call)?;
         tracing::info!(
             request = call.id, endpoint = %grant.endpoint, owner = %grant.owner, tier = call.tier.0,
             organisation = %call.organisation, queued_ms = waited.0, tries = self.avoid.len(),
             "granted"
         );
-        // The process may have been paused since the request was admitted.
-        shared.check_serving()?;
-        Ok((guard, granted.preempted))
+        Ok((guard, preempted))
     }
 
     /// Runs one attempt under its grant.
@@ -232,6 +239,7 @@
         let metrics = &self.worker.shared.metrics;
         metrics.dispatches.get_or_create(&self.call.tier.into()).inc();
         guard.mark_sent();
+        self.is_sent = true;
         let grant = guard.grant().clone();
         // Ending an attempt early only helps if it may run again.
         let bound = if self.call.is_resumable() {
@@ -279,9 +287,19 @@
             fault = %failure.fault, "attempt failed"
         );
         guard.end(failure.end);
+        self.is_sent = false;
         AttemptResult::Failed(failure)
     }
 
+    /// Returns the final result of a request that has no response when this entry stops.
+    fn stop(&mut self) -> Outcome {
+        let message = "this entry stopped before the endpoint responded";
+        if self.is_sent {
+            self.failure = Some(Fault::new(Kind::EndpointFailed, message));
+        }
+        self.give_up(Fault::new(Kind::EntryDraining, "this entry is stopping; use another entry"))
+    }
+
     /// Records a failed attempt and returns whether another one is allowed.
     fn may_repeat(&mut self, failure: &Failure) -> bool {
         let did_not_run = failure.fault.kind.answer().ran == Ran::NotRun;
@@ -308,6 +326,12 @@
     }
 }
 
+/// Checks whether a request ends before this entry stops.
+fn check_time_left(shared: &Shared, call: &Call) -> Result<(), Fault> {
+    let repeat = if call.is_repeatable() { Repeat::Allowed } else { Repeat::Forbidden };
+    shared.check_time_left(&call.route.name, call.deadline, repeat)
+}
+
 /// Resolves when the owner takes the grant back, and never when the sender is dropped, which only
 /// means that the grant will not be taken back.
 async fn preemption(preempted: oneshot::Receiver<()>) {
--- a/crates/wasabi-entry/src/forward/send.rs
+++ b/crates/wasabi-entry/src/forward/send.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     callers::server::Worker,
-    dispatch::{client, exchange},
+    dispatch::{client, exchange, notices},
     endpoint_response::{Deadline, EndpointResponse, Failure},
     forward::{call::Call, dialect::Dialect},
 };
@@ -61,6 +61,11 @@
         let message = "the endpoint's response may belong to another request and was discarded";
         return Err(Failure::new(End::Failed, Kind::EndpointFailed, message));
     }
+    let is_misdirected = status.as_u16() == 421;
+    // A misdirected request reached another endpoint than the granted one.
+    if !is_misdirected {
+        notices::record(worker, grant, (dialect.notices)(*status, headers));
+    }
     let is_failure = status.is_client_error() || status.is_server_error();
     if (is_refusal && !is_failure) || (!is_refusal && promises_not_run(*status)) {
         let message =
@@ -68,7 +73,6 @@
         return Err(Failure::new(End::Failed, Kind::EndpointFailed, message));
     }
     if is_refusal {
-        let is_misdirected = status.as_u16() == 421;
         let end = if is_misdirected { End::Unreachable } else { End::Abandoned };
         let message =
             format!("the endpoint refused the request with {status}; the request did not run");
--- a/crates/wasabi-entry/src/message.rs
+++ b/crates/wasabi-entry/src/message.rs
@@ -38,6 +38,13 @@
     Announce(Box<Announcement>),
     /// An endpoint announced to this entry that it leaves.
     Leave(id::Endpoint),
+    /// A response of an endpoint says that it leaves.
+    Departed {
+        /// The pool of the endpoint.
+        pool: id::Pool,
+        /// The incarnation that leaves.
+        departure: Departure,
+    },
     /// A command to propose to control.
     Propose {
         /// The command.
--- a/crates/wasabi-entry/src/metrics.rs
+++ b/crates/wasabi-entry/src/metrics.rs
@@ -75,6 +75,10 @@
     pub(crate) retries: Counter,
     /// Streams resumed from an offset.
     pub(crate) resumes: Counter,
+    /// Refusals of endpoints that ask for a rest.
+    pub(crate) rests: Counter,
+    /// Refusals of endpoints that ask for an invalid rest.
+    pub(crate) invalid_rests: Counter,
     /// Open requests.
     pub(crate) open: Gauge,
     /// The revision in force.
@@ -103,6 +107,8 @@
             dispatches: Family::default(),
             retries: Counter::default(),
             resumes: Counter::default(),
+            rests: Counter::default(),
+            invalid_rests: Counter::default(),
             open: Gauge::default(),
             revision: Gauge::default(),
             fetches: Family::default(),
@@ -127,6 +133,16 @@
         prefix.register("dispatches", "Attempts sent to endpoints", metrics.dispatches.clone());
         prefix.register("retries", "Attempts after the first", metrics.retries.clone());
         prefix.register("resumes", "Streams resumed from an offset", metrics.resumes.clone());
+        prefix.register(
+            "endpoint_rests",
+            "Refusals of endpoints that ask for a rest",
+            metrics.rests.clone(),
+        );
+        prefix.register(
+            "endpoint_rests_invalid",
+            "Refusals of endpoints that ask for an invalid rest",
+            metrics.invalid_rests.clone(),
+        );
         prefix.register("open", "Open requests", metrics.open.clone());
         prefix.register("revision", "Revision in force", metrics.revision.clone());
         prefix.register(
--- a/crates/wasabi-entry/src/pools/ownership.rs
+++ b/crates/wasabi-entry/src/pools/ownership.rs
@@ -178,6 +178,19 @@
         self.perform(effects);
     }
 
+    /// Reports that an endpoint leaves to the owner of its pool and to the entries that may own the
+    /// pool next.
+    pub(crate) fn report_departure(self: &Rc<Self>, pool: &id::Pool, departure: Departure) {
+        let left = [departure];
+        self.merge_departed(&left);
+        let registries = self.registries_of(pool).into_iter().map(|entry| entry.name);
+        let mut entries: HashSet<_> = registries.chain(self.owner_to_call(pool)).collect();
+        entries.remove(&self.shared.entry.name);
+        for entry in entries {
+            self.notify(entry, method::LEFT, rpc_params![&left]);
+        }
+    }
+
     /// Merges the endpoints that left before this entry owned their pools.
     pub(crate) fn merge_departed(self: &Rc<Self>, left: &[Departure]) {
         let now = self.now();
--- a/crates/wasabi-entry/src/shared.rs
+++ b/crates/wasabi-entry/src/shared.rs
@@ -3,11 +3,12 @@
 use std::{
     collections::HashMap,
     sync::{
-        Arc, Mutex, PoisonError, RwLock,
+        Arc, Mutex, MutexGuard, PoisonError, RwLock,
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
 };
 
+use tokio::sync::watch;
 use wasabi_protocol::{
     clock::{Clock, Millis},
     command::{Config, Duty, Entry},
@@ -15,6 +16,7 @@
     fault::{Fault, Kind},
     fingerprint, id,
 };
+use wasabi_routing::notice;
 use wasabi_settings::entry::Settings;
 
 use crate::{durations::Durations, forward::site, metrics::Metrics};
@@ -22,6 +24,14 @@
 /// Time for which an entry serves after control or a majority of its peers last answered.
 pub(crate) const SERVING_DURATION: Millis = Millis::from_secs(2);
 
+/// Fraction of a bounded drain, as a divisor, in which requests that must not be repeated are accepted
+/// on their expected duration. Later ones must end by their deadline.
+const TRUSTING_DIVISOR: u64 = 3;
+
+/// Time before the end of a bounded drain at which requests without a response get their final one:
+/// long enough for it to reach the caller.
+const FINAL_RESPONSE_TIME: Millis = Millis(250);
+
 /// The configuration in force, with indexes of the callers' tokens and of the site.
 #[derive(Debug, Default)]
 pub(crate) struct InForce {
@@ -92,9 +102,10 @@
     draining: AtomicBool,
     /// When the last list that names this entry expires, on `clock`.
     listed_until: AtomicU64,
-    /// When a draining entry cuts its open requests, on `clock`; the maximum value when it never does.
-    cuts_at: AtomicU64,
+    /// The bound of a drain with one, once the drain has started.
+    bounded_drain: watch::Sender<Option<BoundedDrain>>,
     durations: Mutex<Durations>,
+    notices: Mutex<notice::Table>,
     open: AtomicUsize,
     /// The serving entries that are live, including this one unless it drains.
     live: RwLock<Arc<[Entry]>>,
@@ -113,8 +124,9 @@
             serving_until: AtomicU64::new(0),
             draining: AtomicBool::new(false),
             listed_until: AtomicU64::new(0),
-            cuts_at: AtomicU64::new(u64::MAX),
+            bounded_drain: watch::Sender::default(),
             durations: Mutex::default(),
+            notices: Mutex::default(),
             open: AtomicUsize::new(0),
             live: RwLock::new(Arc::new([])),
         }
@@ -205,37 +217,51 @@
             let until = now + unlisting_time + *self.settings.callers.list_lifetime;
             self.listed_until.fetch_max(until.0, Ordering::AcqRel);
             if let Some(bound) = &self.settings.drain.bound {
-                self.cuts_at.store((now + **bound).0, Ordering::Release);
+                self.bounded_drain.send_replace(Some(BoundedDrain::new(now, **bound)));
             }
         }
     }
 
     /// Returns when a draining entry cuts its open requests, if it ever does.
     pub(crate) fn cuts_at(&self) -> Option<Millis> {
-        let at = self.cuts_at.load(Ordering::Acquire);
-        (at != u64::MAX).then_some(Millis(at))
+        self.bounded_drain.borrow().map(|drain| drain.cuts_at)
     }
 
-    /// Checks whether a request of this route is expected to end before a draining entry cuts it,
-    /// based on recent durations and its deadline.
+    /// Checks whether a request of this route ends before a draining entry cuts it, based on recent
+    /// durations and its deadline.
     ///
     /// # Errors
     ///
     /// Returns the refusal when it may not end in time.
-    pub(crate) fn check_time_left(&self, route: &id::Route, deadline: Millis) -> Result<(), Fault> {
-        let Some(cuts_at) = self.cuts_at() else { return Ok(()) };
+    pub(crate) fn check_time_left(
+        &self,
+        route: &id::Route,
+        deadline: Millis,
+        repeat: Repeat,
+    ) -> Result<(), Fault> {
+        let Some(drain) = *self.bounded_drain.borrow() else { return Ok(()) };
         let now = self.clock.now();
-        let durations = self.durations.lock().unwrap_or_else(PoisonError::into_inner);
-        // A margin of half the duration, since the load may rise.
-        let expected_end =
-            durations.longest(now, route).map(|took| now + took + Millis(took.0 / 2));
-        if expected_end.map_or(deadline, |end| end.min(deadline)) <= cuts_at {
+        let longest = || {
+            let durations = self.durations.lock().unwrap_or_else(PoisonError::into_inner);
+            durations.longest(now, route)
+        };
+        if drain.has_time_for(now, deadline, repeat, longest) {
             return Ok(());
         }
         let message = "this entry would stop before the request ends; use another entry";
         Err(Fault::new(Kind::EntryDraining, message))
     }
 
+    /// Resolves when every request without a response must get its final one, since a draining
+    /// entry cuts its connections soon after. Never resolves when no drain has a bound.
+    pub(crate) async fn until_final_responses(&self) {
+        let mut drains = self.bounded_drain.subscribe();
+        let drain = drains.wait_for(Option::is_some).await.map(|drain| *drain);
+        let Ok(Some(drain)) = drain else { return std::future::pending().await };
+        let left = drain.final_responses_at().since(self.clock.now());
+        tokio::time::sleep(left.duration()).await;
+    }
+
     /// Counts an answered request and records its duration.
     pub(crate) fn finished(&self, tier: Tier, route: &id::Route, arrived: Millis) {
         self.metrics.finished.get_or_create(&tier.into()).inc();
@@ -244,6 +270,11 @@
         durations.add(now, route, now.since(arrived));
     }
 
+    /// Returns the notices of endpoints to this entry.
+    pub(crate) fn notices(&self) -> MutexGuard<'_, notice::Table> {
+        self.notices.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns whether the entry drains.
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Acquire)
@@ -277,6 +308,53 @@
     }
 }
 
+/// Whether a request may be sent again when its connection is cut.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Repeat {
+    /// Its caller may send it again.
+    Allowed,
+    /// It may run at most once, so that a cut leaves its caller without an outcome.
+    Forbidden,
+}
+
+/// A drain that cuts the requests which are open at its end.
+#[derive(Debug, Clone, Copy)]
+struct BoundedDrain {
+    /// Until when expected durations suffice to accept a request that must not be repeated.
+    trusts_until: Millis,
+    cuts_at: Millis,
+}
+
+impl BoundedDrain {
+    fn new(now: Millis, bound: Millis) -> Self {
+        Self { trusts_until: now + Millis(bound.0 / TRUSTING_DIVISOR), cuts_at: now + bound }
+    }
+
+    fn final_responses_at(&self) -> Millis {
+        self.cuts_at - FINAL_RESPONSE_TIME
+    }
+
+    /// Returns whether a request that starts now ends in time. `longest` returns the longest recent
+    /// duration of its route.
+    fn has_time_for(
+        &self,
+        now: Millis,
+        deadline: Millis,
+        repeat: Repeat,
+        longest: impl FnOnce() -> Option<Millis>,
+    ) -> bool {
+        let end = self.final_responses_at();
+        if deadline <= end {
+            return true;
+        }
+        if repeat == Repeat::Forbidden && self.trusts_until < now {
+            return false;
+        }
+        // A margin of half the duration, since the load may rise.
+        longest().is_some_and(|took| now + took + Millis(took.0 / 2) <= end)
+    }
+}
+
 /// An open request, counted for draining.
 #[derive(Debug)]
 pub(crate) struct OpenRequest {
--- a/crates/wasabi-entry/src/shell.rs
+++ b/crates/wasabi-entry/src/shell.rs
@@ -324,6 +324,7 @@
             Message::Release(release) => self.release(*release),
             Message::Announce(announcement) => self.announce(&announcement),
             Message::Leave(endpoint) => drop(actix_rt::spawn(self.leave(endpoint))),
+            Message::Departed { pool, departure } => self.report_departure(&pool, departure),
             Message::Propose { command, reply } => {
                 let shell = Rc::clone(self);
                 actix_rt::spawn(async move {
--- a/crates/wasabi-entry/tests/owners.rs
+++ b/crates/wasabi-entry/tests/owners.rs
@@ -255,6 +255,7 @@
         between_tokens: Millis(500),
         leaves_after: Millis::ZERO,
         avoid: Vec::new(),
+        closed: Vec::new(),
     }
 }
 
--- a/crates/wasabi-protocol/src/endpoint.rs
+++ b/crates/wasabi-protocol/src/endpoint.rs
@@ -1,5 +1,7 @@
 //! Announcements of endpoints.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
 use crate::{clock::Millis, id};
@@ -48,6 +50,68 @@
     pub load: Load,
 }
 
+/// Maximum number of concurrent requests that an endpoint may announce.
+pub const CONCURRENCY_MAX: u32 = 65_536;
+
+/// Highest incarnation, so that JSON parsers with floating-point numbers represent it exactly.
+pub const INCARNATION_MAX: u64 = 1 << 53;
+
+/// Maximum length of each name in an announcement, in bytes.
+pub const NAME_BYTES_MAX: usize = 1_024;
+
+impl Announcement {
+    /// Checks the values of an announcement that was received from outside the system.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first invalid field and what it must be.
+    pub fn check(&self) -> Result<(), String> {
+        let names = [
+            ("name", self.name.as_str()),
+            ("backend", self.backend.as_str()),
+            ("version", self.version.as_str()),
+            ("data centre", self.data_centre.as_str()),
+            ("hardware", &self.hardware),
+        ];
+        if let Some((field, _)) = names[..2].iter().find(|(_, name)| name.is_empty()) {
+            return Err(format!("the {field} must not be empty"));
+        }
+        if let Some((field, _)) = names.iter().find(|(_, name)| NAME_BYTES_MAX < name.len()) {
+            return Err(format!("the {field} must have at most {NAME_BYTES_MAX} bytes"));
+        }
+        if !(1..=CONCURRENCY_MAX).contains(&self.concurrency) {
+            return Err(format!("the concurrency must be from 1 to {CONCURRENCY_MAX}"));
+        }
+        if INCARNATION_MAX < self.incarnation {
+            return Err(format!("the incarnation must be at most {INCARNATION_MAX}"));
+        }
+        check_address(&self.address)
+    }
+}
+
+/// Checks that an address can be connected to.
+fn check_address(address: &str) -> Result<(), String> {
+    let parsed: SocketAddr =
+        address.parse().map_err(|_| "the address must be an IP address and port".to_owned())?;
+    let ip = parsed.ip();
+    if parsed.port() == 0 || ip.is_unspecified() || ip.is_multicast() {
+        return Err("the address must be one that requests can be sent to".to_owned());
+    }
+    Ok(())
+}
+
+/// An endpoint that accepts no requests from one entry for a while.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Closed {
+    /// The endpoint.
+    pub endpoint: id::Endpoint,
+    /// The incarnation that accepts none. Later ones are not affected.
+    pub incarnation: u64,
+    /// Time until it accepts requests again, in milliseconds.
+    pub left: Millis,
+}
+
 /// Whether an endpoint is a model engine or a plain service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/wasabi-protocol/src/request.rs
+++ b/crates/wasabi-protocol/src/request.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{clock::Millis, contract::Tier, fault, fingerprint, id};
+use crate::{clock::Millis, contract::Tier, endpoint::Closed, fault, fingerprint, id};
 
 /// A request as seen by the pool owner. The body stays with the entry that the caller is connected
 /// to.
@@ -45,6 +45,10 @@
     pub leaves_after: Millis,
     /// Endpoints that were already tried and must not be tried again.
     pub avoid: Vec<id::Endpoint>,
+    /// Endpoints that accept no requests from the holder now. Unlike `avoid`, they do not mark the
+    /// request as a retry.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub closed: Vec<Closed>,
 }
 
 impl Request {
@@ -52,6 +56,14 @@
     pub fn tokens(&self) -> u64 {
         u64::from(self.prompt_tokens) + u64::from(self.output_tokens)
     }
+
+    /// Returns for how long an endpoint accepts no requests from the holder, if at all.
+    pub fn closed_for(&self, endpoint: &id::Endpoint, incarnation: u64) -> Option<Millis> {
+        let mut closed = self.closed.iter();
+        let is_same =
+            |closed: &&Closed| closed.endpoint == *endpoint && incarnation <= closed.incarnation;
+        closed.find(is_same).map(|closed| closed.left)
+    }
 }
 
 /// How an attempt ended, as reported by the entry that ran it.
--- a/crates/wasabi-protocol/src/rpc/pool.rs
+++ b/crates/wasabi-protocol/src/rpc/pool.rs
@@ -34,6 +34,9 @@
     pub owner: id::Entry,
     /// The endpoint.
     pub endpoint: id::Endpoint,
+    /// The incarnation of the endpoint; 0 when the owner does not report it.
+    #[serde(default)]
+    pub incarnation: u64,
     /// The IP address and port of the endpoint.
     pub address: String,
     /// The version of the endpoint.
--- a/crates/wasabi-routing/src/lib.rs
+++ b/crates/wasabi-routing/src/lib.rs
@@ -1,5 +1,6 @@
 //! Pure routing decisions: pool ownership, liveness and readiness of entries, circuit breaking,
-//! endpoint choice, prefix affinity, slow-endpoint detection, retries and quarantine.
+//! endpoint choice, prefix affinity, slow-endpoint detection, notices of endpoints, retries and
+//! quarantine.
 //!
 //! Nothing in this crate reads a clock or opens a socket. Time, reports and views are arguments, and
 //! the memory of every table is bounded.
@@ -8,6 +9,7 @@
 pub mod breaker;
 pub mod choice;
 pub mod liveness;
+pub mod notice;
 pub mod pace;
 pub mod quarantine;
 pub mod readiness;
--- a/crates/wasabi-routing/tests/retry.rs
+++ b/crates/wasabi-routing/tests/retry.rs
@@ -32,6 +32,7 @@
         between_tokens: Millis(10),
         leaves_after: Millis::ZERO,
         avoid: Vec::new(),
+        closed: Vec::new(),
     }
 }
 
--- a/crates/wasabi-scheduler/src/pool/dispatch.rs
+++ b/crates/wasabi-scheduler/src/pool/dispatch.rs
@@ -1,6 +1,12 @@
 //! Dispatch of waiting requests.
 
-use wasabi_protocol::{clock::Millis, contract::Tier, fault::Kind, request::Request, rpc::Grant};
+use wasabi_protocol::{
+    clock::Millis,
+    contract::Tier,
+    fault::{Fault, Kind},
+    request::Request,
+    rpc::Grant,
+};
 use wasabi_rollout::credit::Side;
 
 use super::{
@@ -138,7 +144,7 @@
             self.requests.insert(ticket, request);
             return false;
         }
-        let (kind, message) = match self.choose(now, ticket, &request, halve_limits) {
+        let fault = match self.choose(now, ticket, &request, halve_limits) {
             Choice::Later => {
                 self.requests.insert(ticket, request);
                 return false;
@@ -149,14 +155,20 @@
                 return true;
             }
             Choice::AllAvoided => {
-                (Kind::NoEndpoint, "the request failed on every endpoint of this model or service")
+                let message = "the request failed on every endpoint of this model or service";
+                Fault::new(Kind::NoEndpoint, message)
+            }
+            Choice::AllClosed(opens_in) => {
+                let message = "no endpoint of this model or service accepts requests now";
+                Fault::new(Kind::Overloaded, message).after(opens_in)
             }
             Choice::Quarantined => {
-                (Kind::Quarantined, "the request is quarantined because it crashed endpoints")
+                let message = "the request is quarantined because it crashed endpoints";
+                Fault::new(Kind::Quarantined, message)
             }
         };
         self.queue.remove(ticket);
-        refuse(actions, ticket, kind, message);
+        actions.push(Action::Refuse { ticket, fault });
         true
     }
 
@@ -198,6 +210,7 @@
             pool: self.name.clone(),
             owner: self.owner.clone(),
             endpoint: endpoint.announcement.name.clone(),
+            incarnation: endpoint.announcement.incarnation,
             address: endpoint.announcement.address.clone(),
             version: endpoint.announcement.version.clone(),
             resume: endpoint.announcement.abilities.resume,
--- a/crates/wasabi-scheduler/src/pool/endpoint.rs
+++ b/crates/wasabi-scheduler/src/pool/endpoint.rs
@@ -136,6 +136,13 @@
         self.running.len() as u32
     }
 
+    /// Returns for how long it accepts no requests from the holder of a request that has been queued
+    /// for `queued`, if at all.
+    pub(super) fn closed_for(&self, request: &Request, queued: Millis) -> Option<Millis> {
+        let left = request.closed_for(self.name(), self.announcement.incarnation)? - queued;
+        (left != Millis::ZERO).then_some(left)
+    }
+
     /// Returns how many requests may run on it. The number is halved while grants of an earlier
     /// owner may still be unreported.
     pub(super) fn limit(&self, halve_limits: bool) -> u32 {
--- a/crates/wasabi-scheduler/src/pool/reservation.rs
+++ b/crates/wasabi-scheduler/src/pool/reservation.rs
@@ -24,12 +24,19 @@
 impl Pool {
     /// Returns an idle endpoint for a suspect. If there is none, reserves one and lets it drain,
     /// preferably one without tier-0 requests and with the fewest requests in flight.
-    pub(super) fn reserve_endpoint(&mut self, now: Millis, request: &Request) -> Option<usize> {
+    pub(super) fn reserve_endpoint(
+        &mut self,
+        now: Millis,
+        ticket: u64,
+        request: &Request,
+    ) -> Option<usize> {
         self.reservation.requested_at = now;
+        let queued = self.queued_for(now, ticket, request);
         let usable = |endpoint: &EndpointState| {
             self.is_eligible(endpoint)
                 && !endpoint.unreachable
                 && !request.avoid.contains(endpoint.name())
+                && endpoint.closed_for(request, queued).is_none()
         };
         let endpoints = &self.endpoints.list;
         let held = endpoints
--- a/crates/wasabi-scheduler/src/pool/selection.rs
+++ b/crates/wasabi-scheduler/src/pool/selection.rs
@@ -33,6 +33,8 @@
     Later,
     /// The request must avoid every endpoint of the pool, since it already failed on each of them.
     AllAvoided,
+    /// No endpoint that the request may use accepts requests from its holder for this time.
+    AllClosed(Millis),
     /// The request is quarantined.
     Quarantined,
 }
@@ -85,7 +87,7 @@
             Permit::Refused { .. } => return Choice::Quarantined,
             Permit::Wait => return Choice::Later,
             Permit::Alone => {
-                let Some(index) = self.reserve_endpoint(now, request) else {
+                let Some(index) = self.reserve_endpoint(now, ticket, request) else {
                     return if self.avoids_all(request) {
                         Choice::AllAvoided
                     } else {
@@ -97,13 +99,22 @@
             }
         }
         let demand = self.demand(now, ticket, request);
-        let proven = self.search(now, request, halve_limits, demand, Eligibility::Proven);
-        let unproven = self.search(now, request, halve_limits, demand, Eligibility::Unproven);
+        let proven = self.search(now, ticket, request, halve_limits, demand, Eligibility::Proven);
+        let unproven =
+            self.search(now, ticket, request, halve_limits, demand, Eligibility::Unproven);
         let (index, side) = match (proven.best, unproven.best) {
             (None, None) => {
                 let is_exhausted = 0 < proven.eligible + unproven.eligible
                     && proven.allowed + unproven.allowed == 0;
-                return if is_exhausted { Choice::AllAvoided } else { Choice::Later };
+                if !is_exhausted {
+                    return Choice::Later;
+                }
+                return match proven.opens_in.into_iter().chain(unproven.opens_in).min() {
+                    // A short rest does not make the request late.
+                    Some(opens_in) if self.can_wait(now, ticket, opens_in) => Choice::Later,
+                    Some(opens_in) => Choice::AllClosed(opens_in),
+                    None => Choice::AllAvoided,
+                };
             }
             // Without a rollout there is no unproven version.
             (Some(index), None) if unproven.eligible == 0 => (index, None),
@@ -146,6 +157,7 @@
     fn search(
         &mut self,
         now: Millis,
+        ticket: u64,
         request: &Request,
         halve_limits: bool,
         demand: Demand,
@@ -161,15 +173,19 @@
             self.candidates = candidates;
             return search;
         }
+        let queued = self.queued_for(now, ticket, request);
         let last = match eligibility {
             Eligibility::Unproven => self.last_replica(),
             Eligibility::Proven | Eligibility::Excluded => None,
         };
-        let is_usable = |endpoint: &EndpointState| {
+        let is_allowed = |endpoint: &EndpointState| {
             is_eligible(&endpoint)
                 && !request.avoid.contains(endpoint.name())
                 && last.is_none_or(|last| endpoint.name() <= last)
         };
+        let is_usable = |endpoint: &EndpointState| {
+            is_allowed(endpoint) && endpoint.closed_for(request, queued).is_none()
+        };
         // Tier-0 and non-idempotent requests avoid endpoints on probation if there are others.
         let needs_healthy = needs_healthy_endpoint(request)
             && endpoints
@@ -177,7 +193,12 @@
                 .any(|endpoint| is_usable(endpoint) && endpoint.standing == Standing::Normal);
         let mut probe = None;
         for (index, endpoint) in endpoints.iter().enumerate() {
-            if !is_usable(endpoint) {
+            if !is_allowed(endpoint) {
+                candidates.push(UNAVAILABLE);
+                continue;
+            }
+            if let Some(left) = endpoint.closed_for(request, queued) {
+                search.opens_in = Some(search.opens_in.map_or(left, |soonest| soonest.min(left)));
                 candidates.push(UNAVAILABLE);
                 continue;
             }
@@ -217,6 +238,17 @@
         search
     }
 
+    /// Returns for how long a request has been queued in this pool.
+    pub(super) fn queued_for(&self, now: Millis, ticket: u64, request: &Request) -> Millis {
+        let item = self.queue.item(ticket);
+        item.map_or(Millis::ZERO, |item| request.remaining - item.deadline.since(now))
+    }
+
+    /// Returns whether a request can still meet its target when it starts after this time.
+    fn can_wait(&self, now: Millis, ticket: u64, time: Millis) -> bool {
+        self.queue.item(ticket).is_some_and(|item| now + time < item.start_by)
+    }
+
     /// Returns the requirements that an endpoint must meet for the request to start now.
     ///
     /// An endpoint that is slow or busy with long prompts would make the request miss its targets,
@@ -287,6 +319,9 @@
     eligible: usize,
     /// Number of those that the request may use.
     allowed: usize,
+    /// Time until the first endpoint accepts requests again, of those that the request could use if
+    /// they accepted requests from its holder.
+    opens_in: Option<Millis>,
     /// The best endpoint among those that have room and meet the demand.
     best: Option<usize>,
     /// The endpoint with room that has the most requests in flight.
--- a/crates/wasabi-scheduler/tests/common/mod.rs
+++ b/crates/wasabi-scheduler/tests/common/mod.rs
@@ -72,6 +72,7 @@
         between_tokens: Millis(100),
         leaves_after: Millis::ZERO,
         avoid: Vec::new(),
+        closed: Vec::new(),
     }
 }
 
--- a/crates/wasabi-scheduler/tests/selection.rs
+++ b/crates/wasabi-scheduler/tests/selection.rs
@@ -5,6 +5,7 @@
 use common::{acquire, announce_all, grants, ready_pool, refusals, release, request};
 use wasabi_protocol::{
     clock::Millis,
+    endpoint::Closed,
     fault::{Kind, Ran},
     request::{End, Request},
     rpc::Grant,
@@ -123,3 +124,53 @@
     assert_eq!(refusals(&actions), [(77, Kind::Internal)]);
     assert_ne!(Kind::Internal.answer().ran, Ran::NotRun, "the attempt may be running");
 }
+
+/// Returns a request whose holder must not use these endpoints for a time.
+fn closed_request(number: u64, closed: &[(&str, u64, u64)]) -> Request {
+    let closed = closed.iter().map(|(name, incarnation, left)| Closed {
+        endpoint: (*name).into(),
+        incarnation: *incarnation,
+        left: Millis(*left),
+    });
+    Request { closed: closed.collect(), ..request(number, 2) }
+}
+
+/// Guards against a grant for an endpoint that rests, and against one that the rest of an earlier
+/// process or of another holder keeps without requests.
+#[test]
+fn a_closed_endpoint_is_not_granted() {
+    let mut pool = ready_pool(2, 8);
+    for number in 0..6 {
+        let granted = grants(&step(&mut pool, 1_000, closed_request(number, &[("a", 1, 500)])));
+        assert_eq!(granted[0].1.endpoint.as_str(), "b");
+    }
+    let of_earlier_process = closed_request(6, &[("a", 0, 500)]);
+    let granted = grants(&step(&mut pool, 1_000, of_earlier_process));
+    assert_eq!(granted[0].1.endpoint.as_str(), "a", "the emptier one");
+    let of_other_holder = grants(&step(&mut pool, 1_000, request(7, 2)));
+    assert_eq!(of_other_holder[0].1.endpoint.as_str(), "a");
+}
+
+/// Guards against a request that is refused although an endpoint opens before it is late, and
+/// against one that starts before the endpoint opens.
+#[test]
+fn a_request_waits_for_a_short_rest() {
+    let mut pool = ready_pool(1, 8);
+    let actions = step(&mut pool, 1_000, closed_request(0, &[("a", 1, 500)]));
+    assert!(actions.is_empty(), "{actions:?}");
+    for now in [1_050, 1_250, 1_450] {
+        assert!(grants(&pool.step(Millis(now), Event::Tick)).is_empty(), "granted at {now} ms");
+    }
+    assert_eq!(grants(&pool.step(Millis(1_500), Event::Tick)).len(), 1);
+}
+
+/// Guards against a request that queues until its deadline because every endpoint rests, and
+/// against a refusal without the time at which the first one opens.
+#[test]
+fn a_request_is_refused_when_all_endpoints_rest_for_long() {
+    let mut pool = ready_pool(2, 8);
+    let actions = step(&mut pool, 1_000, closed_request(0, &[("a", 1, 30_000), ("b", 1, 20_000)]));
+    let [Action::Refuse { fault, .. }] = &actions[..] else { panic!("{actions:?}") };
+    assert_eq!(fault.kind.answer().ran, Ran::NotRun);
+    assert_eq!((fault.kind, fault.retry_after), (Kind::Overloaded, Some(Millis(20_000))));
+}
