--- a/crates/wasabi-entry/src/endpoints.rs
+++ b/crates/wasabi-entry/src/endpoints.rs
@@ -51,14 +51,8 @@
     let announcement: Announcement = serde_json::from_slice(body).map_err(|error| {
         Fault::new(Kind::BadRequest, format!("the body is not a valid announcement: {error}"))
     })?;
-    if announcement.address.parse::<std::net::SocketAddr>().is_err() {
-        let message = "`address` must be an IP address and port";
-        return Err(Fault::new(Kind::BadRequest, message));
-    }
-    let names = [announcement.name.as_str(), announcement.backend.as_str()];
-    if names.iter().any(|name| name.is_empty()) || announcement.concurrency == 0 {
-        let message = "`name` and `backend` must not be empty, `concurrency` at least 1";
-        return Err(Fault::new(Kind::BadRequest, message));
-    }
+    announcement.check().map_err(|problem| {
+        Fault::new(Kind::BadRequest, format!("the announcement is invalid: {problem}"))
+    })?;
     Ok(announcement)
 }
--- a/crates/wasabi-entry/tests/input.rs
+++ b/crates/wasabi-entry/tests/input.rs
@@ -45,6 +45,40 @@
     assert_eq!(engine.counts().requests, 0);
 }
 
+/// Guards against an odd announcement that ends the entry, or registers an endpoint that requests
+/// cannot reach or that seems to have room for all of them.
+#[rstest]
+#[case::no_port("127.0.0.1:9", "127.0.0.1:0")]
+#[case::high_port("127.0.0.1:9", "127.0.0.1:65536")]
+#[case::negative_port("127.0.0.1:9", "127.0.0.1:-1")]
+#[case::no_host("127.0.0.1:9", "0.0.0.0:9")]
+#[case::many_slots("\"concurrency\":1", "\"concurrency\":4294967295")]
+#[case::too_many_slots("\"concurrency\":1", "\"concurrency\":1e400")]
+#[case::text_slots("\"concurrency\":1", "\"concurrency\":\"1\"")]
+#[case::late_start("\"incarnation\":1", "\"incarnation\":18446744073709551615")]
+#[case::later_start("\"incarnation\":1", "\"incarnation\":18446744073709551616")]
+#[case::twice("\"incarnation\":1", "\"incarnation\":1,\"incarnation\":1")]
+#[case::deep("\"incarnation\":1", &format!("\"load\":{}", "[".repeat(50_000)))]
+#[case::long_name("\"name\":\"odd\"", &format!("\"name\":\"{}\"", "n".repeat(4_096)))]
+#[actix_rt::test]
+async fn an_odd_announcement_is_refused(#[case] sound: &str, #[case] odd: &str) {
+    let entry = Entry::standalone("");
+    let _engine = start_engine("m1", &[&entry]);
+    let caller = entry.caller();
+    caller.wait_until_served().await;
+    let body = r#"{"name":"odd","incarnation":1,"address":"127.0.0.1:9","data_centre":"d1",
+        "kind":"model","backend":"coal","version":"v1","concurrency":1}"#;
+    assert!(body.contains(sound));
+    let announce =
+        async |body: &str| caller.send(caller.request("POST", "/v1/endpoints"), body).await;
+    let answer = announce(&body.replace(sound, odd)).await;
+    assert_eq!(answer.status, StatusCode::BAD_REQUEST, "{}", answer.body);
+    for _ in 0..5 {
+        assert!(caller.chat("stock", 3).await.is_done());
+    }
+    assert_eq!(announce(body).await.status, StatusCode::NO_CONTENT, "the sound one is accepted");
+}
+
 /// Guards against access without the token of a contract.
 #[rstest]
 #[case::missing(None)]
