entry: the endpoints of a model are split into pools with owners of their own

Cause: one entry granted for all endpoints of a model, and by chance of the hash for the plain service too. The large site has 240 endpoints, of which the owner took 128 (the bound of a pool). Change: 1, 4, 16 or 64 shards of a model by the number of entries in the view. A request tries the shard that its prompt prefix names; one without room refuses at once (Request::patience), the next queues. Leaves and announcements go to the owner of the endpoint's own shard. Rankings of owners are kept for each view. The bound of a pool is 512 endpoints. Ruled out: shards by the number of endpoints (only owners know it). Not done: a step of the number of shards under load has no test; strict tiers hold in a pool, and across the pools that are tried.

--- a/crates/wasabi-bench/src/traffic.rs
+++ b/crates/wasabi-bench/src/traffic.rs
@@ -157,6 +157,7 @@
         leaves_after: Millis::ZERO,
         avoid: Vec::new(),
         closed: Vec::new(),
+        patience: Default::default(),
     };
     Job { request, arrived, output, poison: false }
 }
--- a/crates/wasabi-entry/src/callers/call.rs
+++ b/crates/wasabi-entry/src/callers/call.rs
@@ -132,6 +132,7 @@
             leaves_after: Millis::ZERO,
             avoid: avoid.to_vec(),
             closed: Vec::new(),
+            patience: Default::default(),
         }
     }
 
--- a/crates/wasabi-entry/src/forward/call.rs
+++ b/crates/wasabi-entry/src/forward/call.rs
@@ -169,6 +169,7 @@
             leaves_after: self.route.leaves_after,
             avoid: avoid.to_vec(),
             closed: Vec::new(),
+            patience: Default::default(),
         }
     }
 }
--- a/crates/wasabi-entry/src/pools/acquire.rs
+++ b/crates/wasabi-entry/src/pools/acquire.rs
@@ -1,7 +1,7 @@
 //! Acquires grants from pool owners, on this entry or on others, across failures and changes of
 //! owners.
 
-use std::rc::Rc;
+use std::{iter, rc::Rc};
 
 use jsonrpsee::{core::client::ClientT as _, rpc_params};
 use tokio::sync::oneshot;
@@ -9,10 +9,10 @@
     clock::Millis,
     fault::{Fault, Kind},
     id,
-    request::Request,
+    request::{Patience, Request},
     rpc::{Acquire, Acquired, Grant, Release, method},
 };
-use wasabi_routing::{breaker, rendezvous};
+use wasabi_routing::breaker;
 
 use crate::{message::Granted, pools::owner, shell::Shell};
 
@@ -145,23 +145,44 @@
     }
 }
 
-/// Calls the owners of the backend's pools in order. A refusal is returned only when all of them
-/// refused, since another pool may have less urgent work to shed.
+/// Acquires a grant from the request's preferred pools: from the first one when an endpoint there has
+/// room, else from the next one, which also queues the request. When all others have no endpoints, it
+/// queues in the first.
 async fn acquire_from_any(shell: &Rc<Shell>, request: Request) -> Result<Box<Unclaimed>, Fault> {
     let started = shell.now();
-    let mut refusal = None;
-    for pool in shell.pools_of(&request.backend) {
+    let acquire_at = async |pool: &id::Pool, patience: Patience| {
         let mut request = request.clone();
         let age = shell.now().since(started);
         request.waited = request.waited + age;
         request.remaining = request.remaining - age;
-        match acquire_from(shell, &pool, request).await {
+        request.patience = patience;
+        acquire_from(shell, pool, request).await
+    };
+    let pools = shell.preferred_pools(&request);
+    if let [only] = &pools[..] {
+        return acquire_at(only, Patience::Queue).await;
+    }
+    let patience = iter::once(Patience::UnlessFull).chain(iter::repeat(Patience::UnlessEmpty));
+    let mut refusal = None;
+    for (pool, patience) in pools.iter().zip(patience) {
+        match acquire_at(pool, patience).await {
             Ok(unclaimed) => return Ok(unclaimed),
-            Err(fault) => refusal = Some(fault),
+            Err(fault) if !is_of_one_pool(&fault) => return Err(fault),
+            // Without a time, the pool only sends the request to another one.
+            Err(fault) => refusal = refusal.or(fault.retry_after.is_some().then_some(fault)),
         }
     }
-    Err(refusal
-        .unwrap_or_else(|| Fault::new(Kind::NoEndpoint, "no pool provides this model or service")))
+    match (refusal, pools.first()) {
+        (None, Some(first)) => acquire_at(first, Patience::Queue).await,
+        (refusal, _) => Err(refusal.unwrap_or_else(|| {
+            Fault::new(Kind::NoEndpoint, "no pool provides this model or service")
+        })),
+    }
+}
+
+/// Returns whether a refusal holds for the pool only, and not for limits or quarantine.
+fn is_of_one_pool(fault: &Fault) -> bool {
+    matches!(fault.kind, Kind::Overloaded | Kind::NoEndpoint)
 }
 
 async fn acquire_from(
@@ -283,8 +304,3 @@
         None => Answer::Unanswered,
     }
 }
-
-/// Returns the pools of a backend in a region. One shard suffices for up to 64 endpoints.
-pub(crate) fn pools_of(backend: &id::Backend, region: &id::Region) -> Vec<id::Pool> {
-    vec![rendezvous::pool(backend, region, 0)]
-}
--- a/crates/wasabi-entry/src/pools/mod.rs
+++ b/crates/wasabi-entry/src/pools/mod.rs
@@ -7,4 +7,5 @@
 pub(crate) mod owner;
 pub(crate) mod ownership;
 pub(crate) mod release;
+pub(crate) mod shards;
 pub(crate) mod standby;
--- a/crates/wasabi-entry/src/pools/ownership.rs
+++ b/crates/wasabi-entry/src/pools/ownership.rs
@@ -30,10 +30,9 @@
     /// cannot reach the first owner: entries that can reach it still consider it the owner.
     pub(crate) fn announce(self: &Rc<Self>, announcement: &Announcement) {
         self.announce_to_owners(announcement);
-        for pool in self.pools_of(&announcement.backend) {
-            if let Some(entry) = self.relay_to_owner(&pool) {
-                self.notify(entry, method::ANNOUNCE_THROUGH, rpc_params![announcement]);
-            }
+        let pool = self.pool_of(&announcement.backend, &announcement.name);
+        if let Some(entry) = self.relay_to_owner(&pool) {
+            self.notify(entry, method::ANNOUNCE_THROUGH, rpc_params![announcement]);
         }
     }
 
@@ -51,19 +50,18 @@
         if self.standby.borrow().has_left(self.now(), announcement) {
             return;
         }
-        for pool in self.pools_of(&announcement.backend) {
-            // The next owner gets it too, so that it can take over at once.
-            let owners = self.registries_of(&pool);
-            if owners.is_empty() {
-                // Before the first view names an entry, this one keeps it for the later owner.
-                self.standby.borrow_mut().announce(self.now(), &pool, announcement);
-            }
-            for entry in owners {
-                if entry.name == self.shared.entry.name {
-                    self.announce_local(announcement.clone());
-                } else {
-                    self.notify(entry.name, method::ANNOUNCE, rpc_params![announcement]);
-                }
+        let pool = self.pool_of(&announcement.backend, &announcement.name);
+        // The next owner gets it too, so that it can take over at once.
+        let owners = self.registries_of(&pool);
+        if owners.is_empty() {
+            // Before the first view names an entry, this one keeps it for the later owner.
+            self.standby.borrow_mut().announce(self.now(), &pool, announcement);
+        }
+        for entry in owners {
+            if entry.name == self.shared.entry.name {
+                self.announce_local(announcement.clone());
+            } else {
+                self.notify(entry.name, method::ANNOUNCE, rpc_params![announcement]);
             }
         }
     }
@@ -72,15 +70,12 @@
     /// once they have been ready for long enough.
     fn registries_of(&self, pool: &id::Pool) -> Vec<Entry> {
         let mut entries = self.owners_of(pool, REGISTRIES);
-        let in_force = self.shared.in_force();
         let (now, peers, own) = (self.now(), self.peers.borrow(), &self.shared.entry.name);
-        let owners = rendezvous::owners(pool, &in_force.config.view);
-        let live = owners
-            .into_iter()
-            .filter(|entry| entry.name == *own || peers.is_live(now, &entry.name));
+        let live =
+            self.ranked(pool).filter(|entry| entry.name == *own || peers.is_live(now, &entry.name));
         for entry in live.take(REGISTRIES) {
             if entries.iter().all(|known| known.name != entry.name) {
-                entries.push(entry.clone());
+                entries.push(entry);
             }
         }
         entries
@@ -88,16 +83,15 @@
 
     pub(crate) fn announce_local(self: &Rc<Self>, announcement: Announcement) {
         let now = self.now();
-        for pool in self.pools_of(&announcement.backend) {
-            if !self.is_owner(&pool) {
-                self.standby.borrow_mut().announce(now, &pool, &announcement);
-                continue;
-            }
-            self.own(&pool, &announcement.backend);
-            let event = Event::Announce(announcement.clone());
-            let effects = self.pools.borrow_mut().step(now, &pool, event);
-            self.perform(effects);
+        let pool = self.pool_of(&announcement.backend, &announcement.name);
+        if !self.is_owner(&pool) {
+            self.standby.borrow_mut().announce(now, &pool, &announcement);
+            return;
         }
+        self.own(&pool, &announcement.backend);
+        let event = Event::Announce(announcement);
+        let effects = self.pools.borrow_mut().step(now, &pool, event);
+        self.perform(effects);
     }
 
     /// Forwards that an endpoint leaves, as [`Self::announce`] does. The future returns whether the
@@ -109,14 +103,20 @@
         self: &Rc<Self>,
         endpoint: id::Endpoint,
     ) -> impl Future<Output = bool> + 'static {
-        for pool in self.configured_pools().keys() {
-            if let Some(entry) = self.relay_to_owner(pool) {
+        for pool in self.possible_pools(&endpoint) {
+            if let Some(entry) = self.relay_to_owner(&pool) {
                 self.notify(entry, method::LEAVE_THROUGH, rpc_params![&endpoint]);
             }
         }
         self.leave_to_owners(endpoint)
     }
 
+    /// Returns the pools that an endpoint of this name may belong to: one of each backend.
+    fn possible_pools(&self, endpoint: &id::Endpoint) -> HashSet<id::Pool> {
+        let backends: HashSet<_> = self.configured_pools().into_values().collect();
+        backends.iter().map(|backend| self.pool_of(backend, endpoint)).collect()
+    }
+
     /// Notifies every coordinator that an endpoint leaves, since only its name is known and not its
     /// pool. The future returns whether the owners of all pools acknowledged it: an endpoint whose
     /// departure is acknowledged gets no new work after a few seconds.
@@ -126,14 +126,14 @@
     ) -> impl Future<Output = bool> + 'static {
         self.leave_local(&endpoint);
         let own = &self.shared.entry.name;
-        let pools = self.configured_pools();
-        let owners = pools.keys().filter_map(|pool| self.owner_of(pool));
+        let pools = self.possible_pools(&endpoint);
+        let owners = pools.iter().filter_map(|pool| self.owner_of(pool));
         let mut owners: HashSet<_> = owners.map(|entry| entry.name).collect();
         let in_force = self.shared.in_force();
         let coordinators = rendezvous::coordinators(&in_force.config.view);
         let mut others: HashSet<_> =
             coordinators.into_iter().map(|entry| entry.name.clone()).collect();
-        others.extend(pools.keys().flat_map(|pool| self.registries_of(pool)).map(|one| one.name));
+        others.extend(pools.iter().flat_map(|pool| self.registries_of(pool)).map(|one| one.name));
         for entry in others {
             if entry != *own && !owners.contains(&entry) {
                 self.notify(entry, method::LEAVE, rpc_params![&endpoint]);
@@ -222,9 +222,16 @@
         let configured = self.configured_pools();
         let owned = self.pools.borrow().names();
         for pool in owned {
-            let Some(owner) = self.owner_of(&pool).filter(|owner| owner.name != *own) else {
+            let Some(owner) = self.owner_of(&pool) else { continue };
+            if owner.name == *own {
+                let is_replaced = !configured.contains_key(&pool)
+                    && configured.keys().any(|other| rendezvous::are_shards_of_one(&pool, other));
+                if is_replaced {
+                    // The number of shards changed, and others have its endpoints now.
+                    self.pools.borrow_mut().disown(&pool, in_force.config.view.number, own);
+                }
                 continue;
-            };
+            }
             let endpoints = self.pools.borrow().endpoints_of(&pool);
             for announcement in &endpoints {
                 self.notify(owner.name.clone(), method::ANNOUNCE, rpc_params![announcement]);
--- a/crates/wasabi-entry/src/shared.rs
+++ b/crates/wasabi-entry/src/shared.rs
@@ -1,7 +1,7 @@
 //! State that the control thread writes and the traffic threads read.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError, RwLock,
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
@@ -12,7 +12,8 @@
 use wasabi_protocol::{
     clock::{Clock, Millis},
     command::{Config, Duty, Entry},
-    contract::{Contract, Tier},
+    contract::{Contract, Target, Tier},
+    endpoint,
     fault::{Fault, Kind},
     fingerprint, id,
 };
@@ -39,6 +40,8 @@
     pub(crate) config: Config,
     /// The position of the contract for each token digest.
     tokens: HashMap<String, usize>,
+    /// The models that the contracts name.
+    models: HashSet<id::Backend>,
     /// The routes and keys of the site.
     pub(crate) site: Option<Arc<site::Index>>,
 }
@@ -54,12 +57,25 @@
                 contract.token_digests.iter().map(move |digest| (digest.clone(), index))
             })
             .collect();
+        let routes = config.contracts.iter().flat_map(|contract| &contract.routes);
+        let models = routes.filter_map(|route| match &route.target {
+            Target::Model { name } => Some(name.clone()),
+            Target::Service { .. } => None,
+        });
+        let models = models.collect();
         let is_same = config.site == before.config.site;
         let site = match &before.site {
             Some(site) if is_same => Some(Arc::clone(site)),
             _ => config.site.as_ref().map(|site| Arc::new(site::Index::new(site))),
         };
-        Self { config, tokens, site }
+        Self { config, tokens, models, site }
+    }
+
+    /// Returns whether a backend is a model, and not a plain service.
+    pub(crate) fn is_model(&self, backend: &id::Backend) -> bool {
+        let of_site = self.site.as_ref().and_then(|site| site.backend(backend.as_str()));
+        of_site.is_some_and(|known| known.kind == endpoint::Kind::Model)
+            || self.models.contains(backend)
     }
 
     /// Returns the contract that a bearer token belongs to.
--- a/crates/wasabi-entry/src/shell.rs
+++ b/crates/wasabi-entry/src/shell.rs
@@ -15,10 +15,11 @@
 use wasabi_protocol::{
     clock::Millis,
     command::{Config, Duty, Entry},
+    fault::{Fault, Kind},
     id,
     rpc::{Acquired, Evidence, Heartbeat, Lend, Preempt, UpdateCache, method},
 };
-use wasabi_routing::{liveness, rendezvous};
+use wasabi_routing::liveness;
 use wasabi_scheduler::pool::Event;
 
 use crate::{
@@ -31,7 +32,7 @@
         acquire, breakers,
         holder::Holder,
         owner::{self, Effect},
-        standby,
+        shards, standby,
     },
     shared::{Mode, Shared},
 };
@@ -66,6 +67,8 @@
     pub(crate) readiness: Readiness,
     /// Evidence that control has not accepted yet.
     pub(crate) unsent_evidence: RefCell<Vec<Evidence>>,
+    /// The ranked owners of the pools.
+    pub(crate) rankings: RefCell<shards::Rankings>,
     /// The last known owner of each pool, to detect changes.
     pub(crate) owners: RefCell<HashMap<id::Pool, id::Entry>>,
     /// The processes that get the announcements of endpoints, with their start.
@@ -99,6 +102,7 @@
             confirmation: RefCell::default(),
             readiness: Readiness::new(now),
             unsent_evidence: RefCell::default(),
+            rankings: RefCell::default(),
             owners: RefCell::default(),
             registries: RefCell::default(),
             breakers: RefCell::default(),
@@ -161,24 +165,18 @@
 
     /// Returns the owner of a pool and the entries after it in rendezvous order that may own it.
     pub(crate) fn owners_of(&self, pool: &id::Pool, count: usize) -> Vec<Entry> {
-        let in_force = self.shared.in_force();
-        let view = &in_force.config.view;
         let own = &self.shared.entry.name;
-        let able =
-            rendezvous::owners(pool, view).into_iter().filter(|entry| self.may_own(&entry.name));
-        let mut owners: Vec<_> = able.take(count).cloned().collect();
+        let able = self.ranked(pool).filter(|entry| self.may_own(&entry.name));
+        let mut owners: Vec<_> = able.take(count).collect();
         if owners.is_empty() {
             // The last entry still finishes its requests while it drains.
+            let in_force = self.shared.in_force();
+            let view = &in_force.config.view;
             owners.extend(view.entries.iter().find(|entry| entry.name == *own).cloned());
         }
         owners
     }
 
-    /// Returns the pools of a backend in this entry's region.
-    pub(crate) fn pools_of(&self, backend: &id::Backend) -> Vec<id::Pool> {
-        acquire::pools_of(backend, &self.shared.entry.region)
-    }
-
     /// Makes this entry the owner of a pool, with the endpoints that it already knows.
     pub(crate) fn own(self: &Rc<Self>, pool: &id::Pool, backend: &id::Backend) {
         if self.pools.borrow().owns(pool) {
@@ -343,6 +341,12 @@
         let now = self.now();
         match peer {
             Peer::Acquire(acquire, reply) => {
+                if !self.pools_of(&acquire.request.backend).contains(&acquire.pool) {
+                    let message = "the pool is not one of this view; another pool may have room";
+                    let fault = Fault::new(Kind::NoEndpoint, message);
+                    drop(reply.send(Acquired::Refused(fault)));
+                    return;
+                }
                 let is_owner = self.is_owner(&acquire.pool);
                 if !is_owner || !self.has_confirmed_config() {
                     let view = self.shared.in_force().config.view.number;
--- a/crates/wasabi-entry/tests/owners.rs
+++ b/crates/wasabi-entry/tests/owners.rs
@@ -256,6 +256,7 @@
         leaves_after: Millis::ZERO,
         avoid: Vec::new(),
         closed: Vec::new(),
+        patience: Default::default(),
     }
 }
 
--- a/crates/wasabi-protocol/src/request.rs
+++ b/crates/wasabi-protocol/src/request.rs
@@ -49,6 +49,30 @@
     /// request as a retry.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub closed: Vec<Closed>,
+    /// Whether the owner queues the request when it cannot start at once.
+    #[serde(default, skip_serializing_if = "Patience::is_default")]
+    pub patience: Patience,
+}
+
+/// Whether the owner of a pool queues a request that cannot start at once, or refuses it so that its
+/// holder asks another pool of the same model.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Patience {
+    /// It is queued.
+    #[default]
+    Queue,
+    /// It is queued unless the pool has no endpoint.
+    UnlessEmpty,
+    /// It is refused when no endpoint has room.
+    UnlessFull,
+}
+
+impl Patience {
+    fn is_default(&self) -> bool {
+        *self == Self::default()
+    }
 }
 
 impl Request {
--- a/crates/wasabi-routing/src/rendezvous.rs
+++ b/crates/wasabi-routing/src/rendezvous.rs
@@ -22,13 +22,17 @@
 const COORDINATOR: &str = "coordinator";
 
 /// Maximum number of endpoints in one pool.
-pub const POOL_ENDPOINTS_MAX: usize = 128;
+pub const POOL_ENDPOINTS_MAX: usize = 512;
 
 /// Target for the mean number of endpoints per pool, which sets the number of shards.
 ///
 /// Hashing distributes endpoints unevenly; with a mean of 36 a pool hardly ever exceeds twice as many.
 pub const POOL_ENDPOINTS_MEAN: usize = 36;
 
+/// Numbers of entries from which the endpoints of a model are split into more pools, and the numbers
+/// of pools. The steps are coarse, since all pools change their endpoints at each.
+const SHARDS_BY_ENTRIES: [(usize, u32); 3] = [(768, 64), (192, 16), (48, 4)];
+
 /// An entry that an organisation's callers may use.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Assigned<'a> {
@@ -66,16 +70,25 @@
 /// Entries of the pool's region come first, so that a pool leaves its region only when the region has
 /// no serving entry. In a large view, entries with more capacity come first within a region.
 pub fn owners<'a>(pool: &id::Pool, view: &'a View) -> Vec<&'a Entry> {
+    ranking(pool, view).into_iter().map(|position| &view.entries[position]).collect()
+}
+
+/// Returns the positions in the view of the entries that [`owners`] returns.
+pub fn ranking(pool: &id::Pool, view: &View) -> Vec<usize> {
     let region = pool_region(pool);
     let is_large = COORDINATORS_MAX < serving(view).count();
-    let mut ranked = serving(view).collect::<Vec<_>>();
-    ranked.sort_by_cached_key(|entry| {
-        let foreign = region.is_some_and(|region| entry.region.as_str() != region);
-        let capacity = if is_large { entry.capacity } else { 0 };
-        let score = score(pool.as_str(), entry.name.as_str());
-        (foreign, Reverse(capacity), Reverse(score), entry.name.clone())
-    });
-    ranked
+    let entries = view.entries.iter().enumerate();
+    let mut ranked: Vec<_> = entries
+        .filter(|(_, entry)| entry.duty == Duty::Serving)
+        .map(|(position, entry)| {
+            let foreign = region.is_some_and(|region| entry.region.as_str() != region);
+            let capacity = if is_large { entry.capacity } else { 0 };
+            let score = score(pool.as_str(), entry.name.as_str());
+            ((foreign, Reverse(capacity), Reverse(score), &entry.name), position)
+        })
+        .collect();
+    ranked.sort_unstable();
+    ranked.into_iter().map(|(_, position)| position).collect()
 }
 
 /// Returns the entry that owns the pool in this view.
@@ -159,6 +172,23 @@
     u32::try_from(endpoints.div_ceil(POOL_ENDPOINTS_MEAN)).unwrap_or(u32::MAX)
 }
 
+/// Returns how many shards a model has in a view with this many entries.
+///
+/// An owner answers each request for a grant, so that the work of one owner must not grow with the
+/// number of entries. All entries derive the number from the view, and so agree on it.
+pub fn shards_for(entries: usize) -> u32 {
+    let step = SHARDS_BY_ENTRIES.iter().find(|(least, _)| *least <= entries);
+    step.map_or(1, |(_, shards)| *shards)
+}
+
+/// Returns the shards in the order in which a request is tried in them. Requests with the same key,
+/// such as the hash of their prompt, have the same order.
+pub fn preferred_shards(key: u64, shards: u32) -> Vec<u32> {
+    let mut ranked: Vec<_> = (0..shards.max(1)).collect();
+    ranked.sort_by_cached_key(|shard| Reverse(xxh3_64_with_seed(&shard.to_le_bytes(), key)));
+    ranked
+}
+
 /// Returns the shard that an endpoint belongs to.
 pub fn shard(endpoint: &id::Endpoint, shards: u32) -> u32 {
     let key = xxh3_64_with_seed(endpoint.as_str().as_bytes(), 0);
@@ -172,6 +202,12 @@
     format!("{backend}/{region}/{shard}").into()
 }
 
+/// Returns whether two pools are shards of one backend in one region.
+pub fn are_shards_of_one(one: &id::Pool, other: &id::Pool) -> bool {
+    let name = |pool: &id::Pool| pool.as_str().rsplit_once('/').map(|(name, _)| name.to_owned());
+    name(one) == name(other)
+}
+
 /// Returns the region in a pool's name. Backend names may hold slashes, so it is read from the end.
 fn pool_region(pool: &id::Pool) -> Option<&str> {
     pool.as_str().rsplit('/').nth(1)
--- a/crates/wasabi-routing/tests/rendezvous.rs
+++ b/crates/wasabi-routing/tests/rendezvous.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use proptest::{prelude::*, test_runner::RngSeed};
+use rstest::rstest;
 use wasabi_protocol::{
     clock::Millis,
     command::{Duty, Entry, View},
@@ -134,3 +135,55 @@
     assert!(reachable.is_empty(), "a reachable owner needs no relay");
     assert!(rendezvous::relays(&pool, &view, owner, |_| false).is_empty());
 }
+
+/// Guards against an owner whose work grows with the number of entries, and against a small
+/// deployment whose few endpoints are split.
+#[rstest]
+#[case::small(9, 1)]
+#[case::below_the_first_step(47, 1)]
+#[case::hundred(100, 4)]
+#[case::three_hundred(300, 16)]
+#[case::thousand(1_000, 64)]
+fn models_have_more_shards_in_larger_views(#[case] entries: usize, #[case] shards: u32) {
+    assert_eq!(rendezvous::shards_for(entries), shards);
+    assert!(shards <= rendezvous::shards_for(entries + 1), "more entries, fewer shards");
+}
+
+/// Guards against shards that get many more requests than others, as first or as second choice, and
+/// against requests with one key that are tried in different shards.
+#[rstest]
+#[case(1)]
+#[case(4)]
+#[case(16)]
+#[case(64)]
+fn requests_are_spread_over_the_shards(#[case] shards: u32) {
+    const KEYS: u64 = 40_000;
+    let mut counts = BTreeMap::<(usize, u32), u64>::new();
+    for key in 0..KEYS {
+        let key = key.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let order = rendezvous::preferred_shards(key, shards);
+        assert_eq!(order, rendezvous::preferred_shards(key, shards));
+        assert_eq!(order.iter().collect::<BTreeSet<_>>().len(), shards as usize);
+        for (rank, shard) in order.into_iter().take(2).enumerate() {
+            *counts.entry((rank, shard)).or_default() += 1;
+        }
+    }
+    let mean = KEYS / u64::from(shards);
+    let is_even = |count: &u64| mean * 8 < count * 10 && count * 10 < mean * 12;
+    assert!(counts.values().all(is_even), "{counts:?}");
+}
+
+/// Guards against a cached ranking of positions that differs from the order of owners.
+#[test]
+fn a_ranking_is_the_order_of_owners() {
+    let view = view(20, 3);
+    for shard in 0..16 {
+        let pool = rendezvous::pool(&"m".into(), &"r".into(), shard);
+        let ranked = rendezvous::ranking(&pool, &view);
+        let names: Vec<_> =
+            ranked.into_iter().map(|position| &view.entries[position].name).collect();
+        let owners: Vec<_> =
+            rendezvous::owners(&pool, &view).into_iter().map(|entry| &entry.name).collect();
+        assert_eq!(names, owners);
+    }
+}
--- a/crates/wasabi-routing/tests/retry.rs
+++ b/crates/wasabi-routing/tests/retry.rs
@@ -33,6 +33,7 @@
         leaves_after: Millis::ZERO,
         avoid: Vec::new(),
         closed: Vec::new(),
+        patience: Default::default(),
     }
 }
 
--- a/crates/wasabi-scheduler/src/pool/owner.rs
+++ b/crates/wasabi-scheduler/src/pool/owner.rs
@@ -9,7 +9,7 @@
     endpoint::Announcement,
     fault::{Fault, Kind},
     id,
-    request::Request,
+    request::{Patience, Request},
     rpc::{Departure, Evidence, Holdings, PoolLoad, Suspect},
 };
 use wasabi_routing::{
@@ -239,6 +239,10 @@
             actions.push(Action::Discard { ticket });
             return;
         }
+        if let Err(fault) = self.check_room(now, request.patience) {
+            actions.push(Action::Refuse { ticket, fault });
+            return;
+        }
         let was_admitted = self.discard(request.attempt, actions);
         if !was_admitted && let Err(fault) = self.admit(now, &request) {
             actions.push(Action::Refuse { ticket, fault });
@@ -261,6 +265,21 @@
         self.requests.insert(ticket, request);
     }
 
+    /// Checks whether a request may start or wait here, and returns the fault if its holder must ask
+    /// another pool.
+    fn check_room(&self, now: Millis, patience: Patience) -> Result<(), Fault> {
+        let must_leave = match patience {
+            Patience::Queue => false,
+            Patience::UnlessEmpty => self.endpoints.list.is_empty(),
+            Patience::UnlessFull => !self.has_room(self.is_taking_over(now)),
+        };
+        if !must_leave {
+            return Ok(());
+        }
+        let message = "no endpoint of this pool has room; another pool may have";
+        Err(Fault::new(Kind::Overloaded, message))
+    }
+
     /// Checks whether a request may be queued, and returns the fault if not.
     fn admit(&mut self, now: Millis, request: &Request) -> Result<(), Fault> {
         if let Permit::Refused { .. } = self.suspects.permit(now, request.fingerprint) {
--- a/crates/wasabi-scheduler/tests/common/mod.rs
+++ b/crates/wasabi-scheduler/tests/common/mod.rs
@@ -73,6 +73,7 @@
         leaves_after: Millis::ZERO,
         avoid: Vec::new(),
         closed: Vec::new(),
+        patience: Default::default(),
     }
 }
 
--- a/crates/wasabi-scheduler/tests/selection.rs
+++ b/crates/wasabi-scheduler/tests/selection.rs
@@ -7,7 +7,7 @@
     clock::Millis,
     endpoint::Closed,
     fault::{Kind, Ran},
-    request::{End, Request},
+    request::{End, Patience, Request},
     rpc::Grant,
 };
 use wasabi_scheduler::pool::{Action, Event, Pool};
@@ -174,3 +174,33 @@
     assert_eq!(fault.kind.answer().ran, Ran::NotRun);
     assert_eq!((fault.kind, fault.retry_after), (Kind::Overloaded, Some(Millis(20_000))));
 }
+
+/// Guards against a request that queues in a pool without room although its holder can ask another
+/// pool, and against one that is refused although it can start.
+#[test]
+fn a_full_pool_refuses_a_request_that_another_pool_may_start() {
+    let mut pool = ready_pool(1, 1);
+    let impatient = |number| Request { patience: Patience::UnlessFull, ..request(number, 0) };
+    let granted = grants(&step(&mut pool, 1_000, impatient(0)));
+    assert_eq!(granted.len(), 1);
+    let actions = step(&mut pool, 1_001, impatient(1));
+    let [Action::Refuse { fault, .. }] = &actions[..] else { panic!("{actions:?}") };
+    // Without a time, since another pool may have room now.
+    assert_eq!((fault.kind, fault.retry_after), (Kind::Overloaded, None));
+    let waiting = Request { patience: Patience::UnlessEmpty, ..request(2, 0) };
+    assert!(step(&mut pool, 1_002, waiting).is_empty(), "a pool with endpoints queues it");
+    let next = grants(&finish(&mut pool, 1_100, 0, &granted[0].1));
+    assert_eq!(next.len(), 1, "the queued request starts");
+}
+
+/// Guards against a request that waits in a pool that has no endpoint.
+#[test]
+fn an_empty_pool_refuses_a_request_that_another_pool_may_start() {
+    let mut pool = ready_pool(0, 1);
+    for patience in [Patience::UnlessFull, Patience::UnlessEmpty] {
+        let actions = step(&mut pool, 1_000, Request { patience, ..request(0, 0) });
+        assert_eq!(refusals(&actions).len(), 1, "{patience:?}: {actions:?}");
+    }
+    let queued = step(&mut pool, 1_000, request(1, 0));
+    assert!(queued.is_empty(), "{queued:?}");
+}
