entry: a returned grant counts its wait once, and an owner checks the shard of a call by its number

Cause: reading the change again: the time of a second returned grant was added to the wait of the first, which counted twice, and an owner formatted the names of all pools for each call.

--- a/crates/wasabi-entry/src/dispatch/grant.rs
+++ b/crates/wasabi-entry/src/dispatch/grant.rs
@@ -1,4 +1,5 @@
-//! The guard of a grant, which always reports to the owner how the attempt ended.
+//! Acquiring a grant that may be used, and its guard, which always reports to the owner how the
+//! attempt ended.
 
 use tokio::sync::oneshot;
 use wasabi_protocol::{
@@ -36,7 +37,7 @@
 /// Returns the refusal of the pool's owner, or why this entry must not send the request now.
 pub(crate) async fn acquire(worker: &Worker, mut request: Request) -> Result<Usable, Fault> {
     let shared = &worker.shared;
-    let asked = shared.clock.now();
+    let mut asked = shared.clock.now();
     let mut left = Vec::new();
     for _ in 0..=RETURNED_GRANTS_MAX {
         request.closed = shared.notices().resting(shared.clock.now());
@@ -63,6 +64,7 @@
         request.attempt = new_attempt();
         request.waited = request.waited + age;
         request.remaining = request.remaining - age;
+        asked = now;
     }
     let message = "the endpoints accept no requests of this entry now; use another entry";
     Err(Fault::new(Kind::EndpointUnreachable, message))
--- a/crates/wasabi-entry/src/pools/shards.rs
+++ b/crates/wasabi-entry/src/pools/shards.rs
@@ -28,6 +28,13 @@
         (0..self.shards_of(backend)).map(|shard| self.pool(backend, shard)).collect()
     }
 
+    /// Returns whether a pool is one of a backend's pools. Another entry may have a view with another
+    /// number of them.
+    pub(crate) fn is_pool_of(&self, backend: &id::Backend, pool: &id::Pool) -> bool {
+        let shards = 0..self.shards_of(backend);
+        rendezvous::pool_shard(pool).is_some_and(|shard| shards.contains(&shard))
+    }
+
     /// Returns the pool of an endpoint.
     pub(crate) fn pool_of(&self, backend: &id::Backend, endpoint: &id::Endpoint) -> id::Pool {
         self.pool(backend, rendezvous::shard(endpoint, self.shards_of(backend)))
@@ -66,9 +73,10 @@
     /// owner, and there are few of their endpoints.
     fn shards_of(&self, backend: &id::Backend) -> u32 {
         let in_force = self.shared.in_force();
-        match in_force.is_model(backend) {
-            true => rendezvous::shards_for(in_force.config.view.entries.len()),
-            false => 1,
+        if in_force.is_model(backend) {
+            rendezvous::shards_for(in_force.config.view.entries.len())
+        } else {
+            1
         }
     }
 }
--- a/crates/wasabi-entry/src/shell.rs
+++ b/crates/wasabi-entry/src/shell.rs
@@ -341,7 +341,7 @@
         let now = self.now();
         match peer {
             Peer::Acquire(acquire, reply) => {
-                if !self.pools_of(&acquire.request.backend).contains(&acquire.pool) {
+                if !self.is_pool_of(&acquire.request.backend, &acquire.pool) {
                     let message = "the pool is not one of this view; another pool may have room";
                     let fault = Fault::new(Kind::NoEndpoint, message);
                     drop(reply.send(Acquired::Refused(fault)));
--- a/crates/wasabi-routing/src/rendezvous.rs
+++ b/crates/wasabi-routing/src/rendezvous.rs
@@ -202,6 +202,11 @@
     format!("{backend}/{region}/{shard}").into()
 }
 
+/// Returns the shard in a pool's name.
+pub fn pool_shard(pool: &id::Pool) -> Option<u32> {
+    pool.as_str().rsplit('/').next()?.parse().ok()
+}
+
 /// Returns whether two pools are shards of one backend in one region.
 pub fn are_shards_of_one(one: &id::Pool, other: &id::Pool) -> bool {
     let name = |pool: &id::Pool| pool.as_str().rsplit_once('/').map(|(name, _)| name.to_owned());
--- a/crates/wasabi-routing/tests/rendezvous.rs
+++ b/crates/wasabi-routing/tests/rendezvous.rs
@@ -92,6 +92,7 @@
     let view = View { number: id::View(1), entries };
     for shard in 0..20 {
         let pool = rendezvous::pool(&"org/model".into(), &"near".into(), shard);
+        assert_eq!(rendezvous::pool_shard(&pool), Some(shard));
         assert_eq!(rendezvous::owner(&pool, &view).unwrap().region.as_str(), "near");
     }
 }
