entry: an error of a stopping entry promises nothing, and a call for a pool that is gone is refused at once

Cause: reading the change again. A stopping entry advised to send a call to another entry that may have run. A local call for a shard that the view no longer has was asked anew with each tick.

--- a/crates/wasabi-entry/src/dispatch/grant.rs
+++ b/crates/wasabi-entry/src/dispatch/grant.rs
@@ -24,7 +24,7 @@
 const RETURNED_GRANTS_MAX: usize = 3;
 
 /// A grant that may be used now.
-pub(crate) struct Usable {
+pub(crate) struct Acquisition {
     pub(crate) guard: GrantGuard,
     /// Resolves when the owner revokes the grant before the first token.
     pub(crate) preempted: oneshot::Receiver<()>,
@@ -35,7 +35,7 @@
 /// # Errors
 ///
 /// Returns the refusal of the pool's owner, or why this entry must not send the request now.
-pub(crate) async fn acquire(worker: &Worker, mut request: Request) -> Result<Usable, Fault> {
+pub(crate) async fn acquire(worker: &Worker, mut request: Request) -> Result<Acquisition, Fault> {
     let shared = &worker.shared;
     let mut asked = shared.clock.now();
     let mut left = Vec::new();
@@ -50,7 +50,7 @@
         let (endpoint, incarnation) = (&grant.endpoint, grant.incarnation);
         let verdict = shared.notices().verdict(now, endpoint, incarnation);
         match verdict {
-            Verdict::Open => return Ok(Usable { guard, preempted: granted.preempted }),
+            Verdict::Open => return Ok(Acquisition { guard, preempted: granted.preempted }),
             Verdict::Resting(_) => {}
             Verdict::Leaving => {
                 notices::report_departure(worker, grant);
--- a/crates/wasabi-entry/src/dispatch/handler.rs
+++ b/crates/wasabi-entry/src/dispatch/handler.rs
@@ -63,7 +63,7 @@
         response = running => response,
         () = shared.until_final_responses() => {
             let kind = if is_idempotent { Kind::EndpointFailed } else { Kind::KeyPending };
-            let message = "this entry stopped before the request ended; send it to another entry";
+            let message = "this entry stopped before the request ended, so it may have run";
             server::refuse(&shared, &Fault::new(kind, message))
         }
     };
@@ -160,7 +160,7 @@
     let shared = &worker.shared;
     let mut span = call.span.child("acquire");
     let request = call.request(shared.clock.now(), new_attempt(), &previous.avoid);
-    let grant::Usable { guard, preempted } = grant::acquire(worker, request).await?;
+    let grant::Acquisition { guard, preempted } = grant::acquire(worker, request).await?;
     span.set_outcome(guard.grant().endpoint.as_str());
     let waited = shared.clock.now().since(call.arrived);
     shared.metrics.queue_time.get_or_create(&call.route.tier.into()).observe(waited.seconds());
--- a/crates/wasabi-entry/src/forward/handler.rs
+++ b/crates/wasabi-entry/src/forward/handler.rs
@@ -212,11 +212,11 @@
         }
         let left = call.deadline.since(now).duration();
         let acquired = grant::acquire(&self.worker, request);
-        let Ok(usable) = tokio::time::timeout(left, acquired).await else {
+        let Ok(acquisition) = tokio::time::timeout(left, acquired).await else {
             let message = "the deadline passed while the request was queued; it did not run";
             return Err(Fault::new(Kind::DeadlineInQueue, message));
         };
-        let grant::Usable { guard, preempted } = usable?;
+        let grant::Acquisition { guard, preempted } = acquisition?;
         let waited = shared.clock.now().since(now);
         shared.metrics.queue_time.get_or_create(&call.tier.into()).observe(waited.seconds());
         let grant = guard.grant();
--- a/crates/wasabi-entry/src/pools/acquire.rs
+++ b/crates/wasabi-entry/src/pools/acquire.rs
@@ -14,7 +14,11 @@
 };
 use wasabi_routing::breaker;
 
-use crate::{message::Granted, pools::owner, shell::Shell};
+use crate::{
+    message::Granted,
+    pools::{owner, shards},
+    shell::Shell,
+};
 
 /// Time for which a call waits for an owner that another entry named, although this entry considers
 /// it lost.
@@ -240,6 +244,9 @@
 }
 
 async fn acquire_local(shell: &Rc<Shell>, pool: &id::Pool, request: Request) -> Answer {
+    if !shell.is_pool_of(&request.backend, pool) {
+        return Answer::Refused(shards::not_a_pool());
+    }
     shell.own(pool, &request.backend);
     let (reply, answer) = oneshot::channel();
     let holder = shell.shared.entry.name.clone();
--- a/crates/wasabi-entry/src/pools/shards.rs
+++ b/crates/wasabi-entry/src/pools/shards.rs
@@ -2,7 +2,13 @@
 
 use std::{collections::HashMap, rc::Rc};
 
-use wasabi_protocol::{command::Entry, contract::Tier, id, request::Request};
+use wasabi_protocol::{
+    command::Entry,
+    contract::Tier,
+    fault::{Fault, Kind},
+    id,
+    request::Request,
+};
 use wasabi_routing::rendezvous;
 
 use crate::shell::Shell;
@@ -69,8 +75,8 @@
         rendezvous::pool(backend, &self.shared.entry.region, shard)
     }
 
-    /// Returns how many pools a backend has. Calls of services take long for the work of their
-    /// owner, and there are few of their endpoints.
+    /// Returns how many pools a backend has. A plain service has one: its few endpoints would be
+    /// spread unevenly over several.
     fn shards_of(&self, backend: &id::Backend) -> u32 {
         let in_force = self.shared.in_force();
         if in_force.is_model(backend) {
@@ -80,3 +86,9 @@
         }
     }
 }
+
+/// Returns the refusal of a call for a pool that a view with another number of shards has.
+pub(crate) fn not_a_pool() -> Fault {
+    let message = "the pool is not one of this view; another pool may have room";
+    Fault::new(Kind::NoEndpoint, message)
+}
--- a/crates/wasabi-entry/src/shell.rs
+++ b/crates/wasabi-entry/src/shell.rs
@@ -15,7 +15,6 @@
 use wasabi_protocol::{
     clock::Millis,
     command::{Config, Duty, Entry},
-    fault::{Fault, Kind},
     id,
     rpc::{Acquired, Evidence, Heartbeat, Lend, Preempt, UpdateCache, method},
 };
@@ -342,9 +341,7 @@
         match peer {
             Peer::Acquire(acquire, reply) => {
                 if !self.is_pool_of(&acquire.request.backend, &acquire.pool) {
-                    let message = "the pool is not one of this view; another pool may have room";
-                    let fault = Fault::new(Kind::NoEndpoint, message);
-                    drop(reply.send(Acquired::Refused(fault)));
+                    drop(reply.send(Acquired::Refused(shards::not_a_pool())));
                     return;
                 }
                 let is_owner = self.is_owner(&acquire.pool);
--- a/crates/wasabi-routing/src/notice.rs
+++ b/crates/wasabi-routing/src/notice.rs
@@ -53,6 +53,10 @@
 }
 
 impl Known {
+    fn new(incarnation: u64) -> Self {
+        Self { incarnation, is_leaving: false, rests_until: Millis::ZERO, noted: Millis::ZERO }
+    }
+
     fn verdict(&self, now: Millis) -> Verdict {
         if self.is_leaving {
             return Verdict::Leaving;
@@ -78,19 +82,12 @@
         if !is_known && ENDPOINTS_MAX <= self.endpoints.len() {
             self.make_room(now);
         }
-        let new = Known {
-            incarnation,
-            is_leaving: false,
-            rests_until: Millis::ZERO,
-            noted: Millis::ZERO,
-        };
-        let known = self.endpoints.entry(endpoint.clone()).or_insert(new);
+        let known = self.endpoints.entry(endpoint.clone()).or_insert(Known::new(incarnation));
         if incarnation < known.incarnation {
             return false;
         }
         if known.incarnation < incarnation {
-            *known =
-                Known { incarnation, is_leaving: false, rests_until: Millis::ZERO, noted: now };
+            *known = Known::new(incarnation);
         }
         known.noted = known.noted.max(now);
         match notice {
--- a/crates/wasabi-routing/src/rendezvous.rs
+++ b/crates/wasabi-routing/src/rendezvous.rs
@@ -209,8 +209,11 @@
 
 /// Returns whether two pools are shards of one backend in one region.
 pub fn are_shards_of_one(one: &id::Pool, other: &id::Pool) -> bool {
-    let name = |pool: &id::Pool| pool.as_str().rsplit_once('/').map(|(name, _)| name.to_owned());
-    name(one) == name(other)
+    without_shard(one) == without_shard(other)
+}
+
+fn without_shard(pool: &id::Pool) -> Option<&str> {
+    pool.as_str().rsplit_once('/').map(|(name, _)| name)
 }
 
 /// Returns the region in a pool's name. Backend names may hold slashes, so it is read from the end.
