--- a/review/standins/platform_site.py
+++ b/review/standins/platform_site.py
@@ -12,6 +12,7 @@
 import tempfile
 import threading
 import time
+import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 # The commands of deploy/system.toml.
@@ -418,4 +419,8 @@
     except CannotRun as reason:
         print("cannot run: %s" % reason, file=sys.stderr)
         sys.exit(2)
+    except Exception:
+        # A fault of the case itself says nothing about the rule.
+        traceback.print_exc()
+        sys.exit(2)
     sys.exit(0 if held else 1)
