--- a/crates/wasabi-entry/src/callers/entry_list.rs
+++ b/crates/wasabi-entry/src/callers/entry_list.rs
@@ -44,7 +44,7 @@
         entries,
         // Rounded down, so that no caller caches the list for longer than this entry stays
         // reachable.
-        lifetime_s: shared.settings.callers.list_lifetime.0 / 1_000,
+        lifetime_s: shared.timing().list_lifetime.0 / 1_000,
         revision: in_force.config.revision.0,
     };
     let text = serde_json::to_string(&list).unwrap_or_default();
--- a/crates/wasabi-entry/src/daemon.rs
+++ b/crates/wasabi-entry/src/daemon.rs
@@ -31,6 +31,7 @@
     peers,
     shared::{Mode, Shared},
     shell::Shell,
+    timing::Timing,
 };
 
 /// Why an entry cannot start.
@@ -74,6 +75,7 @@
     peers: SocketAddr,
     metrics: SocketAddr,
     handle: Handle,
+    shared: Arc<Shared>,
     thread: Option<JoinHandle<io::Result<()>>>,
 }
 
@@ -126,7 +128,13 @@
         let mode = if stand_alone.is_some() { Mode::StandAlone } else { Mode::Controlled };
         let mut registry = Registry::default();
         let counters = Metrics::register(&mut registry);
-        let shared = Arc::new(Shared::new(entry, settings, mode, counters));
+        let directory_lifetime = listeners
+            .gateway
+            .as_ref()
+            .map_or(*settings.callers.list_lifetime, |(gateway, _)| gateway.list_lifetime);
+        let timing = Timing::new(&settings, directory_lifetime);
+        let shared = Arc::new(Shared::new(entry, settings, timing, mode, counters));
+        let for_daemon = Arc::clone(&shared);
         let (handle, messages) = Handle::channel();
         let (started, start) = mpsc::channel();
         let for_thread = handle.clone();
@@ -161,7 +169,7 @@
                 return Err(Error::Start { source });
             }
         }
-        Ok(Self { callers, peers, metrics, handle, thread: Some(thread) })
+        Ok(Self { callers, peers, metrics, handle, shared: for_daemon, thread: Some(thread) })
     }
 
     /// Returns the address for callers and endpoints.
@@ -179,6 +187,16 @@
         self.metrics
     }
 
+    /// Returns the time bounds in force.
+    pub fn timing(&self) -> Timing {
+        self.shared.timing()
+    }
+
+    /// Sets the time bounds. They do not change a drain that has started.
+    pub fn set_timing(&self, timing: Timing) {
+        self.shared.set_timing(timing);
+    }
+
     /// Starts to drain. Further calls have no effect.
     pub fn drain(&self) {
         self.handle.send(Message::Drain);
--- a/crates/wasabi-entry/src/forward/server.rs
+++ b/crates/wasabi-entry/src/forward/server.rs
@@ -160,5 +160,5 @@
     if addresses.is_empty() {
         return Response::new(StatusCode::SERVICE_UNAVAILABLE);
     }
-    response::json(StatusCode::OK, (dialect.list)(&addresses, gateway.list_lifetime))
+    response::json(StatusCode::OK, (dialect.list)(&addresses, shared.timing().directory_lifetime))
 }
--- a/crates/wasabi-entry/src/lib.rs
+++ b/crates/wasabi-entry/src/lib.rs
@@ -25,6 +25,7 @@
 mod pools;
 mod shared;
 mod shell;
+pub mod timing;
 
 pub use daemon::Daemon;
 pub use durations::Durations;
--- a/crates/wasabi-entry/src/shared.rs
+++ b/crates/wasabi-entry/src/shared.rs
@@ -20,7 +20,9 @@
 use wasabi_routing::{notice, poison};
 use wasabi_settings::entry::Settings;
 
-use crate::{buffer::Budget, durations::Durations, forward::site, metrics::Metrics};
+use crate::{
+    buffer::Budget, durations::Durations, forward::site, metrics::Metrics, timing::Timing,
+};
 
 /// Time for which an entry serves after control or a majority of its peers last answered.
 pub(crate) const SERVING_DURATION: Millis = Millis::from_secs(2);
@@ -114,6 +116,7 @@
     pub(crate) metrics: Metrics,
     /// The memory for answers that are buffered.
     pub(crate) buffers: Arc<Budget>,
+    timing: RwLock<Timing>,
     in_force: RwLock<Arc<InForce>>,
     /// End of the time for which new work is accepted, on `clock`.
     serving_until: AtomicU64,
@@ -132,7 +135,13 @@
 
 impl Shared {
     /// Returns the state of an entry that has no configuration and does not serve yet.
-    pub(crate) fn new(entry: Entry, settings: Settings, mode: Mode, metrics: Metrics) -> Self {
+    pub(crate) fn new(
+        entry: Entry,
+        settings: Settings,
+        timing: Timing,
+        mode: Mode,
+        metrics: Metrics,
+    ) -> Self {
         Self {
             entry,
             settings,
@@ -140,6 +149,7 @@
             clock: Clock::start(),
             metrics,
             buffers: Arc::default(),
+            timing: RwLock::new(timing),
             in_force: RwLock::default(),
             serving_until: AtomicU64::new(0),
             draining: AtomicBool::new(false),
@@ -153,6 +163,16 @@
         }
     }
 
+    /// Returns the time bounds in force.
+    pub(crate) fn timing(&self) -> Timing {
+        *self.timing.read().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sets the time bounds. They do not change a drain that has started.
+    pub(crate) fn set_timing(&self, timing: Timing) {
+        *self.timing.write().unwrap_or_else(PoisonError::into_inner) = timing;
+    }
+
     /// Returns the configuration in force.
     pub(crate) fn in_force(&self) -> Arc<InForce> {
         Arc::clone(&self.in_force.read().unwrap_or_else(PoisonError::into_inner))
@@ -221,7 +241,7 @@
 
     /// Records that a caller got a list that names this entry.
     pub(crate) fn record_listing(&self) {
-        let until = self.clock.now() + *self.settings.callers.list_lifetime;
+        let until = self.clock.now() + self.timing().list_lifetime;
         self.listed_until.fetch_max(until.0, Ordering::AcqRel);
     }
 
@@ -234,11 +254,11 @@
     /// one.
     pub(crate) fn drain(&self, unlisting_time: Millis) {
         if !self.draining.swap(true, Ordering::AcqRel) {
-            let now = self.clock.now();
-            let until = now + unlisting_time + *self.settings.callers.list_lifetime;
+            let (now, timing) = (self.clock.now(), self.timing());
+            let until = now + unlisting_time + timing.list_lifetime;
             self.listed_until.fetch_max(until.0, Ordering::AcqRel);
-            if let Some(bound) = &self.settings.drain.bound {
-                self.bounded_drain.send_replace(Some(BoundedDrain::new(now, **bound)));
+            if let Some(bound) = timing.drain_bound {
+                self.bounded_drain.send_replace(Some(BoundedDrain::new(now, bound)));
             }
         }
     }
--- a/crates/wasabi-testkit/src/process.rs
+++ b/crates/wasabi-testkit/src/process.rs
@@ -35,6 +35,8 @@
     Stop,
     /// Resumes the process.
     Continue,
+    /// Tells the process that its settings have changed.
+    Reload,
 }
 
 impl Signal {
@@ -44,6 +46,7 @@
             Self::Kill => "-KILL",
             Self::Stop => "-STOP",
             Self::Continue => "-CONT",
+            Self::Reload => "-HUP",
         }
     }
 }
