entry: a silent endpoint is left only once another one can go on with its stream

Callers saw: status 200, some events and a closed connection, although their endpoint only paused for some seconds and would have finished.

Cause: a stream whose endpoint was silent beyond its bound was taken away from it before another grant was asked for. Each refusal then ended the stream: an exhausted retry budget, no other endpoint, no further attempt, an entry that drains. Before the first event the same ended a request with 502.

Change: another endpoint is sought while the first one is still read. An event withdraws the search, a refusal keeps the endpoint; only a grant replaces it, after its connection is closed. Without a further attempt silence has no bound but the deadline. The reason for staying is logged.

--- a/crates/wasabi-entry/src/endpoint_response.rs
+++ b/crates/wasabi-entry/src/endpoint_response.rs
@@ -242,6 +242,14 @@
         }
     }
 
+    /// Waits until the next bytes, the end or an error have arrived, and keeps them for
+    /// [`Self::poll_next`].
+    pub(crate) async fn ready(&mut self) {
+        if self.first.is_none() {
+            self.first = self.next().await;
+        }
+    }
+
     async fn next(&mut self) -> Option<Part> {
         poll_fn(|cx| self.poll_next(cx)).await
     }
--- a/crates/wasabi-entry/src/forward/handler.rs
+++ b/crates/wasabi-entry/src/forward/handler.rs
@@ -13,6 +13,7 @@
     fault::{Fault, Kind, Ran},
     id,
     request::End,
+    rpc::Grant,
 };
 
 use crate::{
@@ -103,10 +104,15 @@
     error: Option<(StatusCode, actix_http::header::HeaderMap, Bytes)>,
 }
 
+/// A grant of an attempt, with the signal that its owner takes it back.
+pub(crate) type Granted = (GrantGuard, oneshot::Receiver<()>);
+
 /// The result of one attempt.
 enum AttemptResult {
     Done(Outcome),
     Failed(Failure),
+    /// The endpoint was silent, and this grant replaces its own.
+    Replaced(Failure, Granted),
     /// The owner took the grant back before the first token.
     Preempted,
 }
@@ -128,14 +134,24 @@
 
     /// Runs attempts until one gives a response or no other is allowed.
     async fn run(&mut self) -> Outcome {
+        let mut replacement = None;
         loop {
-            let (guard, preempted) = match self.acquire(self.call.arrived).await {
+            let granted = match replacement.take() {
+                Some(granted) => Ok(granted),
+                None => self.acquire(self.call.arrived, &self.avoid).await,
+            };
+            let (guard, preempted) = match granted {
                 Ok(granted) => granted,
                 Err(refusal) => return self.give_up(refusal),
             };
             let endpoint = guard.grant().endpoint.clone();
             match self.run_attempt(guard, preempted).await {
                 AttemptResult::Done(outcome) => return outcome,
+                AttemptResult::Replaced(failure, granted) => {
+                    self.count(&failure);
+                    self.avoid.push(endpoint);
+                    replacement = Some(granted);
+                }
                 AttemptResult::Preempted => {
                     self.is_sent = false;
                     let message = "the grant was preempted by a more urgent request";
@@ -163,39 +179,90 @@
         failure: Failure,
         last_event: Option<&str>,
     ) -> Result<(EndpointResponse, GrantGuard), Fault> {
-        let mut failure = failure;
-        let mut endpoint = endpoint;
-        loop {
-            if !self.call.is_resumable() || !self.may_repeat(&failure) {
-                return Err(failure.fault);
-            }
-            self.avoid.push(endpoint);
-            // The caller has just received an event, so its waiting time starts anew.
-            let silent_since = self.worker.shared.clock.now();
-            let (mut guard, _preempted) = self.acquire(silent_since).await?;
-            self.worker.shared.metrics.resumes.inc();
-            guard.mark_sent();
-            let bound = guard.grant().first_token_bound;
-            let grant = guard.grant().clone();
-            let sent =
-                send::send(&self.worker, &self.dialect, &self.call, &grant, last_event, bound);
-            match sent.await {
-                Ok(opened) if opened.is_stream() => return Ok((opened, guard)),
-                Ok(opened) => {
-                    guard.end(End::Failed);
-                    let message = format!(
-                        "the endpoint responded to the resume with {} instead of an event stream",
-                        opened.status
-                    );
-                    failure = Failure::new(End::Failed, Kind::StreamBroken, message);
-                }
-                Err(other) => {
-                    guard.end(other.end);
-                    failure = other;
-                }
+        if !self.call.is_resumable() || !self.may_repeat(&failure) {
+            return Err(failure.fault);
+        }
+        self.avoid.push(endpoint);
+        // The caller has just received an event, so its waiting time starts anew.
+        let silent_since = self.worker.shared.clock.now();
+        let (guard, _preempted) = self.acquire(silent_since, &self.avoid).await?;
+        self.resume_with(guard, last_event).await
+    }
+
+    /// Resumes a stream with a grant that replaces that of a silent endpoint, as in [`Self::resume`].
+    ///
+    /// # Errors
+    ///
+    /// Returns why the stream is not resumed.
+    pub(crate) async fn resume_replaced(
+        &mut self,
+        endpoint: id::Endpoint,
+        failure: &Failure,
+        guard: GrantGuard,
+        last_event: Option<&str>,
+    ) -> Result<(EndpointResponse, GrantGuard), Fault> {
+        self.count(failure);
+        self.avoid.push(endpoint);
+        self.resume_with(guard, last_event).await
+    }
+
+    async fn resume_with(
+        &mut self,
+        guard: GrantGuard,
+        last_event: Option<&str>,
+    ) -> Result<(EndpointResponse, GrantGuard), Fault> {
+        self.worker.shared.metrics.resumes.inc();
+        let mut guard = guard;
+        guard.mark_sent();
+        let grant = guard.grant().clone();
+        // Ending an attempt early only helps if another one may follow.
+        let bound = if self.may_replace() {
+            grant.first_token_bound
+        } else {
+            self.call.deadline.since(self.call.arrived)
+        };
+        let sent = send::send(&self.worker, &self.dialect, &self.call, &grant, last_event, bound);
+        let failure = match sent.await {
+            Ok(opened) if opened.is_stream() => return Ok((opened, guard)),
+            Ok(opened) => {
+                let message = format!(
+                    "the endpoint responded to the resume with {} instead of an event stream",
+                    opened.status
+                );
+                Failure::new(End::Failed, Kind::StreamBroken, message)
             }
-            endpoint = grant.endpoint;
+            Err(failure) => failure,
+        };
+        guard.end(failure.end);
+        Box::pin(self.resume(grant.endpoint, failure, last_event)).await
+    }
+
+    /// Returns whether a silent endpoint may be replaced by another one.
+    pub(crate) fn may_replace(&self) -> bool {
+        self.call.is_resumable()
+            && self.ran_count + 1 < self.call.route.attempts_max.max(1)
+            && self.worker.shared.clock.now() < self.call.deadline
+    }
+
+    /// Waits for a grant that may replace that of a silent endpoint. The caller has received nothing
+    /// since `silent_since`.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no other endpoint can be used now.
+    pub(crate) async fn acquire_replacement(
+        &self,
+        silent: &id::Endpoint,
+        silent_since: Millis,
+    ) -> Result<Granted, Fault> {
+        let mut avoid = self.avoid.clone();
+        avoid.push(silent.clone());
+        let granted = self.acquire(silent_since, &avoid).await;
+        if let Err(fault) = &granted {
+            let request = &self.call.id;
+            tracing::info!(request, endpoint = %silent, %fault, "staying with a silent endpoint");
         }
+        granted
     }
 
     /// Waits for a grant from the pool's owner. The caller has received nothing since
@@ -203,10 +270,11 @@
     async fn acquire(
         &self,
         silent_since: Millis,
-    ) -> Result<(GrantGuard, oneshot::Receiver<()>), Fault> {
+        avoid: &[id::Endpoint],
+    ) -> Result<Granted, Fault> {
         let (shared, call) = (&self.worker.shared, &self.call);
         let now = shared.clock.now();
-        let mut request = call.request(now, new_attempt(), &self.avoid);
+        let mut request = call.request(now, new_attempt(), avoid);
         if request.leaves_after != Millis::ZERO {
             request.leaves_after = request.leaves_after + silent_since.since(call.arrived);
         }
@@ -224,7 +292,7 @@
         check_time_left(shared, call)?;
         tracing::info!(
             request = call.id, endpoint = %grant.endpoint, owner = %grant.owner, tier = call.tier.0,
-            organisation = %call.organisation, queued_ms = waited.0, tries = self.avoid.len(),
+            organisation = %call.organisation, queued_ms = waited.0, tries = avoid.len(),
             "granted"
         );
         Ok((guard, preempted))
@@ -241,23 +309,25 @@
         guard.mark_sent();
         self.is_sent = true;
         let grant = guard.grant().clone();
-        // Ending an attempt early only helps if it may run again.
-        let bound = if self.call.is_resumable() {
-            grant.first_token_bound.max(self.call.route.first_event)
-        } else {
-            self.call.deadline.since(self.call.arrived)
-        };
+        let bound = self.call.deadline.since(self.call.arrived);
         let sent = send::send(&self.worker, &self.dialect, &self.call, &grant, None, bound);
         let is_preemptible = self.call.is_repeatable();
-        let sent = tokio::select! {
+        let opening = tokio::select! {
             biased;
-            sent = sent => Some(sent),
-            () = preemption(preempted), if is_preemptible => None,
+            sent = sent => Opening::Answered(sent),
+            () = preemption(preempted), if is_preemptible => Opening::Preempted,
+            granted = self.replacement(&grant) => Opening::Replaced(granted),
         };
-        let Some(sent) = sent else { return AttemptResult::Preempted };
-        let mut opened = match sent {
-            Ok(opened) => opened,
-            Err(failure) => return self.failed(guard, failure),
+        let mut opened = match opening {
+            Opening::Answered(Ok(opened)) => opened,
+            Opening::Answered(Err(failure)) => return self.failed(guard, failure),
+            Opening::Preempted => return AttemptResult::Preempted,
+            Opening::Replaced(granted) => {
+                let failure = silent_before_the_answer();
+                self.log_failed(&guard, &failure);
+                guard.end(failure.end);
+                return AttemptResult::Replaced(failure, granted);
+            }
         };
         if opened.is_stream() {
             return AttemptResult::Done(Outcome::Stream(Box::new((opened, guard))));
@@ -281,11 +351,31 @@
         self.failed(guard, Failure::new(End::Failed, Kind::EndpointFailed, message))
     }
 
-    fn failed(&mut self, guard: GrantGuard, failure: Failure) -> AttemptResult {
+    /// Resolves with a grant that replaces `grant` once its endpoint has been silent for too long and
+    /// another endpoint has room. Never resolves when no other endpoint may be used.
+    async fn replacement(&self, grant: &Grant) -> Granted {
+        let bound = grant.first_token_bound.max(self.call.route.first_event);
+        loop {
+            tokio::time::sleep(bound.duration()).await;
+            if !self.may_replace() {
+                std::future::pending::<()>().await;
+            }
+            let granted = self.acquire_replacement(&grant.endpoint, self.call.arrived).await;
+            if let Ok(granted) = granted {
+                return granted;
+            }
+        }
+    }
+
+    fn log_failed(&self, guard: &GrantGuard, failure: &Failure) {
         tracing::info!(
             request = self.call.id, endpoint = %guard.grant().endpoint, end = ?failure.end,
             fault = %failure.fault, "attempt failed"
         );
+    }
+
+    fn failed(&mut self, guard: GrantGuard, failure: Failure) -> AttemptResult {
+        self.log_failed(&guard, &failure);
         guard.end(failure.end);
         self.is_sent = false;
         AttemptResult::Failed(failure)
@@ -300,8 +390,8 @@
         self.give_up(Fault::new(Kind::EntryDraining, "this entry is stopping; use another entry"))
     }
 
-    /// Records a failed attempt and returns whether another one is allowed.
-    fn may_repeat(&mut self, failure: &Failure) -> bool {
+    /// Records a failed attempt and returns whether it did not run.
+    fn count(&mut self, failure: &Failure) -> bool {
         let did_not_run = failure.fault.kind.answer().ran == Ran::NotRun;
         if did_not_run {
             self.not_run_count += 1;
@@ -309,6 +399,12 @@
             self.ran_count += 1;
             self.failure = Some(failure.fault.clone());
         }
+        did_not_run
+    }
+
+    /// Records a failed attempt and returns whether another one is allowed.
+    fn may_repeat(&mut self, failure: &Failure) -> bool {
+        let did_not_run = self.count(failure);
         (did_not_run || self.call.is_repeatable())
             && self.ran_count < self.call.route.attempts_max.max(1)
             && self.not_run_count <= NOT_RUN_ATTEMPTS_MAX
@@ -326,6 +422,19 @@
     }
 }
 
+/// How the wait for the head of an answer ended.
+enum Opening {
+    Answered(Result<EndpointResponse, Failure>),
+    Preempted,
+    Replaced(Granted),
+}
+
+/// Returns the failure of an attempt whose endpoint sent nothing in time.
+fn silent_before_the_answer() -> Failure {
+    let message = "the endpoint sent nothing within its bound, and another one has room";
+    Failure::new(End::Silent, Kind::EndpointSilent, message)
+}
+
 /// Checks whether a request ends before this entry stops.
 fn check_time_left(shared: &Shared, call: &Call) -> Result<(), Fault> {
     let repeat = if call.is_repeatable() { Repeat::Allowed } else { Repeat::Forbidden };
--- a/crates/wasabi-entry/src/forward/relay.rs
+++ b/crates/wasabi-entry/src/forward/relay.rs
@@ -4,7 +4,11 @@
 
 use bytes::Bytes;
 use futures_util::stream::{self, Stream};
-use wasabi_protocol::{clock::Millis, fault::Kind, request::End};
+use wasabi_protocol::{
+    clock::Millis,
+    fault::{Fault, Kind},
+    request::End,
+};
 
 use crate::{
     dispatch::grant::GrantGuard,
@@ -19,8 +23,9 @@
     opened: EndpointResponse,
     guard: Option<GrantGuard>,
     reader: Reader,
-    /// When the last event was sent to the caller, on the process's clock.
-    last_event_at: Millis,
+    /// When the last event was sent to the caller, or another endpoint was sought in vain, on the
+    /// process's clock.
+    silent_since: Millis,
     _open: OpenRequest,
 }
 
@@ -65,9 +70,9 @@
         guard: GrantGuard,
         open: OpenRequest,
     ) -> Self {
-        let last_event_at = attempts.worker.shared.clock.now();
+        let silent_since = attempts.worker.shared.clock.now();
         let reader = Reader::default();
-        Self { attempts, opened, guard: Some(guard), reader, last_event_at, _open: open }
+        Self { attempts, opened, guard: Some(guard), reader, silent_since, _open: open }
     }
 
     /// Returns the next events, or `None` when the response is complete.
@@ -82,16 +87,27 @@
                 }
                 Err(failure) => failure,
             };
-            self.recover(failure).await?;
+            if failure.end == End::Silent {
+                self.replace_silent(failure).await?;
+            } else {
+                self.recover(failure).await?;
+            }
         }
     }
 
+    /// Reads the next events within the bound on silence.
     async fn read(&mut self) -> Result<Option<Bytes>, Failure> {
         let Attempts { worker, call, .. } = &self.attempts;
-        let elapsed = worker.shared.clock.now().since(self.last_event_at).duration();
+        let elapsed = worker.shared.clock.now().since(self.silent_since).duration();
         let bound = self.silence_timeout().saturating_sub(elapsed);
         let deadline = send::deadline(worker, call);
-        let Some(chunk) = self.opened.next(deadline, bound).await? else {
+        let chunk = self.opened.next(deadline, bound).await?;
+        self.take(chunk)
+    }
+
+    /// Returns the whole events that these bytes complete, or `None` at the end of the stream.
+    fn take(&mut self, chunk: Option<Bytes>) -> Result<Option<Bytes>, Failure> {
+        let Some(chunk) = chunk else {
             if self.reader.has_partial() {
                 let message = "the stream ended in the middle of an event";
                 return Err(Failure::new(End::Broken, Kind::StreamBroken, message));
@@ -105,7 +121,7 @@
             .map_err(|error| Failure::new(End::Failed, Kind::StreamBroken, error.to_string()))?;
         if self.reader.count() != before {
             let tokens = self.reader.count() * self.attempts.call.backend.tokens_per_event.max(1);
-            self.last_event_at = self.attempts.worker.shared.clock.now();
+            self.silent_since = self.attempts.worker.shared.clock.now();
             if let Some(guard) = &mut self.guard {
                 guard.record_progress(tokens);
             }
@@ -113,13 +129,12 @@
         Ok(Some(events))
     }
 
-    /// Returns the longest time without an event before the stream counts as silent. Ending a
-    /// stream early helps only if another endpoint can resume it; any other stream has until its
-    /// deadline.
+    /// Returns the longest time without an event before another endpoint is sought. If none may
+    /// resume the stream, it has until its deadline.
     fn silence_timeout(&self) -> Duration {
         let call = &self.attempts.call;
         let grant = self.guard.as_ref().map(GrantGuard::grant);
-        let Some(grant) = grant.filter(|_| call.is_resumable()) else {
+        let Some(grant) = grant.filter(|_| self.attempts.may_replace()) else {
             return call.deadline.since(call.arrived).duration();
         };
         let per_event = u64::from(call.backend.tokens_per_event.max(1));
@@ -127,33 +142,72 @@
         Duration::from_millis(between.max(grant.first_token_bound.0))
     }
 
+    /// Seeks another endpoint for a silent stream, and goes on reading meanwhile: the silent one may
+    /// only pause. It is left once another one is granted, and kept when none is.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error, which aborts the caller's connection, when the stream was left and cannot be
+    /// resumed.
+    async fn replace_silent(&mut self, failure: Failure) -> io::Result<()> {
+        let Some(guard) = &self.guard else { return Err(already_ended()) };
+        let endpoint = guard.grant().endpoint.clone();
+        // The caller has received an event, so its waiting time starts anew.
+        let since = self.attempts.worker.shared.clock.now();
+        let search = self.attempts.acquire_replacement(&endpoint, since);
+        let granted = tokio::select! {
+            biased;
+            () = self.opened.body.ready() => return Ok(()),
+            granted = search => granted,
+        };
+        let Ok((other, _preempted)) = granted else {
+            // The next search waits for a whole bound.
+            self.silent_since = self.attempts.worker.shared.clock.now();
+            return Ok(());
+        };
+        let last_id = self.leave(&failure)?;
+        let resuming = self.attempts.resume_replaced(endpoint, &failure, other, last_id.as_deref());
+        let resumed = resuming.await;
+        self.go_on(resumed)
+    }
+
     /// Resumes the stream at another endpoint.
     ///
     /// # Errors
     ///
     /// Returns an error, which aborts the caller's connection, when the stream cannot be resumed.
     async fn recover(&mut self, failure: Failure) -> io::Result<()> {
-        let Some(guard) = self.guard.take() else {
-            return Err(io::Error::other("the stream has already ended"));
-        };
+        let Some(guard) = &self.guard else { return Err(already_ended()) };
         let endpoint = guard.grant().endpoint.clone();
-        let (request, sent) = (&self.attempts.call.id, self.reader.count());
+        let last_id = self.leave(&failure)?;
+        let resumed = self.attempts.resume(endpoint, failure, last_id.as_deref()).await;
+        self.go_on(resumed)
+    }
+
+    /// Leaves an endpoint: it must stop before a second one works on the same stream. Returns the id
+    /// of the last event that the caller has.
+    fn leave(&mut self, failure: &Failure) -> io::Result<Option<String>> {
+        let guard = self.guard.take().ok_or_else(already_ended)?;
+        let (request, endpoint) = (&self.attempts.call.id, &guard.grant().endpoint);
         tracing::info!(
-            request, %endpoint, sent, end = ?failure.end, fault = %failure.fault, "stream failed"
+            request, %endpoint, sent = self.reader.count(), end = ?failure.end,
+            fault = %failure.fault, "stream failed"
         );
-        // The first endpoint must stop before a second one works on the same stream.
         self.opened.body.close();
         guard.end(failure.end);
         self.reader.drop_partial();
-        let last_id = self.reader.last_id().map(str::to_owned);
-        let resumed = self.attempts.resume(endpoint, failure, last_id.as_deref()).await;
+        Ok(self.reader.last_id().map(str::to_owned))
+    }
+
+    /// Goes on with the stream of another endpoint.
+    fn go_on(&mut self, resumed: Result<(EndpointResponse, GrantGuard), Fault>) -> io::Result<()> {
         let (opened, guard) = resumed.map_err(|fault| {
             tracing::info!(request = self.attempts.call.id, %fault, "stream not resumed");
             io::Error::other(fault.message)
         })?;
         self.opened = opened;
         self.guard = Some(guard);
-        self.last_event_at = self.attempts.worker.shared.clock.now();
+        self.silent_since = self.attempts.worker.shared.clock.now();
         Ok(())
     }
 
@@ -165,3 +219,7 @@
         worker.shared.finished(call.tier, &call.route.name, call.arrived);
     }
 }
+
+fn already_ended() -> io::Error {
+    io::Error::other("the stream has already ended")
+}
