entry: a stopping entry takes no late stream on the time that earlier ones took

Callers saw: a stream that a stopping entry had taken 3 s or more after its SIGTERM was broken off at the end of its grace period (LOST, which excuses only what was sent earlier).

Cause: after the first third of a drain, what must not be repeated has to end by its deadline, but a stream that may be resumed counted as repeatable. It is, before its first event; after that the end of the drain can only cut it, while a request without a response gets one.

Change: requests are told apart by what the end of the drain leaves of them, a final response or nothing; streams are of the second kind. The time in which expected durations count is bounded to 2.5 s, whatever the grace period.

--- a/crates/wasabi-entry/src/dispatch/handler.rs
+++ b/crates/wasabi-entry/src/dispatch/handler.rs
@@ -24,7 +24,7 @@
         relay::{Relay, StartedStream},
     },
     endpoint_response::Failure,
-    shared::{OpenRequest, Repeat, new_attempt},
+    shared::{AtCut, OpenRequest, new_attempt},
 };
 
 /// Most attempts per request. The retry budget of the pool's owner usually stops retries earlier.
@@ -42,8 +42,8 @@
         Err(fault) => return server::refuse(&shared, &fault),
     };
     let is_idempotent = call.route.repeat.is_idempotent();
-    let repeat = if is_idempotent { Repeat::Allowed } else { Repeat::Forbidden };
-    if let Err(fault) = shared.check_time_left(&call.route.name, call.deadline, repeat) {
+    let at_cut = if is_idempotent { AtCut::Repeatable } else { AtCut::Lost };
+    if let Err(fault) = shared.check_time_left(&call.route.name, call.deadline, at_cut) {
         return server::refuse(&shared, &fault);
     }
     let request_id = call.id.to_string();
--- a/crates/wasabi-entry/src/forward/handler.rs
+++ b/crates/wasabi-entry/src/forward/handler.rs
@@ -26,7 +26,7 @@
         relay::{self, Relay},
         response, send,
     },
-    shared::{Repeat, Shared, new_attempt},
+    shared::{AtCut, Shared, new_attempt},
 };
 
 /// Most attempts per request that are repeated because they did not run. They do not count towards
@@ -437,8 +437,10 @@
 
 /// Checks whether a request ends before this entry stops.
 fn check_time_left(shared: &Shared, call: &Call) -> Result<(), Fault> {
-    let repeat = if call.is_repeatable() { Repeat::Allowed } else { Repeat::Forbidden };
-    shared.check_time_left(&call.route.name, call.deadline, repeat)
+    // A resumable request is a stream, which a cut breaks off.
+    let is_repeatable = call.is_repeatable() && !call.is_resumable();
+    let at_cut = if is_repeatable { AtCut::Repeatable } else { AtCut::Lost };
+    shared.check_time_left(&call.route.name, call.deadline, at_cut)
 }
 
 /// Resolves when the owner takes the grant back, and never when the sender is dropped, which only
--- a/crates/wasabi-entry/src/shared.rs
+++ b/crates/wasabi-entry/src/shared.rs
@@ -27,10 +27,14 @@
 /// Time for which an entry serves after control or a majority of its peers last answered.
 pub(crate) const SERVING_DURATION: Millis = Millis::from_secs(2);
 
-/// Fraction of a bounded drain, as a divisor, in which requests that must not be repeated are accepted
-/// on their expected duration. Later ones must end by their deadline.
+/// Fraction of a bounded drain, as a divisor, in which requests that a cut would lose are accepted on
+/// their expected duration. Later ones must end by their deadline.
 const TRUSTING_DIVISOR: u64 = 3;
 
+/// Longest time for which such requests are accepted so, however long the drain is: by then callers
+/// know of other entries.
+const TRUSTING_TIME_MAX: Millis = Millis(2_500);
+
 /// Time before the end of a bounded drain at which requests without a response get their final one:
 /// long enough for it to reach the caller.
 const FINAL_RESPONSE_TIME: Millis = Millis(250);
@@ -278,7 +282,7 @@
         &self,
         route: &id::Route,
         deadline: Millis,
-        repeat: Repeat,
+        at_cut: AtCut,
     ) -> Result<(), Fault> {
         let Some(drain) = *self.bounded_drain.borrow() else { return Ok(()) };
         let now = self.clock.now();
@@ -286,7 +290,7 @@
             let durations = self.durations.lock().unwrap_or_else(PoisonError::into_inner);
             durations.longest(now, route)
         };
-        if drain.has_time_for(now, deadline, repeat, longest) {
+        if drain.has_time_for(now, deadline, at_cut, longest) {
             return Ok(());
         }
         let message = "this entry would stop before the request ends; use another entry";
@@ -354,26 +358,27 @@
     }
 }
 
-/// Whether a request may be sent again when its connection is cut.
+/// What the end of a bounded drain leaves of a request that still runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Repeat {
-    /// Its caller may send it again.
-    Allowed,
-    /// It may run at most once, so that a cut leaves its caller without an outcome.
-    Forbidden,
+pub(crate) enum AtCut {
+    /// A final response, after which its caller may send it again.
+    Repeatable,
+    /// A broken-off stream, or no outcome of a request that may run at most once.
+    Lost,
 }
 
 /// A drain that cuts the requests which are open at its end.
 #[derive(Debug, Clone, Copy)]
 struct BoundedDrain {
-    /// Until when expected durations suffice to accept a request that must not be repeated.
+    /// Until when expected durations suffice to accept a request that a cut would lose.
     trusts_until: Millis,
     cuts_at: Millis,
 }
 
 impl BoundedDrain {
     fn new(now: Millis, bound: Millis) -> Self {
-        Self { trusts_until: now + Millis(bound.0 / TRUSTING_DIVISOR), cuts_at: now + bound }
+        let trusting_time = Millis(bound.0 / TRUSTING_DIVISOR).min(TRUSTING_TIME_MAX);
+        Self { trusts_until: now + trusting_time, cuts_at: now + bound }
     }
 
     fn final_responses_at(&self) -> Millis {
@@ -386,14 +391,14 @@
         &self,
         now: Millis,
         deadline: Millis,
-        repeat: Repeat,
+        at_cut: AtCut,
         longest: impl FnOnce() -> Option<Millis>,
     ) -> bool {
         let end = self.final_responses_at();
         if deadline <= end {
             return true;
         }
-        if repeat == Repeat::Forbidden && self.trusts_until < now {
+        if at_cut == AtCut::Lost && self.trusts_until < now {
             return false;
         }
         // A margin of half the duration, since the load may rise.
