entry, platform: a short grace period is used up to its last sixth

Cause: the time that is reserved for the exit was 700 ms of any grace period, and the steps of the exit had fixed times of 300 and 200 ms.

--- a/crates/wasabi-entry/src/drain.rs
+++ b/crates/wasabi-entry/src/drain.rs
@@ -25,11 +25,15 @@
 /// Interval of the log lines about what a drain waits for.
 const LOG_INTERVAL: Millis = Millis(1_000);
 
-/// Time for the connections of callers to close.
-const CONNECTION_CLOSE_TIMEOUT: Millis = Millis(300);
+/// Longest time for the connections of callers to close.
+const CONNECTION_CLOSE_TIMEOUT_MAX: Millis = Millis(300);
 
-/// Time for the last releases and outcomes to be delivered.
-const FINAL_MESSAGES_TIME: Duration = Duration::from_millis(200);
+/// Longest time for the last releases and outcomes to be delivered.
+const FINAL_MESSAGES_TIME_MAX: Millis = Millis(200);
+
+/// Fraction of a short drain that each of these two takes, as a divisor, so that the process ends
+/// before it is killed.
+const CLOSING_DIVISOR: u64 = 20;
 
 /// What a shutdown needs: the servers for callers, and the signal that ends the control thread.
 #[derive(Debug)]
@@ -62,21 +66,20 @@
                 checkin::check_in(&shell).await;
             }
             let end = finish(&shell.shared).await;
+            let share = shell.shared.drain_bound().map(|bound| Millis(bound.0 / CLOSING_DIVISOR));
+            let at_most = |time: Millis| share.map_or(time, |share| share.min(time));
+            let closing = at_most(CONNECTION_CLOSE_TIMEOUT_MAX);
             // The last bytes of answers may still be in transit.
             let close_timeout = match (end, shell.shared.cuts_at()) {
-                (End::Drained, Some(cuts_at)) => {
-                    cuts_at.since(shell.now()) + CONNECTION_CLOSE_TIMEOUT
-                }
-                (End::Drained, None) => {
-                    Millis::from_secs(SHUTDOWN_TIMEOUT_S) + CONNECTION_CLOSE_TIMEOUT
-                }
-                (End::Cut, _) => CONNECTION_CLOSE_TIMEOUT,
+                (End::Drained, Some(cuts_at)) => cuts_at.since(shell.now()) + closing,
+                (End::Drained, None) => Millis::from_secs(SHUTDOWN_TIMEOUT_S) + closing,
+                (End::Cut, _) => closing,
             };
             let stopping = stop(&self.servers, end == End::Drained);
             if tokio::time::timeout(close_timeout.duration(), stopping).await.is_err() {
                 tracing::warn!("connections did not close in time; stopping anyway");
             }
-            tokio::time::sleep(FINAL_MESSAGES_TIME).await;
+            tokio::time::sleep(at_most(FINAL_MESSAGES_TIME_MAX).duration()).await;
             if self.ended.send(()).is_err() {
                 tracing::debug!("the control thread has ended already");
             }
--- a/crates/wasabi-entry/src/shared.rs
+++ b/crates/wasabi-entry/src/shared.rs
@@ -35,9 +35,12 @@
 /// know of other entries.
 const TRUSTING_TIME_MAX: Millis = Millis(2_500);
 
-/// Time before the end of a bounded drain at which requests without a response get their final one:
-/// long enough for it to reach the caller.
-const FINAL_RESPONSE_TIME: Millis = Millis(250);
+/// Longest time before the end of a bounded drain at which requests without a response get their final
+/// one: long enough for it to reach the caller.
+const FINAL_RESPONSE_TIME_MAX: Millis = Millis(250);
+
+/// Fraction of a short drain that this time takes, as a divisor.
+const FINAL_RESPONSE_DIVISOR: u64 = 24;
 
 /// The configuration in force, with indexes of the callers' tokens and of the site.
 #[derive(Debug, Default)]
@@ -267,6 +270,11 @@
         }
     }
 
+    /// Returns how long a bounded drain was to last, once it has started.
+    pub(crate) fn drain_bound(&self) -> Option<Millis> {
+        self.bounded_drain.borrow().map(|drain| drain.bound)
+    }
+
     /// Returns when a draining entry cuts its open requests, if it ever does.
     pub(crate) fn cuts_at(&self) -> Option<Millis> {
         self.bounded_drain.borrow().map(|drain| drain.cuts_at)
@@ -303,7 +311,7 @@
         let mut drains = self.bounded_drain.subscribe();
         let drain = drains.wait_for(Option::is_some).await.map(|drain| *drain);
         let Ok(Some(drain)) = drain else { return std::future::pending().await };
-        let left = drain.final_responses_at().since(self.clock.now());
+        let left = drain.final_responses_at.since(self.clock.now());
         tokio::time::sleep(left.duration()).await;
     }
 
@@ -370,19 +378,26 @@
 /// A drain that cuts the requests which are open at its end.
 #[derive(Debug, Clone, Copy)]
 struct BoundedDrain {
+    /// The time from its start to its end.
+    bound: Millis,
     /// Until when expected durations suffice to accept a request that a cut would lose.
     trusts_until: Millis,
+    /// When requests without a response get their final one.
+    final_responses_at: Millis,
     cuts_at: Millis,
 }
 
 impl BoundedDrain {
     fn new(now: Millis, bound: Millis) -> Self {
         let trusting_time = Millis(bound.0 / TRUSTING_DIVISOR).min(TRUSTING_TIME_MAX);
-        Self { trusts_until: now + trusting_time, cuts_at: now + bound }
-    }
-
-    fn final_responses_at(&self) -> Millis {
-        self.cuts_at - FINAL_RESPONSE_TIME
+        let final_time = FINAL_RESPONSE_TIME_MAX.min(Millis(bound.0 / FINAL_RESPONSE_DIVISOR));
+        let cuts_at = now + bound;
+        Self {
+            bound,
+            trusts_until: now + trusting_time,
+            final_responses_at: cuts_at - final_time,
+            cuts_at,
+        }
     }
 
     /// Returns whether a request that starts now ends in time. `longest` returns the longest recent
@@ -394,7 +409,7 @@
         at_cut: AtCut,
         longest: impl FnOnce() -> Option<Millis>,
     ) -> bool {
-        let end = self.final_responses_at();
+        let end = self.final_responses_at;
         if deadline <= end {
             return true;
         }
