entry: a slow reader gets its answer until the end of the drain

Callers saw: with a grace period of 13 s, an answer of 7 MB that its caller read slowly broke off 8 s after the SIGTERM, although the entry had it whole.

Cause: a request counts as ended once its answer is handed to the HTTP library. Stopping the servers then dropped all connections after 2 s, within the drain's own bound.

Change: the servers drop no connection by themselves; the drain bounds the wait, as it did already: by the end of a bounded drain, and 2 s without one.

--- a/crates/wasabi-entry/src/callers/server.rs
+++ b/crates/wasabi-entry/src/callers/server.rs
@@ -34,8 +34,9 @@
 /// Length of a listener's queue of connections that are not accepted yet.
 pub(crate) const BACKLOG: u32 = 2_048;
 
-/// Time for idle workers to stop after a drain, in seconds. All requests have ended by then.
-pub(crate) const SHUTDOWN_TIMEOUT_S: u64 = 2;
+/// Time after which a server that stops drops its connections, in seconds. Stopping ends earlier, by
+/// the bounds of the drain: callers may still read answers that the entry has whole.
+pub(crate) const SHUTDOWN_TIMEOUT_S: u64 = 3_600;
 
 /// Size of the write buffer of a caller's connection, in bytes.
 pub(crate) const WRITE_BUFFER_BYTES: usize = 16 * 1024;
--- a/crates/wasabi-entry/src/drain.rs
+++ b/crates/wasabi-entry/src/drain.rs
@@ -9,7 +9,6 @@
 use wasabi_protocol::clock::Millis;
 
 use crate::{
-    callers::server::SHUTDOWN_TIMEOUT_S,
     control::checkin,
     shared::{Mode, Shared},
     shell::Shell,
@@ -25,6 +24,9 @@
 /// Interval of the log lines about what a drain waits for.
 const LOG_INTERVAL: Millis = Millis(1_000);
 
+/// Time for callers to read the last answers of a drain without a bound.
+const READING_TIME: Millis = Millis::from_secs(2);
+
 /// Longest time for the connections of callers to close.
 const CONNECTION_CLOSE_TIMEOUT_MAX: Millis = Millis(300);
 
@@ -72,7 +74,7 @@
             // The last bytes of answers may still be in transit.
             let close_timeout = match (end, shell.shared.cuts_at()) {
                 (End::Drained, Some(cuts_at)) => cuts_at.since(shell.now()) + closing,
-                (End::Drained, None) => Millis::from_secs(SHUTDOWN_TIMEOUT_S) + closing,
+                (End::Drained, None) => READING_TIME + closing,
                 (End::Cut, _) => closing,
             };
             let stopping = stop(&self.servers, end == End::Drained);
