--- a/crates/wasabi-entry/src/forward/relay.rs
+++ b/crates/wasabi-entry/src/forward/relay.rs
@@ -30,21 +30,26 @@
 }
 
 impl Drop for Relay {
-    /// Logs a stream that is cut when the drain period of this entry ends.
+    /// Logs why a stream ends before its end: the drain period of this entry has, or the caller's
+    /// connection was closed. Streams that ended or failed have no grant any more.
     fn drop(&mut self) {
-        let Attempts { worker, call, .. } = &self.attempts;
-        let Some(cuts_at) = worker.shared.cuts_at().filter(|_| self.guard.is_some()) else {
+        if self.guard.is_none() {
             return;
-        };
+        }
+        let Attempts { worker, call, .. } = &self.attempts;
         let now = worker.shared.clock.now();
-        if cuts_at <= now {
-            let (request, age_ms) = (&call.id, now.since(call.arrived).0);
+        let (request, age_ms) = (&call.id, now.since(call.arrived).0);
+        let (sent, silent_ms) = (self.reader.count(), now.since(self.silent_since).0);
+        if worker.shared.cuts_at().is_some_and(|cuts_at| cuts_at <= now) {
             tracing::warn!(
                 request,
                 age_ms,
-                sent = self.reader.count(),
+                sent,
+                silent_ms,
                 "stream cut at the end of the drain period"
             );
+        } else {
+            tracing::info!(request, age_ms, sent, silent_ms, "stream closed by its caller");
         }
     }
 }
