scheduler: an endpoint that drained and left may start again under its name

Cause: the leave that follows a drain found no endpoint in the pool, and replaced the memory of the process that had left by one of all processes of that name, whose announcements are ignored for 60 s.

Change: a leave keeps the process that is known to have left, or to have fallen silent before.

Evidence: an_endpoint_that_left_twice_may_start_again in tests/pool.rs, "the new process serves: left 0, right 1" without the change.

--- a/crates/wasabi-scheduler/src/pool/endpoint.rs
+++ b/crates/wasabi-scheduler/src/pool/endpoint.rs
@@ -224,6 +224,9 @@
 struct Departure {
     /// Highest incarnation that left; `None` if the endpoint left before any announcement was seen.
     incarnation: Option<u64>,
+    /// Highest incarnation that was in the pool. One that fell silent may return, but not once it has
+    /// left.
+    seen: Option<u64>,
     /// When the departure is forgotten.
     until: Millis,
 }
@@ -279,11 +282,17 @@
     }
 
     /// Removes an endpoint that leaves. Its running attempts continue.
+    ///
+    /// An endpoint may say so more than once: when it drains, and when it ends.
     pub(super) fn leave(&mut self, now: Millis, name: &id::Endpoint) {
         let index = self.find(name);
         let endpoint = index.map(|index| self.list.swap_remove(index));
-        let incarnation = endpoint.map(|endpoint| endpoint.announcement.incarnation);
-        self.remember_departure(name, Departure { incarnation, until: now + DEPARTED_RETENTION });
+        let left = endpoint.map(|endpoint| endpoint.announcement.incarnation);
+        let earlier = self.departures.get(name);
+        let earlier = earlier.and_then(|departure| departure.seen.max(departure.incarnation));
+        let incarnation = left.max(earlier);
+        let until = now + DEPARTED_RETENTION;
+        self.remember_departure(name, Departure { incarnation, seen: incarnation, until });
     }
 
     /// Removes an endpoint that left under an earlier owner, unless a newer process has replaced
@@ -302,12 +311,12 @@
             self.list.swap_remove(index);
         }
         let known = self.departures.get(&departure.endpoint);
-        let (earlier, kept) = known.map_or((None, until), |known| (known.incarnation, known.until));
+        let earlier = known.and_then(|known| known.incarnation);
+        let seen = known.and_then(|known| known.seen);
+        let until = known.map_or(until, |known| until.max(known.until));
         let incarnation = held.max(departure.incarnation).max(earlier);
-        self.remember_departure(
-            &departure.endpoint,
-            Departure { incarnation, until: until.max(kept) },
-        );
+        let departed = Departure { incarnation, seen: seen.max(incarnation), until };
+        self.remember_departure(&departure.endpoint, departed);
         index.is_some()
     }
 
@@ -341,13 +350,12 @@
             let known =
                 self.departures.get(endpoint.name()).and_then(|departure| departure.incarnation);
             let incarnation = Some(known.map_or(earlier, |known| known.max(earlier)));
-            departed.push((endpoint.name().clone(), incarnation));
+            let seen = Some(endpoint.announcement.incarnation);
+            let until = now + DEPARTED_RETENTION;
+            departed.push((endpoint.name().clone(), Departure { incarnation, seen, until }));
         }
-        for (name, incarnation) in departed {
-            self.remember_departure(
-                &name,
-                Departure { incarnation, until: now + DEPARTED_RETENTION },
-            );
+        for (name, departure) in departed {
+            self.remember_departure(&name, departure);
         }
         gone
     }
--- a/crates/wasabi-scheduler/tests/pool.rs
+++ b/crates/wasabi-scheduler/tests/pool.rs
@@ -209,6 +209,23 @@
     assert_eq!(refused, 0, "100 calls per second of 30 ms each use 3 of 6 slots");
 }
 
+/// Guards against an endpoint that gets no requests for a minute after it has drained, left and started
+/// again under its name: the leave after the drain made the pool forget which process had left.
+#[test]
+fn an_endpoint_that_left_twice_may_start_again() {
+    let mut pool = ready_pool(1, 8);
+    let old = announcement("a", 8);
+    // The first says that the endpoint drains, the second that it leaves.
+    for at in [1_100, 3_300] {
+        pool.step(Millis(at), Event::Leave { endpoint: "a".into() });
+    }
+    pool.step(Millis(3_400), Event::Announce(old.clone()));
+    assert_eq!(pool.endpoints().count(), 0, "a late announcement of the old process is ignored");
+    let restarted = Announcement { incarnation: old.incarnation + 1, ..old };
+    pool.step(Millis(3_600), Event::Announce(restarted));
+    assert_eq!(grants(&acquire(&mut pool, 3_601, 0, 0)).len(), 1, "the new process serves");
+}
+
 /// Guards against departed endpoints that get requests from the next owner of the pool, and against
 /// a new process of such an endpoint that gets none.
 #[test]
