entry: bodies of requests share a bound on their memory

Cause: the size of each body was bounded, that of all together not, and each was copied for its fingerprint.

--- a/crates/wasabi-entry/src/callers/call.rs
+++ b/crates/wasabi-entry/src/callers/call.rs
@@ -71,7 +71,8 @@
         let in_force = shared.in_force();
         let contract = authenticate(request.headers(), &in_force)?;
         let limits = &shared.settings.callers;
-        let body = body::read(request, *limits.body_bytes, *limits.body_time).await?;
+        let body =
+            body::read(request, *limits.body_bytes, *limits.body_time, &shared.bodies).await?;
         let work = work(request, &body)?;
         let route = route(contract, request, &work)?.clone();
         let parts = shared_parts(&work);
--- a/crates/wasabi-entry/src/endpoint_response.rs
+++ b/crates/wasabi-entry/src/endpoint_response.rs
@@ -131,7 +131,7 @@
         mut progress: impl FnMut(),
     ) -> Result<Bytes, Failure> {
         if self.stated_length().is_some_and(|length| (BUFFER_BYTES_MAX as u64) < length) {
-            return Err(too_large(Full::Answer));
+            return Err(too_large(Full::Body));
         }
         let mut body = Buffer::new(budget);
         while let Some(chunk) = self.next(deadline, bound).await? {
@@ -155,7 +155,7 @@
 
 fn too_large(full: Full) -> Failure {
     match full {
-        Full::Answer => {
+        Full::Body => {
             let message = format!("the endpoint's answer is larger than {BUFFER_BYTES_MAX} bytes");
             Failure::new(End::Failed, Kind::EndpointFailed, message)
         }
--- a/crates/wasabi-entry/src/endpoints.rs
+++ b/crates/wasabi-entry/src/endpoints.rs
@@ -25,7 +25,8 @@
 
 /// Handles an announcement and forwards it to the pool's owner.
 pub(crate) async fn announce(worker: &Rc<Worker>, mut request: Request) -> Response<BoxBody> {
-    let read = body::read(&mut request, ANNOUNCEMENT_BYTES_MAX, ANNOUNCEMENT_TIMEOUT).await;
+    let bodies = &worker.shared.bodies;
+    let read = body::read(&mut request, ANNOUNCEMENT_BYTES_MAX, ANNOUNCEMENT_TIMEOUT, bodies).await;
     let announcement = read.and_then(|body| parse(&body));
     match announcement {
         Ok(announcement) => {
--- a/crates/wasabi-entry/src/forward/call.rs
+++ b/crates/wasabi-entry/src/forward/call.rs
@@ -109,12 +109,10 @@
         let (body_bytes, method) = (site.body_bytes, request.method().clone());
         let id = request_id(headers, dialect).to_owned();
         let path = request.uri().path_and_query().map_or("/", |target| target.as_str()).to_owned();
-        let body = body::read(request, body_bytes, remaining).await?;
-        let mut hashed = path.clone().into_bytes();
-        hashed.extend_from_slice(&body);
+        let body = body::read(request, body_bytes, remaining, &shared.bodies).await?;
         Ok(Self {
             id,
-            fingerprint: fingerprint::Body::of(&name, &hashed),
+            fingerprint: fingerprint::Body::of_parts(&name, &[path.as_bytes(), &body]),
             parts: shared_parts(&size),
             organisation: name,
             share,
--- a/crates/wasabi-entry/src/inbound.rs
+++ b/crates/wasabi-entry/src/inbound.rs
@@ -125,6 +125,9 @@
         /// The timeout.
         time: Duration,
     },
+    /// Other bodies use the memory of the process.
+    #[snafu(display("other requests with large bodies use the memory of this host; retry later"))]
+    Full,
     /// The body is truncated or malformed.
     #[snafu(display("malformed body: {source}"))]
     Broken {
@@ -143,25 +146,50 @@
     limit: usize,
     time: Duration,
 ) -> Result<Bytes, Error> {
+    let mut body = BytesMut::new();
+    let push = async |chunk: &[u8]| {
+        body.extend_from_slice(chunk);
+        Ok(())
+    };
+    read_parts(request, limit, time, push).await?;
+    Ok(body.freeze())
+}
+
+/// Returns the length of a body that its head states.
+pub(crate) fn stated_length(request: &Request) -> Option<usize> {
     let stated = request.headers().get(header::CONTENT_LENGTH);
-    let stated = stated.and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
-    if stated.is_some_and(|length| (limit as u64) < length) {
+    stated.and_then(|value| value.to_str().ok()?.parse().ok())
+}
+
+/// Reads the body of a request and passes on each part of it.
+///
+/// # Errors
+///
+/// Returns an error when the body is too large, too slow, truncated or malformed, and those of `push`.
+pub(crate) async fn read_parts(
+    request: &mut Request,
+    limit: usize,
+    time: Duration,
+    mut push: impl AsyncFnMut(&[u8]) -> Result<(), Error>,
+) -> Result<(), Error> {
+    if stated_length(request).is_some_and(|length| limit < length) {
         return Err(Error::TooLarge { limit });
     }
     let meter = request.conn_data::<Meter>().cloned().unwrap_or_default();
     meter.set_body_due(true);
     let mut payload = request.take_payload();
     let collect = async {
-        let mut body = BytesMut::new();
+        let mut len = 0;
         while let Some(chunk) = payload.next().await {
             let chunk = chunk.map_err(|source| Error::Broken { source })?;
             meter.add_body(chunk.len());
-            if limit < body.len() + chunk.len() {
+            len += chunk.len();
+            if limit < len {
                 return Err(Error::TooLarge { limit });
             }
-            body.extend_from_slice(&chunk);
+            push(&chunk).await?;
         }
-        Ok(body.freeze())
+        Ok(())
     };
     let read = tokio::time::timeout(time, collect).await.unwrap_or(Err(Error::Late { time }));
     meter.set_body_due(false);
--- a/crates/wasabi-entry/src/shared.rs
+++ b/crates/wasabi-entry/src/shared.rs
@@ -123,6 +123,8 @@
     pub(crate) metrics: Metrics,
     /// The memory for answers that are buffered.
     pub(crate) buffers: Arc<Budget>,
+    /// The memory for bodies of requests.
+    pub(crate) bodies: Arc<Budget>,
     timing: RwLock<Timing>,
     in_force: RwLock<Arc<InForce>>,
     /// End of the time for which new work is accepted, on `clock`.
@@ -155,7 +157,8 @@
             mode,
             clock: Clock::start(),
             metrics,
-            buffers: Arc::default(),
+            buffers: Budget::of_answers(),
+            bodies: Budget::of_requests(),
             timing: RwLock::new(timing),
             in_force: RwLock::default(),
             serving_until: AtomicU64::new(0),
--- a/crates/wasabi-protocol/src/fingerprint.rs
+++ b/crates/wasabi-protocol/src/fingerprint.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 use sha2::{Digest as _, Sha256};
-use xxhash_rust::xxh3::{xxh3_64_with_seed, xxh3_128};
+use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed, xxh3_128};
 
 use crate::id;
 
@@ -20,8 +20,15 @@
     /// The digest includes the organisation, so that a quarantined request of one organisation
     /// never blocks the same body of another.
     pub fn of(organisation: &id::Organisation, body: &[u8]) -> Self {
+        Self::of_parts(organisation, &[body])
+    }
+
+    /// Returns the digest of parts as if they stood in one body, without a copy of them.
+    pub fn of_parts(organisation: &id::Organisation, parts: &[&[u8]]) -> Self {
         let seed = xxh3_64_with_seed(organisation.as_str().as_bytes(), 0);
-        Self(xxh3_64_with_seed(body, seed))
+        let mut digest = Xxh3::with_seed(seed);
+        parts.iter().for_each(|part| digest.update(part));
+        Self(digest.digest())
     }
 }
 
