--- a/crates/wasabi-control/src/member.rs
+++ b/crates/wasabi-control/src/member.rs
@@ -43,6 +43,10 @@
 /// Time without a turn that counts as a pause of the process, after which silences restart.
 const PAUSE_MIN: Millis = Millis(500);
 
+/// Size of the entries since a snapshot after which the next one is taken, in bytes. They stay in
+/// memory and on the disk until then, and one configuration may take megabytes.
+const SNAPSHOT_LOG_BYTES: usize = 8 * 1024 * 1024;
+
 /// Longest time that a graceful stop waits for another leader.
 const STOP_TIMEOUT: Millis = Millis(3_000);
 
@@ -93,6 +97,8 @@
     appended: BTreeMap<u64, (u64, u64)>,
     next_request: u64,
     snapshot_index: u64,
+    /// Size of the committed entries since that snapshot, in bytes.
+    bytes_since_snapshot: usize,
     /// The last index applied to the state machine.
     applied: u64,
     pub(crate) peers: Peers,
@@ -145,6 +151,7 @@
             appended: BTreeMap::new(),
             next_request: 0,
             snapshot_index,
+            bytes_since_snapshot: 0,
             applied: 0,
             peers,
             deferred: VecDeque::new(),
@@ -297,6 +304,7 @@
                 }
                 Effect::Restore(snapshot) => {
                     self.snapshot_index = snapshot.last.index;
+                    self.bytes_since_snapshot = 0;
                     self.applied = snapshot.last.index;
                     (self.addresses, self.machine) =
                         record::restore(&snapshot.data).context(RecordSnafu)?;
@@ -351,6 +359,7 @@
         let appended = self.appended.remove(&index).filter(|(appended, _)| *appended == term);
         let outcome = match data {
             Payload::Command(bytes) => {
+                self.bytes_since_snapshot += bytes.len();
                 let record = record::decode(bytes).context(RecordSnafu)?;
                 self.apply(index, record)
             }
@@ -377,15 +386,18 @@
         outcome
     }
 
-    /// Takes a snapshot once enough entries are committed.
+    /// Takes a snapshot once enough entries, or entries of enough bytes, are committed.
     fn compact(&mut self) -> Result<(), Error> {
         let index = self.applied;
-        if index < self.snapshot_index + self.options.snapshot_every {
+        let is_long = self.snapshot_index + self.options.snapshot_every <= index;
+        let is_large = SNAPSHOT_LOG_BYTES <= self.bytes_since_snapshot;
+        if !is_long && !is_large {
             return Ok(());
         }
         let data = record::snapshot(&self.addresses, &self.machine).context(RecordSnafu)?;
         info!(index, bytes = data.len(), log_bytes = self.group.log_bytes(), "taking a snapshot");
         self.snapshot_index = index;
+        self.bytes_since_snapshot = 0;
         let data = Bytes::from(data);
         self.group.step(self.clock.now(), Event::Compact { index, data });
         Ok(())
--- a/crates/wasabi-control/tests/large.rs
+++ b/crates/wasabi-control/tests/large.rs
@@ -49,3 +49,26 @@
         stop(one).await;
     }
 }
+
+/// Largest log that a member of a group with large configurations keeps on its disk, in bytes.
+const LOG_BYTES_MAX: u64 = 32 * 1024 * 1024;
+
+/// Guards against a log that is bounded by the number of its entries alone: changes of a large
+/// configuration then fill the memory and the disk of all members, and the group does not come back.
+#[actix_rt::test]
+async fn changes_of_a_large_configuration_do_not_fill_the_disk() {
+    let addresses = [free_address(), free_address(), free_address()];
+    let data = TempDir::new().unwrap();
+    let members = start_group(&addresses, &addresses, data.path()).await;
+    for version in 2..44 {
+        put_version_with_text(version, &"x".repeat(LARGE_BYTES), &members.each_ref()).await;
+    }
+    for member in std::fs::read_dir(data.path()).unwrap().flatten() {
+        let files = std::fs::read_dir(member.path()).unwrap().flatten();
+        let bytes: u64 = files.map(|file| file.metadata().unwrap().len()).sum();
+        assert!(bytes < LOG_BYTES_MAX, "{:?} holds {bytes} bytes", member.file_name());
+    }
+    for one in members {
+        stop(one).await;
+    }
+}
