control, entry: a departure is acknowledged although the owner of its pool is slow

Cause: each hop gave up before the next one could answer: an entry waited 250 ms for the owner, control 300 ms for each of three entries, which all ask the same owner. An owner that takes longer under load applied every departure and acknowledged none, and got the same message up to nine times.

Change: control waits 900 ms in all and asks another entry after 300 ms without giving up the first; an entry waits 800 ms for the owner.

--- a/crates/wasabi-control/src/relay.rs
+++ b/crates/wasabi-control/src/relay.rs
@@ -2,6 +2,9 @@
 
 use std::{cell::RefCell, net::SocketAddr, sync::Arc, time::Duration};
 
+use futures_util::{
+    FutureExt as _, StreamExt as _, future::LocalBoxFuture, stream::FuturesUnordered,
+};
 use jsonrpsee::{
     core::client::ClientT as _,
     rpc_params,
@@ -12,8 +15,12 @@
 
 use crate::LocalClient;
 
-/// Timeout of one entry. Endpoints wait 1 s before they call another host.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time for which a message may take. Endpoints wait 1 s before they call another host.
+const MESSAGE_TIMEOUT: Duration = Duration::from_millis(900);
+
+/// Time after which another entry is asked as well. The first may still answer: on a busy site the
+/// owner of a pool takes some hundred milliseconds, whichever entry asks it.
+const NEXT_ENTRY_AFTER: Duration = Duration::from_millis(300);
 
 /// Most entries tried for one message.
 const ENTRIES_TRIED_MAX: usize = 3;
@@ -44,27 +51,56 @@
     }
 
     async fn notify(&self, method: &'static str, message: &impl Serialize) -> bool {
+        let delivery = self.deliver(method, message);
+        tokio::time::timeout(MESSAGE_TIMEOUT, delivery).await.unwrap_or(false)
+    }
+
+    /// Asks one entry after the other, the later ones while the earlier ones may still answer, and
+    /// returns whether one accepted the message.
+    async fn deliver(&self, method: &'static str, message: &impl Serialize) -> bool {
         let last = self.open.borrow().clone();
-        if let Some((_, client)) = last.filter(|(_, client)| client.is_connected())
-            && call(&client, method, message).await
-        {
-            return true;
+        let last = last.filter(|(_, client)| client.is_connected());
+        let mut calls = FuturesUnordered::new();
+        let known = last.as_ref().map(|(address, _)| address.clone());
+        if let Some((_, client)) = last {
+            calls.push(async move { call(&client, method, message).await }.boxed_local());
+            if next_answer(&mut calls).await == Some(true) {
+                return true;
+            }
         }
-        *self.open.borrow_mut() = None;
-        for address in self.candidates().await {
-            let client = WsClientBuilder::default().build(format!("ws://{address}"));
-            let Ok(Ok(client)) = tokio::time::timeout(ANSWER_TIMEOUT, client).await else {
-                continue;
-            };
-            let client = Arc::new(client);
-            if call(&client, method, message).await {
-                *self.open.borrow_mut() = Some((address, client));
+        let others = self.candidates().await.into_iter();
+        for address in others.filter(|address| Some(address) != known.as_ref()) {
+            calls.push(self.connect_and_call(address, method, message).boxed_local());
+            if next_answer(&mut calls).await == Some(true) {
+                return true;
+            }
+        }
+        while let Some(is_accepted) = calls.next().await {
+            if is_accepted {
                 return true;
             }
         }
         false
     }
 
+    /// Makes a call on a new connection, which later messages use if the entry accepts this one.
+    async fn connect_and_call(
+        &self,
+        address: String,
+        method: &'static str,
+        message: &impl Serialize,
+    ) -> bool {
+        let Ok(client) = WsClientBuilder::default().build(format!("ws://{address}")).await else {
+            return false;
+        };
+        let client = Arc::new(client);
+        let is_accepted = call(&client, method, message).await;
+        if is_accepted {
+            *self.open.borrow_mut() = Some((address, client));
+        }
+        is_accepted
+    }
+
     async fn candidates(&self) -> Vec<String> {
         let view = match &self.local {
             Some(local) => local.view().await,
@@ -77,6 +113,10 @@
 }
 
 async fn call(client: &WsClient, method: &'static str, message: &impl Serialize) -> bool {
-    let answer = client.request::<(), _>(method, rpc_params![message]);
-    matches!(tokio::time::timeout(ANSWER_TIMEOUT, answer).await, Ok(Ok(())))
+    client.request::<(), _>(method, rpc_params![message]).await.is_ok()
+}
+
+/// Returns the next answer, or none when another entry has to be asked before one arrives.
+async fn next_answer(calls: &mut FuturesUnordered<LocalBoxFuture<'_, bool>>) -> Option<bool> {
+    tokio::time::timeout(NEXT_ENTRY_AFTER, calls.next()).await.ok().flatten()
 }
--- a/crates/wasabi-entry/src/pools/ownership.rs
+++ b/crates/wasabi-entry/src/pools/ownership.rs
@@ -21,9 +21,9 @@
 /// Entries that get the announcements of a pool's endpoints: the owner and the one after it.
 const REGISTRIES: usize = 2;
 
-/// Timeout for a pool's owner to acknowledge a departure. Control waits 300 ms for the answer of an
-/// entry.
-const LEAVE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Timeout for a pool's owner to acknowledge a departure. Control waits 900 ms for the answers of all
+/// entries that it asks.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(800);
 
 impl Shell {
     /// Forwards an announcement to the owners of its pools, also through a relay where this entry
--- a/crates/wasabi-entry/tests/owners.rs
+++ b/crates/wasabi-entry/tests/owners.rs
@@ -326,3 +326,23 @@
     })
     .await;
 }
+
+/// Guards against a departure that is never acknowledged since the owner of its pool takes some hundred
+/// milliseconds under load, although it applies each one.
+#[rstest]
+#[case::busy(450)]
+#[case::very_busy(650)]
+#[actix_rt::test]
+async fn a_departure_is_acknowledged_by_a_busy_owner(#[case] delay_ms: u64) {
+    let control = Control::start().await;
+    let owner = Peer::start(&higher_ranked_names(1)[0], Mode::Silent).await;
+    owner.set_leave_delay(Millis(delay_ms));
+    let entry = start_holder(&control, vec![owner.entry()]).await;
+    let address = format!("ws://{}", entry.daemon.peers());
+    let client = WsClientBuilder::default().build(address).await.unwrap();
+    for number in 0..3 {
+        let endpoint = id::Endpoint::from(format!("m{number}"));
+        let retired = client.request::<(), _>(method::RETIRE, rpc_params![endpoint]).await;
+        assert!(retired.is_ok(), "departure {number}: {retired:?}");
+    }
+}
--- a/crates/wasabi-entry/tests/support/peer.rs
+++ b/crates/wasabi-entry/tests/support/peer.rs
@@ -77,6 +77,8 @@
     report_count: AtomicU64,
     /// Time for which it reports to have been ready, in milliseconds; zero when not confirmed.
     ready_for_ms: AtomicU64,
+    /// Time after which it answers that an endpoint leaves, in milliseconds.
+    leave_delay_ms: AtomicU64,
 }
 
 /// A running peer.
@@ -97,6 +99,7 @@
             released: Mutex::default(),
             report_count: AtomicU64::new(0),
             ready_for_ms: AtomicU64::new(3_600_000),
+            leave_delay_ms: AtomicU64::default(),
         });
         let server = Server::builder().build("127.0.0.1:0").await.unwrap();
         let address = server.local_addr().unwrap();
@@ -133,6 +136,11 @@
         self.state.ready_for_ms.store(time.0, Ordering::SeqCst);
     }
 
+    /// Changes the time after which it answers that an endpoint leaves.
+    pub fn set_leave_delay(&self, delay: Millis) {
+        self.state.leave_delay_ms.store(delay.0, Ordering::SeqCst);
+    }
+
     /// Returns how many requests for grants it received.
     pub fn acquire_count(&self) -> u64 {
         self.state.acquire_count.load(Ordering::SeqCst)
@@ -187,6 +195,15 @@
         }
     });
     registered.unwrap();
+    let registered = module.register_async_method(method::LEAVE, |_, state, _| {
+        let state = Arc::clone(&state);
+        async move {
+            let delay_ms = state.leave_delay_ms.load(Ordering::SeqCst);
+            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+            Ok::<_, ErrorObjectOwned>(())
+        }
+    });
+    registered.unwrap();
     let registered = module.register_method(method::RELEASE, |params, state, _| {
         state.release_count.fetch_add(1, Ordering::SeqCst);
         state.released.lock().unwrap().extend(params.one::<Release>().ok());
