--- a/crates/wasabi-entry/src/forward/handler.rs
+++ b/crates/wasabi-entry/src/forward/handler.rs
@@ -112,7 +112,7 @@
     Done(Outcome),
     Failed(Failure),
     /// The endpoint was silent, and this grant replaces its own.
-    Replaced(Failure, Granted),
+    Replaced(Box<Granted>),
     /// The owner took the grant back before the first token.
     Preempted,
 }
@@ -147,10 +147,10 @@
             let endpoint = guard.grant().endpoint.clone();
             match self.run_attempt(guard, preempted).await {
                 AttemptResult::Done(outcome) => return outcome,
-                AttemptResult::Replaced(failure, granted) => {
-                    self.count(&failure);
+                AttemptResult::Replaced(granted) => {
+                    self.count(&silent_before_the_answer());
                     self.avoid.push(endpoint);
-                    replacement = Some(granted);
+                    replacement = Some(*granted);
                 }
                 AttemptResult::Preempted => {
                     self.is_sent = false;
@@ -326,7 +326,7 @@
                 let failure = silent_before_the_answer();
                 self.log_failed(&guard, &failure);
                 guard.end(failure.end);
-                return AttemptResult::Replaced(failure, granted);
+                return AttemptResult::Replaced(Box::new(granted));
             }
         };
         if opened.is_stream() {
