entry: the owner of a pool learns of a silence that its attempt outlasts

Cause: an entry that stays with a silent endpoint reports the attempt as abandoned when its caller leaves or its deadline passes. The pool then never learns that the endpoint hangs, and goes on granting it.

Change: the guard of a grant remembers that the bound on silence has passed since the last progress, and reports the silence if nobody else says how the attempt ended.

--- a/crates/wasabi-entry/src/dispatch/grant.rs
+++ b/crates/wasabi-entry/src/dispatch/grant.rs
@@ -1,7 +1,7 @@
 //! Acquiring a grant that may be used, and its guard, which always reports to the owner how the
 //! attempt ended.
 
-use std::sync::Arc;
+use std::{cell::Cell, sync::Arc};
 
 use tokio::sync::oneshot;
 use wasabi_protocol::{
@@ -86,6 +86,8 @@
     route: id::Route,
     sent_at: Millis,
     last_progress: Millis,
+    /// Whether the endpoint has been silent for longer than its bound since it last progressed.
+    is_silent: Cell<bool>,
     report: Report,
 }
 
@@ -103,6 +105,7 @@
             route: request.route.clone(),
             sent_at,
             last_progress: sent_at,
+            is_silent: Cell::new(false),
             report: Report {
                 end: End::Abandoned,
                 first_token: None,
@@ -130,6 +133,7 @@
     /// Records that the response progressed and has `tokens` tokens so far.
     pub(crate) fn record_progress(&mut self, tokens: u32) {
         self.last_progress = self.shared.clock.now();
+        self.is_silent.set(false);
         if self.report.first_token.is_none() {
             self.report.first_token = Some(self.last_progress.since(self.sent_at));
             self.shared.answers().record(self.last_progress, &self.parts);
@@ -137,6 +141,12 @@
         self.report.output_tokens = tokens;
     }
 
+    /// Records that the endpoint has been silent for longer than its bound. The attempt goes on, but
+    /// unless it progresses, the owner learns of the silence when it ends, whoever ends it.
+    pub(crate) fn mark_silent(&self) {
+        self.is_silent.set(true);
+    }
+
     /// Returns the time to the first token, once it has arrived.
     pub(crate) fn first_token(&self) -> Option<Millis> {
         self.report.first_token
@@ -150,6 +160,13 @@
 
 impl Drop for GrantGuard {
     fn drop(&mut self) {
+        if self.is_silent.get() && self.report.end == End::Abandoned {
+            self.report.end = End::Silent;
+            tracing::info!(
+                endpoint = %self.grant.endpoint, attempt = %self.attempt,
+                "the endpoint was silent until its attempt ended"
+            );
+        }
         if let Some(first) = self.report.first_token {
             self.report.stream = self.last_progress.since(self.sent_at + first);
         }
--- a/crates/wasabi-entry/src/forward/handler.rs
+++ b/crates/wasabi-entry/src/forward/handler.rs
@@ -1,6 +1,6 @@
 //! Handles a request to the gateway: read, acquire a grant, send and respond, with retries.
 
-use std::rc::Rc;
+use std::{convert::Infallible, rc::Rc, time::Duration};
 
 use actix_http::{
     HttpMessage as _, Request, Response, StatusCode,
@@ -13,7 +13,6 @@
     fault::{Fault, Kind, Ran},
     id,
     request::End,
-    rpc::Grant,
 };
 
 use crate::{
@@ -215,6 +214,7 @@
         let mut guard = guard;
         guard.mark_sent();
         let grant = guard.grant().clone();
+        let silent_after = grant.first_token_bound.duration();
         // Ending an attempt early only helps if another one may follow.
         let bound = if self.may_replace() {
             grant.first_token_bound
@@ -222,7 +222,12 @@
             self.call.deadline.since(self.call.arrived)
         };
         let sent = send::send(&self.worker, &self.dialect, &self.call, &grant, last_event, bound);
-        let failure = match sent.await {
+        let sent = tokio::select! {
+            biased;
+            sent = sent => sent,
+            never = mark_silent_after(silent_after, &guard) => match never {},
+        };
+        let failure = match sent {
             Ok(opened) if opened.is_stream() => return Ok((opened, guard)),
             Ok(opened) => {
                 let message = format!(
@@ -316,7 +321,7 @@
             biased;
             sent = sent => Opening::Answered(sent),
             () = preemption(preempted), if is_preemptible => Opening::Preempted,
-            granted = self.replacement(&grant) => Opening::Replaced(granted),
+            granted = self.replacement(&guard) => Opening::Replaced(granted),
         };
         let mut opened = match opening {
             Opening::Answered(Ok(opened)) => opened,
@@ -351,12 +356,17 @@
         self.failed(guard, Failure::new(End::Failed, Kind::EndpointFailed, message))
     }
 
-    /// Resolves with a grant that replaces `grant` once its endpoint has been silent for too long and
-    /// another endpoint has room. Never resolves when no other endpoint may be used.
-    async fn replacement(&self, grant: &Grant) -> Granted {
+    /// Resolves with a grant that replaces the one in use once its endpoint has been silent for too long
+    /// and another endpoint has room. Never resolves when no other endpoint may be used.
+    async fn replacement(&self, guard: &GrantGuard) -> Granted {
+        if !self.call.is_resumable() {
+            std::future::pending::<()>().await;
+        }
+        let grant = guard.grant();
         let bound = grant.first_token_bound.max(self.call.route.first_event);
         loop {
             tokio::time::sleep(bound.duration()).await;
+            guard.mark_silent();
             if !self.may_replace() {
                 std::future::pending::<()>().await;
             }
@@ -429,6 +439,13 @@
     Replaced(Granted),
 }
 
+/// Marks an endpoint as silent once the bound has passed. Never resolves.
+async fn mark_silent_after(bound: Duration, guard: &GrantGuard) -> Infallible {
+    tokio::time::sleep(bound).await;
+    guard.mark_silent();
+    std::future::pending().await
+}
+
 /// Returns the failure of an attempt whose endpoint sent nothing in time.
 fn silent_before_the_answer() -> Failure {
     let message = "the endpoint sent nothing within its bound, and another one has room";
--- a/crates/wasabi-entry/src/forward/relay.rs
+++ b/crates/wasabi-entry/src/forward/relay.rs
@@ -134,12 +134,12 @@
         Ok(Some(events))
     }
 
-    /// Returns the longest time without an event before another endpoint is sought. If none may
-    /// resume the stream, it has until its deadline.
+    /// Returns the longest time without an event before the endpoint counts as silent. A stream that
+    /// cannot be resumed has until its deadline.
     fn silence_timeout(&self) -> Duration {
         let call = &self.attempts.call;
         let grant = self.guard.as_ref().map(GrantGuard::grant);
-        let Some(grant) = grant.filter(|_| self.attempts.may_replace()) else {
+        let Some(grant) = grant.filter(|_| call.is_resumable()) else {
             return call.deadline.since(call.arrived).duration();
         };
         let per_event = u64::from(call.backend.tokens_per_event.max(1));
@@ -156,9 +156,14 @@
     /// resumed.
     async fn replace_silent(&mut self, failure: Failure) -> io::Result<()> {
         let Some(guard) = &self.guard else { return Err(already_ended()) };
+        guard.mark_silent();
         let endpoint = guard.grant().endpoint.clone();
         // The caller has received an event, so its waiting time starts anew.
         let since = self.attempts.worker.shared.clock.now();
+        if !self.attempts.may_replace() {
+            self.silent_since = since;
+            return Ok(());
+        }
         let search = self.attempts.acquire_replacement(&endpoint, since);
         let granted = tokio::select! {
             biased;
